Lay the skeleton: build, checks and the micro-kernel

Cause: the project starts empty; every later module needs one frame to grow in. Conclusion: decisions are services that turn typed events into typed effects, so one code path serves daemon, property test and replay.

--- /dev/null
+++ b/cmake/catch_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
--- /dev/null
+++ b/libs/kernel/include/kernel/kv.h
@@ -0,0 +1,169 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+/**
+ * @file
+ * Requests to the platform's key-value service and their replies, after the published etcd v3 API:
+ * revisions count up over the whole store, a transaction compares and then applies at once.
+ * All are value types.
+ */
+namespace camphorgrade {
+
+/** One key as the store holds it. */
+struct kv_entry {
+    std::string key;
+    std::string value;
+    std::int64_t mod_revision = 0;    /**< Store revision of the last write of this key. */
+    std::int64_t create_revision = 0; /**< Store revision of the write that created this key. */
+    std::int64_t lease = 0;           /**< Lease that the key dies with; 0 for none. */
+
+    friend bool operator==(const kv_entry&, const kv_entry&) = default;
+};
+
+/** Reads `key`, or all keys in [key, range_end) when `range_end` is not empty. */
+struct kv_range {
+    std::string key;
+    std::string range_end;
+
+    friend bool operator==(const kv_range&, const kv_range&) = default;
+};
+
+/** Writes one key. */
+struct kv_put {
+    std::string key;
+    std::string value;
+    std::int64_t lease = 0;
+
+    friend bool operator==(const kv_put&, const kv_put&) = default;
+};
+
+/** Deletes `key`, or all keys in [key, range_end). */
+struct kv_delete {
+    std::string key;
+    std::string range_end;
+
+    friend bool operator==(const kv_delete&, const kv_delete&) = default;
+};
+
+using kv_operation = std::variant<kv_range, kv_put, kv_delete>;
+
+/** Holds when the key's last write was at `mod_revision`; 0 stands for "does not exist". */
+struct kv_compare {
+    std::string key;
+    std::int64_t mod_revision = 0;
+
+    friend bool operator==(const kv_compare&, const kv_compare&) = default;
+};
+
+/** Applies `success` at once if every comparison holds, else `failure`. */
+struct kv_txn {
+    std::vector<kv_compare> compares;
+    std::vector<kv_operation> success;
+    std::vector<kv_operation> failure;
+
+    friend bool operator==(const kv_txn&, const kv_txn&) = default;
+};
+
+/** Asks for a lease; the store picks its number. */
+struct kv_lease_grant {
+    std::int64_t ttl_s = 0;
+
+    friend bool operator==(const kv_lease_grant&, const kv_lease_grant&) = default;
+};
+
+/** Renews a lease for its full time to live. */
+struct kv_lease_keep_alive {
+    std::int64_t lease = 0;
+
+    friend bool operator==(const kv_lease_keep_alive&, const kv_lease_keep_alive&) = default;
+};
+
+/** Ends a lease at once; its keys go with it. */
+struct kv_lease_revoke {
+    std::int64_t lease = 0;
+
+    friend bool operator==(const kv_lease_revoke&, const kv_lease_revoke&) = default;
+};
+
+/**
+ * Watches [key, range_end) from `start_revision` on. The reply comes with the first changes; the
+ * service then asks again from the revision after them. An empty reply means the wait ran out.
+ */
+struct kv_watch {
+    std::string key;
+    std::string range_end;
+    std::int64_t start_revision = 0;
+
+    friend bool operator==(const kv_watch&, const kv_watch&) = default;
+};
+
+using kv_request =
+    std::variant<kv_range, kv_txn, kv_lease_grant, kv_lease_keep_alive, kv_lease_revoke, kv_watch>;
+
+/** Entries found by a range, in key order. */
+struct kv_range_result {
+    std::int64_t revision = 0;
+    std::vector<kv_entry> entries;
+
+    friend bool operator==(const kv_range_result&, const kv_range_result&) = default;
+};
+
+/** Outcome of a transaction; `ranges` has one item for each kv_range in the branch that ran. */
+struct kv_txn_result {
+    bool succeeded = false;
+    std::int64_t revision = 0;
+    std::vector<kv_range_result> ranges;
+
+    friend bool operator==(const kv_txn_result&, const kv_txn_result&) = default;
+};
+
+/** State of a lease; `ttl_s` is 0 or less when it no longer exists. */
+struct kv_lease_result {
+    std::int64_t lease = 0;
+    std::int64_t ttl_s = 0;
+
+    friend bool operator==(const kv_lease_result&, const kv_lease_result&) = default;
+};
+
+/** One change seen by a watch. */
+struct kv_watch_event {
+    bool deleted = false;
+    kv_entry entry;
+
+    friend bool operator==(const kv_watch_event&, const kv_watch_event&) = default;
+};
+
+/** Changes seen by a watch, oldest first; `compacted` asks the watcher to read afresh. */
+struct kv_watch_result {
+    std::int64_t revision = 0;
+    bool compacted = false;
+    std::vector<kv_watch_event> events;
+
+    friend bool operator==(const kv_watch_result&, const kv_watch_result&) = default;
+};
+
+/** Why a call has no answer. */
+enum class kv_failure_kind {
+    not_applied, /**< The request provably never took effect (connection refused, refused by the
+                    store). */
+    ambiguous    /**< Sent, no answer: it may have taken effect, or may still. Read back. */
+};
+
+/** A call that got no answer. */
+struct kv_failure {
+    kv_failure_kind kind = kv_failure_kind::ambiguous;
+
+    friend bool operator==(const kv_failure&, const kv_failure&) = default;
+};
+
+using kv_reply =
+    std::variant<kv_range_result, kv_txn_result, kv_lease_result, kv_watch_result, kv_failure>;
+
+/** First key after all keys that begin with `prefix`; the range_end of a prefix scan. */
+std::string kv_prefix_end(const std::string& prefix);
+
+} // namespace camphorgrade
