--- /dev/null
+++ b/libs/telemetry/include/telemetry/metrics.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <kernel/service.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace camphorgrade {
+
+/** Label names and values of a metric, such as {{"reason", "over_rate"}}. */
+using metric_labels = std::vector<std::pair<std::string, std::string>>;
+
+/** What identifies one time series. A value type. */
+struct metric_key {
+    std::string name;
+    metric_labels labels;
+
+    friend bool operator==(const metric_key&, const metric_key&) = default;
+    friend auto operator<=>(const metric_key&, const metric_key&) = default;
+};
+
+/**
+ * The metrics of one node; a kernel service that others find under "metrics".
+ *
+ * Names carry their unit as a suffix, after Prometheus' convention: `_total`, `_ms`, `_tokens`.
+ * Not thread safe: used from the thread that drives the kernel.
+ *
+ * @code
+ * kernel.find<metrics>("metrics").count("camphor_requests_total", {{"result", "whole"}});
+ * @endcode
+ */
+class metrics final : public service {
+public:
+    metrics();
+    ~metrics() override;
+
+    std::string_view name() const noexcept override { return "metrics"; }
+
+    /** Adds to a counter. */
+    void count(const std::string& metric, const metric_labels& labels = {},
+               std::uint64_t amount = 1);
+
+    /** Sets a gauge. */
+    void set(const std::string& metric, const metric_labels& labels, double value);
+
+    /** Adds a sample to a distribution whose median, p95 and p99 are estimated as it grows. */
+    void observe(const std::string& metric, const metric_labels& labels, double sample);
+
+    /** Present value of a counter; 0 when never counted. */
+    std::uint64_t counted(const std::string& metric, const metric_labels& labels = {}) const;
+
+    /** All series in Prometheus' text format. */
+    std::string prometheus_text() const;
+
+private:
+    class distribution;
+
+    std::map<metric_key, std::uint64_t> counters_;
+    std::map<metric_key, double> gauges_;
+    std::map<metric_key, std::unique_ptr<distribution>> distributions_;
+};
+
+} // namespace camphorgrade
