Add the agent's part of the path (not yet linked)

Cause: the agent joins queue, adapter orders, at-most-once records and quarantine. Conclusion: a broken call is first checked against the backend server's life, so that a broken stream and a death are told apart.

--- /dev/null
+++ b/libs/agent/src/backend_calls.cpp
@@ -0,0 +1,347 @@
+// How attempts run: calls to the backend server, their outcome, and what is told to gateways.
+#include <agent/backend_service.h>
+
+#include <telemetry/trace.h>
+
+#include <utility>
+#include <vector>
+
+namespace camphorgrade::agent {
+
+namespace {
+
+constexpr duration retry_soon{500};
+constexpr duration forget_unacknowledged_after{30'000};
+constexpr std::size_t max_recorded_body_bytes = 64U * 1024U;
+constexpr const char* event_stream = "text/event-stream";
+
+bool is_stream(const http_head& head) {
+    const auto type = find_header(head.headers, "Content-Type");
+    return type && type->starts_with(event_stream);
+}
+
+http_request backend_request(const job& started) {
+    const auto& wanted = started.request;
+    http_request request{wanted.method(), wanted.path(), wanted.query(), {}, wanted.body()};
+    for (const auto& each : wanted.headers()) {
+        request.headers.push_back({each.name(), each.value()});
+    }
+    request.headers.push_back({"traceparent", format_traceparent(started.trace)});
+    return request;
+}
+
+delivery::fingerprint content_of(const wire::run_attempt& wanted) {
+    return delivery::fingerprint_of(
+        {wanted.method(), wanted.path(), wanted.query(), wanted.body()});
+}
+
+std::string result_name(const delivery::part& last) {
+    if (std::holds_alternative<delivery::part_end>(last)) {
+        return "whole";
+    }
+    if (const auto* refused = std::get_if<delivery::part_refused>(&last)) {
+        return delivery::name_of(refused->type);
+    }
+    return std::holds_alternative<delivery::part_unknown>(last) ? "unknown" : "broken";
+}
+
+} // namespace
+
+void backend_service::run(job_ref started, step& now) {
+    if (started.cancelled) {
+        started.state = job_state::held;
+        end(started, delivery::part_refused{delivery::refusal_type::deadline, duration{0}}, now);
+        return;
+    }
+    ++running_;
+    started.started = now.time();
+    if (!started.recorded()) {
+        call(started, now);
+        return;
+    }
+    started.state = job_state::recording;
+    const auto& wanted = started.request;
+    started.ticket = once_->begin({wanted.client_account(), wanted.idempotency_key(),
+                                   content_of(wanted), started.deadline},
+                                  *this, now);
+    by_ticket_[*started.ticket] = &started;
+}
+
+void backend_service::call(job_ref started, step& now) {
+    started.state = job_state::running;
+    started.call = call_id{++last_call_};
+    by_call_[started.call] = &started;
+    now.emit(call_backend{std::string(name()), started.call, backend_request(started),
+                          server_->address});
+    metrics_->observe("camphor_queue_wait_ms", {},
+                      static_cast<double>((now.time() - started.arrived).count()));
+}
+
+void backend_service::on_once_decided(delivery::once_ticket ticket,
+                                      const delivery::once_decision& decision, step& now) {
+    const auto found = by_ticket_.find(ticket);
+    if (found == by_ticket_.end()) {
+        return;
+    }
+    job& decided = *found->second;
+    if (std::holds_alternative<delivery::once_run>(decision)) {
+        call(decided, now);
+        return;
+    }
+    by_ticket_.erase(found);
+    decided.ticket.reset();
+    if (const auto* replay = std::get_if<delivery::once_replay>(&decision)) {
+        send(decided, delivery::part_head{replay->outcome.head, true}, now);
+        if (!replay->outcome.body.empty()) {
+            send(decided, delivery::part_chunk{replay->outcome.body}, now);
+        }
+        end(decided, delivery::part_end{0}, now);
+    } else if (const auto* unknown = std::get_if<delivery::once_unknown>(&decision)) {
+        end(decided, delivery::part_unknown{unknown->retry_after}, now);
+    } else {
+        const auto& refused = std::get<delivery::once_refused>(decision);
+        const auto type = refused.reason == delivery::once_refusal::key_reused
+                              ? delivery::refusal_type::key_reused
+                          : refused.reason == delivery::once_refusal::overloaded
+                              ? delivery::refusal_type::queue_full
+                              : delivery::refusal_type::record_unavailable;
+        end(decided, delivery::part_refused{type, refused.retry_after}, now);
+    }
+}
+
+void backend_service::on_call(call_id call, const call_progress& progress, step& now) {
+    if (liveness_call_ == call) {
+        if (const auto* head = std::get_if<http_head>(&progress)) {
+            const auto boot = driver_.boot_of(*head);
+            liveness_known(engine_ != nullptr && boot && *boot != engine_->boot(), now);
+        } else if (std::holds_alternative<call_failure>(progress)) {
+            liveness_known(true, now);
+        }
+        return;
+    }
+    if (engine_ != nullptr && engine_->on_call(call, progress, now)) {
+        reporter_->changed(now);
+        return;
+    }
+    const auto found = by_call_.find(call);
+    if (found != by_call_.end()) {
+        take_progress(*found->second, progress, now);
+    }
+}
+
+void backend_service::take_progress(job_ref running, const call_progress& progress, step& now) {
+    if (const auto* head = std::get_if<http_head>(&progress)) {
+        take_head(running, *head, now);
+    } else if (const auto* chunk = std::get_if<http_chunk>(&progress)) {
+        take_chunk(running, *chunk, now);
+    } else if (std::holds_alternative<http_end>(progress)) {
+        take_end(running, now);
+    } else {
+        take_failure(running, std::get<call_failure>(progress).kind, now);
+    }
+}
+
+void backend_service::take_head(job_ref running, const http_head& head, step& now) {
+    if (engine_ != nullptr && driver_.says_missing_adapter(head)) {
+        // The engine restarted empty or lost the adapter: it ran nothing.
+        now.emit(cancel_call{running.call});
+        engine_->on_missing_adapter(running.number, now);
+        end(running, delivery::part_refused{delivery::refusal_type::load_failed, duration{0}}, now);
+        return;
+    }
+    running.head = head;
+    running.meter = answer_meter(is_stream(head));
+    metrics_->observe("camphor_backend_first_byte_ms", {},
+                      static_cast<double>((now.time() - running.started).count()));
+    send(running, delivery::part_head{head, false}, now);
+}
+
+void backend_service::take_chunk(job_ref running, const http_chunk& chunk, step& now) {
+    running.meter.add(chunk.bytes);
+    if (running.recorded() && !running.body_omitted) {
+        running.body_omitted = running.body.size() + chunk.bytes.size() > max_recorded_body_bytes;
+        running.body = running.body_omitted ? std::string{} : running.body + chunk.bytes;
+    }
+    send(running, delivery::part_chunk{chunk.bytes}, now);
+}
+
+void backend_service::take_end(job_ref running, step& now) {
+    if (!running.head || !running.meter.ended_properly()) {
+        take_failure(running, call_failure_kind::broken, now);
+        return;
+    }
+    quarantine_->on_finished(running.suspect.content, now);
+    end(running, delivery::part_end{running.meter.generated_tokens()}, now);
+}
+
+void backend_service::take_failure(job_ref running, call_failure_kind kind, step& now) {
+    if (kind == call_failure_kind::not_sent) {
+        end(running, delivery::part_refused{delivery::refusal_type::backend_down, retry_soon}, now);
+    } else if (running.cancelled) {
+        end(running, delivery::part_broken{false}, now);
+    } else {
+        by_call_.erase(running.call);
+        running.state = job_state::checking;
+        check_liveness(now);
+    }
+}
+
+void backend_service::check_liveness(step& now) {
+    if (liveness_call_) {
+        return;
+    }
+    liveness_call_ = call_id{++last_call_};
+    const http_request question =
+        engine_ != nullptr ? driver_.listing_request() : http_request{"GET", "/", "", {}, ""};
+    now.emit(call_backend{std::string(name()), *liveness_call_, question, server_->address});
+}
+
+void backend_service::liveness_known(bool died, step& now) {
+    now.emit(cancel_call{*liveness_call_});
+    liveness_call_.reset();
+    std::vector<job*> hit;
+    for (const auto& [number, each] : by_number_) {
+        const bool running = each->state == job_state::running;
+        if (each->state == job_state::checking || (died && running)) {
+            hit.push_back(each);
+        }
+    }
+    if (!died) {
+        for (job* each : hit) {
+            end(*each, delivery::part_broken{false}, now);
+        }
+        return;
+    }
+    std::vector<delivery::death_suspect> suspects;
+    std::vector<std::uint64_t> numbers;
+    for (job* each : hit) {
+        by_call_.erase(each->call);
+        each->state = job_state::checking;
+        suspects.push_back(each->suspect);
+        numbers.push_back(each->number);
+    }
+    metrics_->count("camphor_backend_deaths_total");
+    const auto death = quarantine_->report_death(suspects, *this, now);
+    now.emit(write_log{log_level::error,
+                       "backend_server_died",
+                       {{"backend_server", server_->name},
+                        {"running", std::to_string(suspects.size())}}});
+    deaths_[death] = std::move(numbers);
+}
+
+void backend_service::on_death_shared(const delivery::death_id& death, bool /*everywhere*/,
+                                      step& now) {
+    const auto found = deaths_.find(death);
+    if (found == deaths_.end()) {
+        return;
+    }
+    const auto numbers = std::move(found->second);
+    deaths_.erase(found);
+    for (const auto number : numbers) {
+        if (job* each = find_number(number); each != nullptr && each->state != job_state::ended) {
+            end(*each, delivery::part_broken{true}, now);
+        }
+    }
+}
+
+void backend_service::settle_record(job_ref ended, const delivery::part& last, step& now) {
+    if (!ended.ticket) {
+        return;
+    }
+    by_ticket_.erase(*ended.ticket);
+    if (std::holds_alternative<delivery::part_end>(last)) {
+        once_->finish(*ended.ticket, {*ended.head, std::move(ended.body), ended.body_omitted}, now);
+    } else if (std::holds_alternative<delivery::part_refused>(last)) {
+        once_->finish_not_run(*ended.ticket, now);
+    } else {
+        once_->finish_unknown(*ended.ticket, now);
+    }
+    ended.ticket.reset();
+}
+
+void backend_service::end(job_ref ended, delivery::part last, step& now) {
+    const auto state = std::exchange(ended.state, job_state::ended);
+    const bool was_running = state == job_state::recording || state == job_state::running ||
+                             state == job_state::checking;
+    const bool had_started = was_running || state == job_state::held;
+    running_ -= was_running ? 1 : 0;
+    exclusive_ -= had_started && ended.alone ? 1 : 0;
+    by_call_.erase(ended.call);
+    ended.ended_at = now.time();
+    settle_record(ended, last, now);
+    count_end(ended, last, now);
+    export_trace(ended, now);
+    send(ended, std::move(last), now);
+    if (had_started) {
+        queue_->finished(ended.number, ended.meter.generated_tokens(), now);
+    }
+    start_held(now);
+    reporter_->changed(now);
+    update_drain(now);
+}
+
+void backend_service::count_end(const job& ended, const delivery::part& last, step& now) {
+    metrics_->count("camphor_attempts_total", {{"result", result_name(last)}});
+    metrics_->observe("camphor_attempt_ms", {},
+                      static_cast<double>((now.time() - ended.arrived).count()));
+    if (std::holds_alternative<delivery::part_end>(last)) {
+        metrics_->count("camphor_generated_tokens_total",
+                        {{"client_account", ended.request.client_account()}},
+                        ended.meter.generated_tokens());
+    }
+}
+
+void backend_service::export_trace(const job& ended, step& now) {
+    const auto& wanted = ended.request;
+    now.emit(export_span{{ended.trace, wanted.parent_span_id(), "agent", ended.arrived, now.time(),
+                          {{"service", wanted.service()}, {"adapter", wanted.adapter()}}}});
+    if (ended.started != time_point{}) {
+        const trace_context call = next_span(ended.trace.trace_id, now.random());
+        now.emit(export_span{{call, ended.trace.span_id, "backend_server", ended.started,
+                              now.time(),
+                              {{"backend_server", server_->name}}}});
+    }
+}
+
+void backend_service::send(job_ref from, delivery::part next, step& now) {
+    transmit(from, from.outbox.add(std::move(next), now.time()), now);
+}
+
+void backend_service::transmit(const job& from, const delivery::numbered_part& numbered,
+                               step& now) {
+    const auto content = delivery::to_wire(from.id.request, from.id.number, numbered);
+    now.send(from.id.gateway, "forward", content.SerializeAsString());
+}
+
+void backend_service::resend(step& now) {
+    for (const auto& [id, each] : jobs_) {
+        for (const auto& part : each->outbox.due(now.time())) {
+            transmit(*each, part, now);
+        }
+    }
+}
+
+void backend_service::enforce_deadlines(step& now) {
+    for (const auto& [id, each] : jobs_) {
+        const bool late = now.time() >= each->deadline && !each->cancelled;
+        if (late && each->state == job_state::running && each->request.repeatable()) {
+            each->cancelled = true;
+            now.emit(cancel_call{each->call});
+        }
+    }
+}
+
+void backend_service::forget_settled(time_point now) {
+    for (auto at = jobs_.begin(); at != jobs_.end();) {
+        const job& each = *at->second;
+        const bool given_up = now - each.ended_at > forget_unacknowledged_after;
+        if (each.state == job_state::ended && (each.outbox.settled() || given_up)) {
+            by_number_.erase(each.number);
+            at = jobs_.erase(at);
+        } else {
+            ++at;
+        }
+    }
+}
+
+} // namespace camphorgrade::agent
--- a/libs/kernel/include/kernel/effect.h
+++ b/libs/kernel/include/kernel/effect.h
@@ -49,11 +49,12 @@
     friend bool operator==(const answer_caller&, const answer_caller&) = default;
 };
 
-/** Starts an HTTP call to the node's backend server; call_progressed events follow. */
+/** Starts an HTTP call to a backend server; call_progressed events follow. */
 struct call_backend {
     std::string service;
     call_id call;
     http_request request;
+    std::string endpoint; /**< "IP:port". */
 
     friend bool operator==(const call_backend&, const call_backend&) = default;
 };
