--- a/libs/delivery/include/delivery/refusal.h
+++ b/libs/delivery/include/delivery/refusal.h
@@ -2,6 +2,7 @@
 
 #include <delivery/run_knowledge.h>
 #include <kernel/clock.h>
+#include <kernel/http_types.h>
 
 #include <cstdint>
 #include <string>
@@ -23,7 +24,18 @@
     no_backend,         /**< No backend server can take it now. */
     retries_exhausted,  /**< Attempts failed, and no more are allowed. */
     outcome_unknown,    /**< It may have run; its answer is lost. */
-    answer_not_kept     /**< It ran before; its answer was too large to be recorded. */
+    answer_not_kept,    /**< It ran before; its answer was too large to be recorded. */
+    malformed_request,  /**< Not a request as the API page describes it. */
+    missing_key,        /**< The route needs a key. */
+    invalid_key,        /**< The key is unknown or withdrawn. */
+    unknown_route,      /**< No such route. */
+    method_not_allowed, /**< The route doesn't take the method. */
+    unknown_service,    /**< No such service. */
+    request_too_large,  /**< Body or headers above the limit. */
+    cost_over_burst,    /**< It costs more than the client account's burst: it can never run. */
+    over_rate,          /**< The client account is over its rate. */
+    no_standing,        /**< The gateway can't confirm that what it knows is current. */
+    service_unavailable /**< The service or something it depends on is missing or down. */
 };
 
 /** HTTP status of a refusal. Thread safe. */
@@ -41,6 +53,9 @@
     friend bool operator==(const refusal&, const refusal&) = default;
 };
 
+/** Headers of a refusal: Content-Type, Retry-After, WWW-Authenticate. Thread safe. */
+http_headers refusal_headers(const refusal& refused);
+
 /** JSON body of a refusal, as the API page describes it. Thread safe. */
 std::string refusal_body(const refusal& refused);
 
--- a/libs/gateway/include/gateway/completion_request.h
+++ b/libs/gateway/include/gateway/completion_request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <gateway/refusal.h>
+#include <delivery/refusal.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -31,7 +31,7 @@
  * Checks the body of a completion request. `chat` tells which of the two routes it came by.
  * Never throws. Thread safe.
  */
-std::variant<completion_request, refusal>
+std::variant<completion_request, delivery::refusal>
 parse_completion_request(const std::string& body, bool chat, const completion_limits& limits);
 
 /**
--- a/libs/gateway/include/gateway/route.h
+++ b/libs/gateway/include/gateway/route.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <gateway/refusal.h>
+#include <delivery/refusal.h>
 #include <kernel/http_types.h>
 
 #include <optional>
@@ -22,13 +22,14 @@
 };
 
 /** Finds the route of a request, or why there is none. Thread safe. */
-std::variant<route, refusal> find_route(const http_request& request);
+std::variant<route, delivery::refusal> find_route(const http_request& request);
 
 /**
- * The key that came with a request; nullopt without an Authorization header; a refusal when it is
- * given twice or is no bearer key. Thread safe.
+ * The key that came with a request; nullopt without an Authorization header; a delivery::refusal
+ * when it is given twice or is no bearer key. Thread safe.
  */
-std::variant<std::optional<std::string>, refusal> presented_key(const http_headers& headers);
+std::variant<std::optional<std::string>, delivery::refusal>
+presented_key(const http_headers& headers);
 
 /** The headers that a backend server may see: none that can carry a key. Thread safe. */
 http_headers forwarded_headers(const http_headers& headers);
--- a/libs/gateway/src/completion_request.cpp
+++ b/libs/gateway/src/completion_request.cpp
@@ -114,9 +114,10 @@
 
 } // namespace
 
-std::variant<completion_request, refusal>
+std::variant<completion_request, delivery::refusal>
 parse_completion_request(const std::string& body, bool chat, const completion_limits& limits) {
-    const refusal malformed{refusal_type::malformed_request, run_state::not_run, duration{0}};
+    const delivery::refusal malformed{delivery::refusal_type::malformed_request,
+                                      delivery::run_knowledge::not_run, duration{0}};
     const auto parsed = parse_object(body);
     if (!parsed || !has_valid_model(*parsed) || asks_for_several_choices(*parsed)) {
         return malformed;
--- a/libs/gateway/src/route.cpp
+++ b/libs/gateway/src/route.cpp
@@ -16,40 +16,40 @@
 constexpr std::array<const char*, 4> passed_on{"Content-Type", "Accept", "Accept-Language",
                                                "Idempotency-Key"};
 
-refusal refuse(refusal_type type) {
-    return {type, run_state::not_run, duration{0}};
+delivery::refusal refuse(delivery::refusal_type type) {
+    return {type, delivery::run_knowledge::not_run, duration{0}};
 }
 
-std::variant<route, refusal> plain_route(const http_request& request) {
+std::variant<route, delivery::refusal> plain_route(const http_request& request) {
     const bool known = std::any_of(plain_methods.begin(), plain_methods.end(),
                                    [&](const char* each) { return request.method == each; });
     if (!known) {
-        return refuse(refusal_type::method_not_allowed);
+        return refuse(delivery::refusal_type::method_not_allowed);
     }
     const std::string rest = request.path.substr(services_prefix.size());
     const auto slash = rest.find('/');
     const std::string name = rest.substr(0, slash);
     if (name.empty()) {
-        return refuse(refusal_type::unknown_service);
+        return refuse(delivery::refusal_type::unknown_service);
     }
     const std::string path = slash == std::string::npos ? "/" : rest.substr(slash);
     if (path.find("/..") != std::string::npos || path.find("/./") != std::string::npos) {
-        return refuse(refusal_type::malformed_request);
+        return refuse(delivery::refusal_type::malformed_request);
     }
     return route{route_kind::plain_service, name, path};
 }
 
-std::variant<route, refusal> only(const http_request& request, const char* method,
-                                  route_kind kind) {
+std::variant<route, delivery::refusal> only(const http_request& request, const char* method,
+                                            route_kind kind) {
     if (request.method != method) {
-        return refuse(refusal_type::method_not_allowed);
+        return refuse(delivery::refusal_type::method_not_allowed);
     }
     return route{kind, {}, {}};
 }
 
 } // namespace
 
-std::variant<route, refusal> find_route(const http_request& request) {
+std::variant<route, delivery::refusal> find_route(const http_request& request) {
     if (request.path == "/v1/completions") {
         return only(request, "POST", route_kind::completion);
     }
@@ -62,10 +62,11 @@
     if (request.path.starts_with(services_prefix)) {
         return plain_route(request);
     }
-    return refuse(refusal_type::unknown_route);
+    return refuse(delivery::refusal_type::unknown_route);
 }
 
-std::variant<std::optional<std::string>, refusal> presented_key(const http_headers& headers) {
+std::variant<std::optional<std::string>, delivery::refusal>
+presented_key(const http_headers& headers) {
     const auto count = count_headers(headers, "Authorization");
     if (count == 0) {
         return std::optional<std::string>{};
@@ -73,7 +74,7 @@
     const std::string value = *find_header(headers, "Authorization");
     const bool is_bearer = value.starts_with(bearer_prefix);
     if (count > 1 || !is_bearer || value.size() > bearer_prefix.size() + max_key_bytes) {
-        return refuse(refusal_type::invalid_key);
+        return refuse(delivery::refusal_type::invalid_key);
     }
     return std::optional<std::string>{value.substr(bearer_prefix.size())};
 }
--- a/libs/gateway/tests/test_completion_request.cpp
+++ b/libs/gateway/tests/test_completion_request.cpp
@@ -73,10 +73,11 @@
 }
 
 TEST_CASE("refusals carry type, run state and when to come back") {
-    const refusal refused{refusal_type::over_rate, run_state::not_run, duration{1'200}};
-    CHECK(refusal_status(refused) == 429);
-    CHECK(find_header(refusal_headers(refused), "Retry-After") == "2");
-    const auto body = nlohmann::json::parse(refusal_body(refused));
+    const delivery::refusal refused{delivery::refusal_type::over_rate,
+                                    delivery::run_knowledge::not_run, duration{1'200}};
+    CHECK(delivery::http_status(refused.type) == 429);
+    CHECK(find_header(delivery::refusal_headers(refused), "Retry-After") == "2");
+    const auto body = nlohmann::json::parse(delivery::refusal_body(refused));
     CHECK(body["error"]["type"] == "over_rate");
     CHECK(body["error"]["run"] == "not_run");
     CHECK(body["error"]["retry_after_ms"] == 1'200);
--- a/libs/gateway/tests/test_route.cpp
+++ b/libs/gateway/tests/test_route.cpp
@@ -11,8 +11,8 @@
     return {method, path, "", {}, ""};
 }
 
-refusal_type refused(const std::string& method, const std::string& path) {
-    return std::get<refusal>(find_route(asking(method, path))).type;
+delivery::refusal_type refused(const std::string& method, const std::string& path) {
+    return std::get<delivery::refusal>(find_route(asking(method, path))).type;
 }
 
 } // namespace
@@ -26,12 +26,13 @@
 }
 
 TEST_CASE("unknown routes, methods and traversals are refused") {
-    CHECK(refused("GET", "/v1/completions") == refusal_type::method_not_allowed);
-    CHECK(refused("TRACE", "/services/booking/x") == refusal_type::method_not_allowed);
-    CHECK(refused("GET", "/") == refusal_type::unknown_route);
-    CHECK(refused("GET", "/services/") == refusal_type::unknown_service);
-    CHECK(refused("GET", "/services/booking/../secret") == refusal_type::malformed_request);
-    CHECK(refused("GET", "/services/booking/..") == refusal_type::malformed_request);
+    CHECK(refused("GET", "/v1/completions") == delivery::refusal_type::method_not_allowed);
+    CHECK(refused("TRACE", "/services/booking/x") == delivery::refusal_type::method_not_allowed);
+    CHECK(refused("GET", "/") == delivery::refusal_type::unknown_route);
+    CHECK(refused("GET", "/services/") == delivery::refusal_type::unknown_service);
+    CHECK(refused("GET", "/services/booking/../secret") ==
+          delivery::refusal_type::malformed_request);
+    CHECK(refused("GET", "/services/booking/..") == delivery::refusal_type::malformed_request);
 }
 
 TEST_CASE("the key is one bearer header") {
@@ -40,10 +41,11 @@
     CHECK(std::get<key>(presented_key({{"authorization", "Bearer k"}})) == "k");
     const auto twice =
         presented_key({{"Authorization", "Bearer k"}, {"authorization", "Bearer l"}});
-    CHECK(std::get<refusal>(twice).type == refusal_type::invalid_key);
-    CHECK(std::holds_alternative<refusal>(presented_key({{"Authorization", "Basic k"}})));
+    CHECK(std::get<delivery::refusal>(twice).type == delivery::refusal_type::invalid_key);
+    CHECK(std::holds_alternative<delivery::refusal>(presented_key({{"Authorization", "Basic k"}})));
     const std::string huge(10'000, 'x');
-    CHECK(std::holds_alternative<refusal>(presented_key({{"Authorization", "Bearer " + huge}})));
+    CHECK(std::holds_alternative<delivery::refusal>(
+        presented_key({{"Authorization", "Bearer " + huge}})));
 }
 
 TEST_CASE("no header that can carry a key is passed on") {
