--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -155,7 +155,8 @@
     const candidate* best = nullptr;
     std::size_t seen = 0;
     for (const candidate& each : all) {
-        const bool fits = each.load <= bound && each.to->status.obtainable_slots > 0;
+        const bool fits =
+            !overloaded(each) && each.load <= bound && each.to->status.obtainable_slots > 0;
         if (fits &&
             (best == nullptr || (settings_.weigh_victims &&
                                  each.to->status.victim_worth < best->to->status.victim_worth))) {
--- a/libs/placement/src/scheduler.cpp
+++ b/libs/placement/src/scheduler.cpp
@@ -51,7 +51,7 @@
 }
 
 result_effect scheduler::on_result(const order_result& result, time_point now) {
-    const result_effect effect = table_.on_result(result, now);
+    result_effect effect = table_.on_result(result, now);
     const auto* failed = std::get_if<adapter_load_failed>(&effect);
     if (failed != nullptr && failed->failures >= settings_.load_attempts) {
         refuse(queue_.remove(
--- a/libs/placement/tests/test_fair_queue.cpp
+++ b/libs/placement/tests/test_fair_queue.cpp
@@ -128,11 +128,11 @@
 
 TEST_CASE("popularity follows a sudden shift and remembers slowly") {
     popularity asked(100);
-    for (int s = 0; s < 600; ++s) {
+    for (std::int64_t s = 0; s < 600; ++s) {
         asked.add(1, 10, at(s * 1000));
     }
     CHECK(asked.rate(1, at(600000)) == Approx(10).epsilon(0.35));
-    for (int s = 600; s < 620; ++s) {
+    for (std::int64_t s = 600; s < 620; ++s) {
         asked.add(2, 10, at(s * 1000));
     }
     CHECK(asked.rate(2, at(620000)) > 8);
