Acknowledge parts by time as well as by count, and route plain services by name

Cause: an agent resends unacknowledged parts, and slow streams were acknowledged only every 16 parts, so each part of a slow stream would travel several times. A backend server that runs several plain services reported only one of them. Conclusion: parts are acknowledged at the latest 300 ms after the last acknowledgement, and repeated ones at once; agents list all their services.

--- a/libs/agent/include/agent/plain_queue.h
+++ b/libs/agent/include/agent/plain_queue.h
@@ -4,14 +4,16 @@
 
 #include <deque>
 #include <string>
+#include <vector>
 
 namespace camphorgrade::agent {
 
 /** First come, first served, for backend servers without adapters. Bounded. Not thread safe. */
 class plain_queue final : public work_queue {
 public:
-    /** `pool` names the service in reports. Preconditions: `listener` outlives it; capacity > 0. */
-    plain_queue(std::string pool, std::size_t capacity, work_listener& listener);
+    /** `services` are what it reports to run. Preconditions: `listener` outlives it; capacity > 0.
+     */
+    plain_queue(std::vector<std::string> services, std::size_t capacity, work_listener& listener);
 
     void admit(const placement::queued_request& request, step& now) override;
     bool cancel(std::uint64_t id) override;
@@ -22,7 +24,7 @@
     placement::agent_status status(time_point now) const override;
 
 private:
-    std::string pool_;
+    std::vector<std::string> services_;
     std::size_t capacity_;
     work_listener& listener_;
     std::deque<placement::queued_request> waiting_;
--- a/libs/agent/src/backend_service.cpp
+++ b/libs/agent/src/backend_service.cpp
@@ -7,6 +7,7 @@
 #include <membership/standing_service.h>
 #include <telemetry/trace.h>
 
+#include <limits>
 #include <utility>
 
 namespace camphorgrade::agent {
@@ -169,6 +170,11 @@
     if (known == nullptr) {
         return;
     }
+    if (known->state == job_state::ended) {
+        // The gateway has what it needs: nothing more is to be sent.
+        known->outbox.acknowledge(std::numeric_limits<std::uint64_t>::max());
+        return;
+    }
     known->cancelled = true;
     if (known->state == job_state::waiting && queue_->cancel(known->number)) {
         end(*known, delivery::part_refused{delivery::refusal_type::deadline, duration{0}}, now);
@@ -275,8 +281,7 @@
         return;
     }
     if (server_->kind == config::backend_kind::plain) {
-        const std::string pool = server_->services.empty() ? "" : server_->services.front();
-        queue_ = std::make_unique<plain_queue>(pool, settings_.plain_capacity, *this);
+        queue_ = std::make_unique<plain_queue>(server_->services, settings_.plain_capacity, *this);
     } else if (fencing_) {
         placement::scheduler_settings scheduling;
         scheduling.slots.slots = server_->slots;
--- a/libs/agent/src/plain_queue.cpp
+++ b/libs/agent/src/plain_queue.cpp
@@ -13,8 +13,9 @@
 
 } // namespace
 
-plain_queue::plain_queue(std::string pool, std::size_t capacity, work_listener& listener)
-    : pool_(std::move(pool)), capacity_(capacity), listener_(listener) {
+plain_queue::plain_queue(std::vector<std::string> services, std::size_t capacity,
+                         work_listener& listener)
+    : services_(std::move(services)), capacity_(capacity), listener_(listener) {
     CAMPHOR_PRECONDITION(capacity > 0);
 }
 
@@ -61,7 +62,7 @@
 
 placement::agent_status plain_queue::status(time_point /*now*/) const {
     placement::agent_status status;
-    status.pool = pool_;
+    status.services = services_;
     for (const auto& each : waiting_) {
         status.short_tokens += each.cost();
     }
--- a/libs/delivery/include/delivery/request_delivery.h
+++ b/libs/delivery/include/delivery/request_delivery.h
@@ -28,7 +28,8 @@
     duration resend_after{200};       /**< An unanswered message is sent again to the same agent. */
     duration accept_timeout{1'000};   /**< An agent that is silent so long is given up. */
     duration silence_timeout{20'000}; /**< Longest wait for the next part once started. */
-    std::uint64_t acknowledge_every = 16;   /**< Parts. */
+    std::uint64_t acknowledge_every = 16; /**< Parts. */
+    duration acknowledge_within{300};     /**< A part that comes later than this is acknowledged. */
     std::size_t most_buffered = 1U << 20U;  /**< Bytes of an answer held until it is whole. */
     std::size_t most_resumable = 1U << 18U; /**< Bytes of a stream kept for resuming it. */
     backoff_settings backoff;
@@ -162,6 +163,7 @@
     bool buffering_ = true;
     stream_resume resume_;
     std::uint64_t acknowledged_ = 0;
+    time_point acknowledged_at_;
     std::optional<std::uint64_t> asked_for_; /**< Missing part that was asked for again. */
     std::uint64_t generated_ = 0;
 
--- a/libs/delivery/src/request_delivery.cpp
+++ b/libs/delivery/src/request_delivery.cpp
@@ -50,6 +50,7 @@
     buffer_.clear();
     buffered_ = 0;
     acknowledged_ = 0;
+    acknowledged_at_ = now;
     asked_for_.reset();
     if (head_forwarded_) {
         resume_.begin_again();
@@ -78,6 +79,7 @@
         return out;
     }
     const context at{now, &budget, &random, &out};
+    const bool repeated = arrived.sequence < parts_.next_sequence();
     for (const part& next : parts_.accept(from, std::move(arrived))) {
         last_part_ = now;
         if (phase_ != phase::running || attempt_number != number_) {
@@ -91,8 +93,10 @@
     }
     if (phase_ == phase::running && attempt_number == number_) {
         const bool many = parts_.next_sequence() - acknowledged_ >= settings_.acknowledge_every;
+        const bool late = parts_.next_sequence() > acknowledged_ &&
+                          now - acknowledged_at_ >= settings_.acknowledge_within;
         const bool missing = parts_.gap() && asked_for_ != parts_.next_sequence();
-        if (many || missing) {
+        if (many || late || missing || repeated) {
             acknowledge(at);
         }
     }
@@ -102,6 +106,7 @@
 
 void request_delivery::acknowledge(const context& at) {
     acknowledged_ = parts_.next_sequence();
+    acknowledged_at_ = at.now;
     if (parts_.gap()) {
         asked_for_ = acknowledged_;
     }
--- a/libs/gateway/include/gateway/forwarder.h
+++ b/libs/gateway/include/gateway/forwarder.h
@@ -34,8 +34,7 @@
     virtual void on_refusal(request_id request, const delivery::refusal& refused, step& now) = 0;
 
     /** Nothing follows; settle the charge. */
-    virtual void on_ended(request_id request, const delivery::delivery_ended& ended,
-                          step& now) = 0;
+    virtual void on_ended(request_id request, const delivery::delivery_ended& ended, step& now) = 0;
 };
 
 /**
--- a/libs/gateway/src/forwarder.cpp
+++ b/libs/gateway/src/forwarder.cpp
@@ -51,14 +51,15 @@
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(arrived, delivery::from_wire(content));
             carry_out(request,
-                      found->second.machine.on_part(content.attempt(),
-                                                    {received.from, received.from_incarnation},
-                                                    std::move(arrived), now.time(), budget_,
-                                                    now.random()),
+                      found->second.machine.on_part(
+                          content.attempt(), {received.from, received.from_incarnation},
+                          std::move(arrived), now.time(), budget_, now.random()),
                       now);
             return {};
         },
-        [&] { metrics_->count("camphor_malformed_messages_total", {{"service", "forward"}}); });
+        [&] {
+            metrics_->count("camphor_malformed_messages_total", {{"service", "forward"}});
+        });
 }
 
 void forwarder::on_timer(token id, step& now) {
@@ -133,7 +134,12 @@
                        const delivery::choose_backend& wanted, step& now) {
     auto asked = state.order.route;
     asked.excluded = wanted.tried;
-    const auto chosen = router_->choose(asked, now);
+    auto chosen = router_->choose(asked, now);
+    if (std::holds_alternative<placement::route_refusal>(chosen) && !asked.excluded.empty()) {
+        // Better one that failed before than none.
+        asked.excluded.clear();
+        chosen = router_->choose(asked, now);
+    }
     if (const auto* refused = std::get_if<placement::route_refusal>(&chosen)) {
         carry_out(request, state.machine.no_backend(refused->retry_after, now.time()), now);
         return;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -36,8 +36,7 @@
 
 } // namespace
 
-front::front(front_settings settings)
-    : settings_(std::move(settings)), drain_(settings_.drain) {}
+front::front(front_settings settings) : settings_(std::move(settings)), drain_(settings_.drain) {}
 
 void front::attach(micro_kernel& kernel) {
     keys_ = &kernel.find<keys::key_service>("keys");
@@ -115,9 +114,8 @@
     }
     const time_point token_deadline =
         std::min(admitted.order.delivery.deadline, now.time() + settings_.token_wait);
-    const auto answer = limits_->admit(admitted.client_account,
-                                       static_cast<std::int64_t>(admitted.cost), token_deadline,
-                                       now);
+    const auto answer = limits_->admit(
+        admitted.client_account, static_cast<std::int64_t>(admitted.cost), token_deadline, now);
     if (answer.state == limits::admission_state::refused) {
         refuse(request, not_run(to_refusal(answer.refusal.reason), answer.refusal.retry_after),
                now);
@@ -215,7 +213,7 @@
         }
         limits_->credit(*open.ticket, static_cast<std::int64_t>(open.cost - used), now);
     }
-    const std::string result = ended.whole             ? "whole"
+    const std::string result = ended.whole            ? "whole"
                                : !open.result.empty() ? open.result
                                                       : "incomplete";
     forget(request, result, now);
@@ -237,7 +235,11 @@
     metrics_->count("camphor_requests_total", {{"result", result}});
     metrics_->observe("camphor_request_ms", {},
                       static_cast<double>((now.time() - open.arrived).count()));
-    now.emit(export_span{{open.trace, open.parent_span, "gateway", open.arrived, now.time(),
+    now.emit(export_span{{open.trace,
+                          open.parent_span,
+                          "gateway",
+                          open.arrived,
+                          now.time(),
                           {{"service", open.order.attempt.service()},
                            {"client_account", open.client_account},
                            {"result", result}}}});
@@ -277,9 +279,8 @@
     if (drain_.state() == delivery::drain_state::stopped) {
         exiting_ = true;
         membership_->deregister(now);
-        now.emit(write_log{log_level::info,
-                           "graceful_shutdown_ended",
-                           {{"cut", std::to_string(drain_.cut())}}});
+        now.emit(write_log{
+            log_level::info, "graceful_shutdown_ended", {{"cut", std::to_string(drain_.cut())}}});
         now.emit(exit_process{});
     }
 }
--- a/libs/gateway/src/front_checks.cpp
+++ b/libs/gateway/src/front_checks.cpp
@@ -23,9 +23,8 @@
 }
 
 bool is_valid_idempotency_key(const std::string& key) {
-    const bool printable = std::all_of(key.begin(), key.end(), [](char c) {
-        return c > ' ' && c <= '~';
-    });
+    const bool printable =
+        std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c <= '~'; });
     return !key.empty() && key.size() <= max_idempotency_key_bytes && printable;
 }
 
@@ -87,8 +86,7 @@
     return std::nullopt;
 }
 
-front::checked front::check_completion(const caller_arrived& arrived, bool chat,
-                                       step& now) const {
+front::checked front::check_completion(const caller_arrived& arrived, bool chat, step& now) const {
     const auto& limits = text_->requests();
     const auto parsed = parse_completion_request(arrived.content.body, chat,
                                                  {limits.max_tokens, limits.default_max_tokens});
@@ -124,8 +122,7 @@
     return out;
 }
 
-front::checked front::check_plain(const caller_arrived& arrived, const route& to,
-                                  step& now) const {
+front::checked front::check_plain(const caller_arrived& arrived, const route& to, step& now) const {
     const auto* service = text_->find_service(to.service);
     open_request out;
     const config::service_spec keyed;
@@ -186,9 +183,9 @@
     out.order.route.cost = out.cost;
     out.order.route.data_centre = settings_.data_centre;
     out.order.delivery.deadline = now.time() + service.request_timeout;
-    out.order.delivery.rule = attempt.repeatable()  ? delivery::repeat_rule::repeatable
-                              : idempotency_key     ? delivery::repeat_rule::keyed
-                                                    : delivery::repeat_rule::once_only;
+    out.order.delivery.rule = attempt.repeatable() ? delivery::repeat_rule::repeatable
+                              : idempotency_key    ? delivery::repeat_rule::keyed
+                                                   : delivery::repeat_rule::once_only;
     return std::nullopt;
 }
 
--- a/libs/placement/include/placement/agent_status.h
+++ b/libs/placement/include/placement/agent_status.h
@@ -20,8 +20,9 @@
 /** The state of an agent's backend server, as gateways route by it. A value type. */
 struct agent_status {
     std::uint64_t boot = 0;
-    std::string pool; /**< The base model or plain service that it serves. */
-    std::string role; /**< The engine's role; empty when it takes all. */
+    std::string pool;                  /**< The base model of an engine. */
+    std::vector<std::string> services; /**< The plain services of another backend server. */
+    std::string role;                  /**< The engine's role; empty when it takes all. */
     std::string data_centre;
     bool leaving = false;
     std::uint32_t running = 0;
--- a/libs/placement/include/placement/router.h
+++ b/libs/placement/include/placement/router.h
@@ -32,7 +32,7 @@
 
 /** What a gateway asks of the router. A value type. */
 struct route_request {
-    std::string pool;
+    std::string pool;           /**< Base model or plain service. */
     std::string role;           /**< Empty takes any. */
     adapter_ref adapter;        /**< Empty for a plain service. */
     std::uint64_t cost = 1;     /**< Tokens it may take. */
--- a/libs/placement/src/reporter.cpp
+++ b/libs/placement/src/reporter.cpp
@@ -23,6 +23,9 @@
     wire::agent_report report;
     report.set_boot(status.boot);
     report.set_pool(status.pool);
+    for (const auto& each : status.services) {
+        report.add_services(each);
+    }
     report.set_role(status.role);
     report.set_data_centre(status.data_centre);
     report.set_leaving(status.leaving);
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -16,6 +16,10 @@
 constexpr duration shortest_retry_after{250};
 constexpr int missed_reports = 3;
 
+bool serves(const agent_status& status, const std::string& pool) {
+    return status.pool == pool || std::ranges::find(status.services, pool) != status.services.end();
+}
+
 } // namespace
 
 router::router(router_settings settings) : settings_(settings), asked_(remembered_adapters) {}
@@ -87,7 +91,7 @@
 bool router::usable(const view& each, const route_request& request, time_point now) const {
     const duration patience = std::max(settings_.suspect_after, each.within * missed_reports);
     const bool fits =
-        each.status.pool == request.pool &&
+        serves(each.status, request.pool) &&
         (request.role.empty() || each.status.role.empty() || each.status.role == request.role);
     return fits && !each.status.leaving && now - each.received <= patience &&
            !unavailable_.contains(each.agent) &&
--- a/libs/placement/src/router_service.cpp
+++ b/libs/placement/src/router_service.cpp
@@ -20,6 +20,7 @@
 agent_status status_of(const wire::agent_report& report, std::vector<slot_status> slots) {
     return {.boot = report.boot(),
             .pool = report.pool(),
+            .services = {report.services().begin(), report.services().end()},
             .role = report.role(),
             .data_centre = report.data_centre(),
             .leaving = report.leaving(),
