--- /dev/null
+++ b/libs/gateway/src/gateway_status.cpp
@@ -0,0 +1,47 @@
+#include <gateway/gateway_status.h>
+
+#include <gateway/front.h>
+
+#include <node/operator_service.h>
+#include <node/status_sections.h>
+
+#include <nlohmann/json.hpp>
+
+namespace camphorgrade::gateway {
+
+namespace {
+
+using nlohmann::json;
+
+json describe_limits(const limits::limits_service& limits, time_point now) {
+    json accounts = json::object();
+    for (const auto& each : limits.metrics(now)) {
+        accounts[each.client_account] = {{"level_tokens", each.level_tokens},
+                                         {"rate_share", each.rate_share},
+                                         {"burst_share", each.burst_share},
+                                         {"granted", each.granted},
+                                         {"granted_tokens", each.granted_tokens},
+                                         {"credited_tokens", each.credited_tokens},
+                                         {"waiting", each.waiting},
+                                         {"refused_over_rate", each.refused_over_rate}};
+    }
+    return accounts;
+}
+
+} // namespace
+
+void describe_gateway(micro_kernel& kernel) {
+    auto& operators = kernel.find<operator_service>("operators");
+    auto& callers = kernel.find<front>("front");
+    auto& limits = kernel.find<limits::limits_service>("limits");
+    auto& forward = kernel.find<forwarder>("forward");
+    add_common_sections(kernel);
+    operators.set_ready([&callers](time_point now) { return callers.ready(now); });
+    operators.add_section("client_accounts",
+                          [&limits](time_point now) { return describe_limits(limits, now); });
+    operators.add_section("requests", [&forward](time_point /*now*/) {
+        return json{{"open", forward.open()}};
+    });
+}
+
+} // namespace camphorgrade::gateway
--- a/libs/node/include/node/backend_port.h
+++ b/libs/node/include/node/backend_port.h
@@ -11,13 +11,13 @@
 namespace camphorgrade {
 
 /**
- * Carries out call_backend and cancel_call effects on the one backend server of an agent.
- * carry_out() is the loop's; on_call_progress() is thread safe.
+ * Carries out call_backend and cancel_call effects. A call to an endpoint that is no "IP:port" fails
+ * as not sent. carry_out() is the loop's; on_call_progress() is thread safe.
  */
 class backend_port final : public port, public call_observer {
 public:
-    backend_port(inbox& events, http_endpoint server, const call_pool_settings& settings,
-                 call_limits limits);
+    /** `events` outlives the port. */
+    backend_port(inbox& events, const call_pool_settings& settings, const call_limits& limits);
     ~backend_port() override;
 
     bool carry_out(const effect& wanted) override;
@@ -28,7 +28,6 @@
     void start(const call_backend& wanted);
 
     inbox& inbox_;
-    http_endpoint server_;
     call_limits limits_;
     std::mutex mutex_;
     std::map<call_id, std::string> services_; // by whom each open call was made
--- a/libs/node/src/backend_port.cpp
+++ b/libs/node/src/backend_port.cpp
@@ -1,12 +1,14 @@
 #include <node/backend_port.h>
 
+#include <node/endpoint.h>
+
 #include <utility>
 
 namespace camphorgrade {
 
-backend_port::backend_port(inbox& events, http_endpoint server, const call_pool_settings& settings,
-                           call_limits limits)
-    : inbox_(events), server_(std::move(server)), limits_(limits), pool_(settings, *this) {}
+backend_port::backend_port(inbox& events, const call_pool_settings& settings,
+                           const call_limits& limits)
+    : inbox_(events), limits_(limits), pool_(settings, *this) {}
 
 backend_port::~backend_port() {
     pool_.stop();
@@ -29,7 +31,8 @@
         const std::lock_guard lock(mutex_);
         services_[wanted.call] = wanted.service;
     }
-    if (!pool_.submit(wanted.call, server_, wanted.request, limits_)) {
+    const auto server = parse_endpoint(wanted.endpoint);
+    if (!server || !pool_.submit(wanted.call, *server, wanted.request, limits_)) {
         on_call_progress(wanted.call, call_failure{call_failure_kind::not_sent});
     }
 }
