--- a/libs/agent/src/agent_process.cpp
+++ b/libs/agent/src/agent_process.cpp
@@ -60,8 +60,8 @@
     kernel.add(std::move(standing));
     kernel.add(std::make_unique<config::configuration_service>(configuration, shared.peers));
     kernel.add(std::move(known_keys));
-    kernel.add(std::make_unique<delivery::quarantine>(delivery::quarantine_settings{},
-                                                      shared.peers));
+    kernel.add(
+        std::make_unique<delivery::quarantine>(delivery::quarantine_settings{}, shared.peers));
     kernel.add(std::make_unique<delivery::once_records>(delivery::once_settings{}));
     kernel.add(std::make_unique<placement::load_director>(default_store_limit));
     kernel.add(std::make_unique<placement::load_pacer>(default_store_limit));
--- a/libs/agent/src/agent_status.cpp
+++ b/libs/agent/src/agent_status.cpp
@@ -17,9 +17,8 @@
     const auto status = backend.status(now);
     json slots = json::array();
     for (const auto& each : status.slots) {
-        slots.push_back({{"adapter_digest", each.adapter},
-                         {"resident", each.resident},
-                         {"pins", each.pins}});
+        slots.push_back(
+            {{"adapter_digest", each.adapter}, {"resident", each.resident}, {"pins", each.pins}});
     }
     return {{"ready", backend.ready()},
             {"leaving", status.leaving},
--- a/libs/gateway/src/gateway_status.cpp
+++ b/libs/gateway/src/gateway_status.cpp
@@ -39,6 +39,10 @@
     operators.set_ready([&callers](time_point now) { return callers.ready(now); });
     operators.add_section("client_accounts",
                           [&limits](time_point now) { return describe_limits(limits, now); });
+    auto& router = kernel.find<placement::router_service>("router");
+    operators.add_section("router", [&router](time_point now) {
+        return json{{"ready_agents", router.routes().ready_agents(now)}};
+    });
     operators.add_section("requests", [&forward](time_point /*now*/) {
         return json{{"open", forward.open()}};
     });
--- a/libs/node/include/node/backend_port.h
+++ b/libs/node/include/node/backend_port.h
@@ -11,8 +11,8 @@
 namespace camphorgrade {
 
 /**
- * Carries out call_backend and cancel_call effects. A call to an endpoint that is no "IP:port" fails
- * as not sent. carry_out() is the loop's; on_call_progress() is thread safe.
+ * Carries out call_backend and cancel_call effects. A call to an endpoint that is no "IP:port"
+ * fails as not sent. carry_out() is the loop's; on_call_progress() is thread safe.
  */
 class backend_port final : public port, public call_observer {
 public:
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -107,8 +107,7 @@
     added.port = std::make_unique<caller_port>(inbox_, service, number);
     const bool started = boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<bool> {
-            BOOST_LEAF_ASSIGN(added.http,
-                              http_server::start(settings, *added.port, *formatter_));
+            BOOST_LEAF_ASSIGN(added.http, http_server::start(settings, *added.port, *formatter_));
             return true;
         },
         [&](http_server_error why) {
@@ -128,8 +127,9 @@
     try {
         messages_ = std::make_unique<message_port>(kernel_.self(), curve_keys{});
     } catch (const zmq::error_t&) {
-        log_.write(
-            {log_level::error, "cannot_bind_message_address", {{"address", settings_.node_address}}});
+        log_.write({log_level::error,
+                    "cannot_bind_message_address",
+                    {{"address", settings_.node_address}}});
         return exit_failed;
     }
     event_loop loop(kernel_, inbox_, *messages_, clock_);
--- a/libs/node/src/status_sections.cpp
+++ b/libs/node/src/status_sections.cpp
@@ -107,9 +107,8 @@
     operators.add_section("nodes", [&](time_point /*now*/) { return describe_nodes(nodes); });
     operators.add_section("standing",
                           [&](time_point now) { return describe_standing(standing, now); });
-    operators.add_section("configuration", [&](time_point /*now*/) {
-        return describe_configuration(configuration);
-    });
+    operators.add_section(
+        "configuration", [&](time_point /*now*/) { return describe_configuration(configuration); });
     operators.add_section("quarantine",
                           [&](time_point now) { return describe_quarantine(quarantine, now); });
     operators.add_command("lift-quarantine", [&](const std::string& argument, step& now) {
--- a/libs/placement/include/placement/router.h
+++ b/libs/placement/include/placement/router.h
@@ -93,6 +93,9 @@
     /** How many replicas the adapter should have in a pool of `agents`. */
     std::size_t replicas(const adapter_ref& adapter, std::size_t agents, time_point now) const;
 
+    /** Number of agents that may get requests of any pool now. */
+    std::size_t ready_agents(time_point now) const;
+
     /** Number of agents that may get requests of the pool now. */
     std::size_t available(const std::string& pool, time_point now) const;
 
@@ -117,6 +120,7 @@
     };
     using candidates = std::vector<candidate>;
 
+    bool staying(const view& each, time_point now) const;
     bool usable(const view& each, const route_request& request, time_point now) const;
     candidates usable_for(const route_request& request, std::uint64_t key, time_point now);
     bool has(const view& each, std::uint64_t key) const;
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -88,13 +88,25 @@
         views_, [&](const auto& each) { return usable(each.second, any, now); }));
 }
 
-bool router::usable(const view& each, const route_request& request, time_point now) const {
+std::size_t router::ready_agents(time_point now) const {
+    return static_cast<std::size_t>(std::ranges::count_if(views_, [&](const auto& each) {
+        const auto& status = each.second.status;
+        const bool serves_any = !status.pool.empty() || !status.services.empty();
+        return serves_any && staying(each.second, now);
+    }));
+}
+
+bool router::staying(const view& each, time_point now) const {
     const duration patience = std::max(settings_.suspect_after, each.within * missed_reports);
+    return !each.status.leaving && now - each.received <= patience &&
+           !unavailable_.contains(each.agent);
+}
+
+bool router::usable(const view& each, const route_request& request, time_point now) const {
     const bool fits =
         serves(each.status, request.pool) &&
         (request.role.empty() || each.status.role.empty() || each.status.role == request.role);
-    return fits && !each.status.leaving && now - each.received <= patience &&
-           !unavailable_.contains(each.agent) &&
+    return fits && staying(each, now) &&
            std::ranges::find(request.excluded, each.agent) == request.excluded.end();
 }
 
--- a/tests/path/child_process.cpp
+++ b/tests/path/child_process.cpp
@@ -52,14 +52,17 @@
                              const std::string& log_file)
     : pid_(spawn(program, arguments, log_file, log_file)) {}
 
-child_process::child_process(child_process&& other) noexcept : pid_(std::exchange(other.pid_, -1)) {}
+child_process::child_process(child_process&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)) {}
 
 child_process& child_process::operator=(child_process&& other) noexcept {
     std::swap(pid_, other.pid_);
     return *this;
 }
 
-child_process::~child_process() { kill(); }
+child_process::~child_process() {
+    kill();
+}
 
 void child_process::signal(int number) const {
     if (pid_ > 0) {
--- a/tests/path/child_process.h
+++ b/tests/path/child_process.h
@@ -39,8 +39,7 @@
     int exit_code = -1;
     std::string output;
 };
-finished_program run_program(const std::string& program,
-                             const std::vector<std::string>& arguments);
+finished_program run_program(const std::string& program, const std::vector<std::string>& arguments);
 
 /** A loopback port that was free a moment ago. */
 int free_port();
