--- a/libs/agent/src/agent_process.cpp
+++ b/libs/agent/src/agent_process.cpp
@@ -12,6 +12,7 @@
 #include <node/key_withdrawals.h>
 #include <node/node_process.h>
 #include <node/operator_service.h>
+#include <node/vm_list_service.h>
 
 #include <memory>
 
@@ -69,6 +70,7 @@
     kernel.add(std::move(fencing));
     kernel.add(std::move(backend));
     kernel.add(std::make_unique<agent_fleet>());
+    kernel.add(std::make_unique<vm_list_service>(settings.node.vm_list_endpoint));
 }
 
 } // namespace
--- a/libs/gateway/src/gateway_process.cpp
+++ b/libs/gateway/src/gateway_process.cpp
@@ -1,13 +1,16 @@
 #include <gateway/gateway_process.h>
 
 #include <gateway/front.h>
+#include <gateway/gateway_fleet.h>
 #include <gateway/gateway_status.h>
 
+#include <node/backend_port.h>
 #include <node/daemon_options.h>
 #include <node/fleet_peers.h>
 #include <node/key_withdrawals.h>
 #include <node/node_process.h>
 #include <node/operator_service.h>
+#include <node/vm_list_service.h>
 
 #include <memory>
 
@@ -50,6 +53,8 @@
     kernel.add(std::make_unique<placement::router_service>(placement::router_settings{}));
     kernel.add(std::make_unique<forwarder>(delivery::delivery_settings{},
                                            delivery::retry_budget_settings{}));
+    kernel.add(std::make_unique<vm_list_service>(settings.node.vm_list_endpoint));
+    kernel.add(std::make_unique<gateway_fleet>());
     kernel.add(std::make_unique<front>(front_settings{settings.node.data_centre, {}, {}}));
 }
 
@@ -62,6 +67,9 @@
     add_services(process, settings, peers, withdrawals);
     describe_gateway(process.kernel());
 
+    // A gateway calls no backend server: only the list of VMs.
+    backend_port platform_calls(process.events(), call_pool_settings{}, call_limits{});
+    process.add(platform_calls);
     http_server_settings callers;
     callers.max_connections = settings.caller_threads;
     callers.certificate_path = settings.tls_certificate.value_or("");
--- a/libs/harness/src/fake_cluster.cpp
+++ b/libs/harness/src/fake_cluster.cpp
@@ -190,6 +190,8 @@
         if (backend_ != nullptr) {
             backend_->on_cancel(name, cancelled->call);
         }
+    } else if (std::holds_alternative<begin_shutdown>(one)) {
+        post_later(name, shutdown_requested{}, duration{0});
     } else if (std::holds_alternative<exit_process>(one)) {
         // After the events that are under way in this step.
         schedule(now(), [this, name, life] {
--- a/libs/kernel/include/kernel/effect.h
+++ b/libs/kernel/include/kernel/effect.h
@@ -85,12 +85,17 @@
     friend bool operator==(const write_log&, const write_log&) = default;
 };
 
+/** Asks the shell for a shutdown_requested event, as a signal would. */
+struct begin_shutdown {
+    friend bool operator==(const begin_shutdown&, const begin_shutdown&) = default;
+};
+
 /** The node has ended its graceful shutdown; the process may exit. */
 struct exit_process {
     friend bool operator==(const exit_process&, const exit_process&) = default;
 };
 
 using effect = std::variant<send_message, set_timer, call_kv, answer_caller, call_backend,
-                            cancel_call, export_span, write_log, exit_process>;
+                            cancel_call, export_span, write_log, begin_shutdown, exit_process>;
 
 } // namespace camphorgrade
--- a/libs/node/src/event_loop.cpp
+++ b/libs/node/src/event_loop.cpp
@@ -65,6 +65,8 @@
     for (const auto& wanted : effects) {
         if (const auto* armed = std::get_if<set_timer>(&wanted)) {
             timers_.push({armed->at, ++sequence_, {armed->service, armed->id}});
+        } else if (std::holds_alternative<begin_shutdown>(wanted)) {
+            request_shutdown();
         } else if (std::holds_alternative<exit_process>(wanted)) {
             exit_ = true;
         } else {
