--- a/libs/config/src/consistency.cpp
+++ b/libs/config/src/consistency.cpp
@@ -1,5 +1,7 @@
 #include "consistency.h"
 
+#include "yaml_reader.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
@@ -8,6 +10,8 @@
 namespace camphorgrade::config {
 namespace {
 
+constexpr std::size_t max_versions = 256;
+
 using fault_vector = std::vector<config_fault>;
 
 std::string item_path(std::string_view list, std::size_t index) {
@@ -23,7 +27,9 @@
                                    fault_vector& faults) {
     std::set<std::string> names;
     for (std::size_t i = 0; i < items.size(); ++i) {
-        if (!names.insert(items[i].name).second) {
+        if (!is_name(items[i].name)) {
+            add(faults, config_fault_kind::bad_name, item_path(list, i) + ".name", items[i].name);
+        } else if (!names.insert(items[i].name).second) {
             add(faults, config_fault_kind::duplicate, item_path(list, i) + ".name", items[i].name);
         }
     }
@@ -250,7 +256,10 @@
     std::unordered_set<std::string_view> names;
     for (std::size_t i = 0; i < adapters.size(); ++i) {
         const adapter_spec& adapter = adapters[i];
-        if (!names.insert(adapter.name).second) {
+        if (!is_name(adapter.name)) {
+            add(faults, config_fault_kind::bad_name, item_path("adapters", i) + ".name",
+                adapter.name);
+        } else if (!names.insert(adapter.name).second) {
             add(faults, config_fault_kind::duplicate, item_path("adapters", i) + ".name",
                 adapter.name);
         }
@@ -259,8 +268,11 @@
                 "there is no model '" + adapter.model + "'");
         }
         const auto& versions = adapter.versions;
-        if (std::find(versions.begin(), versions.end(), adapter.default_version) ==
-            versions.end()) {
+        if (versions.empty() || versions.size() > max_versions) {
+            add(faults, config_fault_kind::out_of_bounds, item_path("adapters", i) + ".versions",
+                "expected 1 to " + std::to_string(max_versions) + " versions");
+        } else if (std::find(versions.begin(), versions.end(), adapter.default_version) ==
+                   versions.end()) {
             add(faults, config_fault_kind::dangling_dependency,
                 item_path("adapters", i) + ".default_version",
                 "there is no version '" + adapter.default_version + "'");
--- a/libs/config/src/operators_text.cpp
+++ b/libs/config/src/operators_text.cpp
@@ -35,6 +35,20 @@
     }
 }
 
+void check_catalogue_models(const operators_statement& statement, const adapter_catalogue& adapters,
+                            std::vector<config_fault>& faults) {
+    for (const auto& chunk : adapters.chunks()) {
+        for (const std::string& model : chunk->models()) {
+            const auto& known = statement.models;
+            if (std::none_of(known.begin(), known.end(),
+                             [&](const auto& each) { return each.name == model; })) {
+                faults.push_back({config_fault_kind::dangling_dependency, 0, 0, "adapters",
+                                  "there is no model '" + model + "'"});
+            }
+        }
+    }
+}
+
 } // namespace
 
 operators_text::operators_text(operators_statement statement, adapter_catalogue adapters)
@@ -44,12 +58,11 @@
                                                     std::vector<adapter_spec> adapters) {
     std::vector<config_fault> faults = check_adapters(statement, adapters);
     if (!faults.empty()) {
-        const auto others =
-            check_statement(statement, [&](std::string_view name) -> std::optional<adapter_spec> {
-                const auto found = std::find_if(adapters.begin(), adapters.end(),
-                                                [&](const auto& a) { return a.name == name; });
-                return found == adapters.end() ? std::nullopt : std::optional(*found);
-            });
+        sort_by_name(adapters);
+        const auto others = check_statement(statement, [&](std::string_view name) {
+            const adapter_spec* found = find_by_name(adapters, name);
+            return found == nullptr ? std::nullopt : std::optional(*found);
+        });
         faults.insert(faults.end(), others.begin(), others.end());
         return faults;
     }
@@ -60,6 +73,7 @@
                                                     adapter_catalogue adapters) {
     std::vector<config_fault> faults =
         check_statement(statement, [&](std::string_view name) { return adapters.find(name); });
+    check_catalogue_models(statement, adapters, faults);
     if (!faults.empty()) {
         return faults;
     }
--- a/libs/config/src/parse_operators_text.cpp
+++ b/libs/config/src/parse_operators_text.cpp
@@ -1,5 +1,4 @@
-#include <config/operators_text.h>
-
+#include "statement_text.h"
 #include "yaml_reader.h"
 
 #include <algorithm>
@@ -99,10 +98,6 @@
         if (single && adapter.default_version.empty()) {
             adapter.default_version = adapter.versions.front();
         }
-        if (adapter.versions.empty() && map.has("versions")) {
-            faults_->add(config_fault_kind::out_of_bounds, node, path + ".versions",
-                         "at least one version is required");
-        }
         map.finish();
         adapters.push_back(std::move(adapter));
     }
@@ -199,9 +194,9 @@
                        [&](const config_fault& each) { return each.path == fault.path; });
 }
 
-} // namespace
-
-parse_result<operators_text> parse_operators_text(std::string_view yaml) {
+/** Reads the document and creates the text with `create`; joins the faults of both. */
+template <typename F>
+parse_result<operators_text> parse_with(std::string_view yaml, F create) {
     auto document = read_yaml(yaml);
     if (auto* unreadable = std::get_if<std::vector<config_fault>>(&document)) {
         return std::move(*unreadable);
@@ -210,26 +205,41 @@
     fault_list faults;
     text_reader reader(faults);
     reader.read(root);
-    auto created = operators_text::create(std::move(reader.statement), std::move(reader.adapters));
+    parse_result<operators_text> created = create(reader);
     const std::vector<config_fault> read_faults = faults.take();
+    fault_list all;
+    for (const config_fault& fault : read_faults) {
+        all.add(fault);
+    }
     if (const auto* inconsistent = std::get_if<std::vector<config_fault>>(&created)) {
         for (const config_fault& fault : *inconsistent) {
             if (!said_before(read_faults, fault)) {
-                faults.add(fault.kind, locate(root, fault.path), fault.path, fault.detail);
+                all.add(fault.kind, locate(root, fault.path), fault.path, fault.detail);
             }
         }
     }
-    for (const config_fault& fault : read_faults) {
-        yaml_node at;
-        at.line = static_cast<std::uint32_t>(fault.line);
-        at.column = static_cast<std::uint32_t>(fault.column);
-        faults.add(fault.kind, at, fault.path, fault.detail);
-    }
-    std::vector<config_fault> all = faults.take();
     if (!all.empty()) {
-        return all;
+        return all.take();
     }
     return created;
 }
 
+} // namespace
+
+parse_result<operators_text> parse_operators_text(std::string_view yaml) {
+    return parse_with(yaml, [](text_reader& read) {
+        return operators_text::create(std::move(read.statement), std::move(read.adapters));
+    });
+}
+
+parse_result<operators_text> parse_statement(std::string_view yaml, adapter_catalogue adapters) {
+    return parse_with(yaml, [&](text_reader& read) -> parse_result<operators_text> {
+        if (!read.adapters.empty()) {
+            return std::vector<config_fault>{
+                {config_fault_kind::conflict, 0, 0, "adapters", "the catalogue has the adapters"}};
+        }
+        return operators_text::create(std::move(read.statement), std::move(adapters));
+    });
+}
+
 } // namespace camphorgrade::config
--- a/libs/config/src/yaml_reader.cpp
+++ b/libs/config/src/yaml_reader.cpp
@@ -74,6 +74,12 @@
     }
 }
 
+void fault_list::add(const config_fault& fault) {
+    if (faults_.size() < max_faults) {
+        faults_.push_back(fault);
+    }
+}
+
 std::vector<config_fault> fault_list::take() {
     std::stable_sort(faults_.begin(), faults_.end(), [](const auto& a, const auto& b) {
         return std::tie(a.line, a.column) < std::tie(b.line, b.column);
--- a/libs/config/src/yaml_reader.h
+++ b/libs/config/src/yaml_reader.h
@@ -24,6 +24,7 @@
 class fault_list {
 public:
     void add(config_fault_kind kind, const yaml_node& at, std::string path, std::string detail);
+    void add(const config_fault& fault);
     bool empty() const noexcept { return faults_.empty(); }
 
     /** All faults in the order of their places. */
--- a/libs/kernel/include/kernel/ids.h
+++ b/libs/kernel/include/kernel/ids.h
@@ -21,7 +21,9 @@
     const Rep& value() const noexcept { return value_; }
 
     friend bool operator==(const strong_id&, const strong_id&) = default;
-    friend auto operator<=>(const strong_id&, const strong_id&) = default;
+    friend auto operator<=>(const strong_id& a, const strong_id& b) {
+        return a.value_ <=> b.value_;
+    }
 
 private:
     Rep value_{};
