--- a/libs/config/include/config/store_follower.h
+++ b/libs/config/include/config/store_follower.h
@@ -47,8 +47,11 @@
      */
     std::vector<kv_entry> on_reply(token id, const kv_reply& reply, step& now);
 
-    /** Reads at the next tick, watching or not. */
-    void read_soon();
+    /** Reads again at the next tick, watching or not. */
+    void read_soon(step& now);
+
+    /** Whether the store was read at least once. */
+    bool has_read() const noexcept { return next_read_.has_value(); }
 
     /** Whether the last call was answered by the store. */
     bool in_contact() const noexcept { return in_contact_; }
--- a/libs/config/src/configuration_fetch.cpp
+++ b/libs/config/src/configuration_fetch.cpp
@@ -120,7 +120,7 @@
     }
     if (gone) { // another text has taken its place, and its chunks were removed
         fetch_.reset();
-        head_follower_.read_soon();
+        head_follower_.read_soon(now);
         return;
     }
     if (chunks_.missing(fetch_->head).size() == missing_before) { // damaged in the store
--- a/libs/config/src/store_follower.cpp
+++ b/libs/config/src/store_follower.cpp
@@ -79,9 +79,9 @@
     next_read_ = now.time() + jittered(timing_.slow_poll, now);
 }
 
-void store_follower::read_soon() {
+void store_follower::read_soon(step& now) {
     position_ = 0;
-    next_read_.reset();
+    next_read_ = now.time();
 }
 
 void store_follower::failed(step& now) {
--- a/libs/config/tests/test_configuration_service.cpp
+++ b/libs/config/tests/test_configuration_service.cpp
@@ -127,7 +127,7 @@
     all.cluster.run_for(duration{3'000});
     CHECK(all.nodes_at(2) == 30);
     // Each of six watchers: its chunks and its next watch.
-    CHECK(all.cluster.store_calls() - calls_before <= 2U * 3U * watchers_per_data_centre);
+    CHECK(all.cluster.store_calls() - calls_before <= std::size_t{6} * watchers_per_data_centre);
     std::map<std::string, std::size_t> watchers;
     for (const peer& each : all.peers.all) {
         watchers[each.data_centre] += all.at(each.node).status().watcher ? 1U : 0U;
--- a/libs/keys/include/keys/key_book.h
+++ b/libs/keys/include/keys/key_book.h
@@ -78,12 +78,16 @@
     /** All withdrawn ids, in order. */
     const std::set<key_id_text, std::less<>>& withdrawn_ids() const noexcept { return withdrawn_; }
 
+    /** All withdrawn ids, in the order in which this book learnt of them. */
+    const std::vector<key_id_text>& withdrawals() const noexcept { return withdrawals_; }
+
     /** All records, in no particular order. */
     const std::unordered_map<key_id_text, key_record>& records() const noexcept { return records_; }
 
 private:
     std::unordered_map<key_id_text, key_record> records_;
     std::set<key_id_text, std::less<>> withdrawn_;
+    std::vector<key_id_text> withdrawals_;
     set_digest record_digest_;
     set_digest withdrawn_digest_;
 };
--- a/libs/keys/src/key_book.cpp
+++ b/libs/keys/src/key_book.cpp
@@ -75,6 +75,7 @@
         return key_merge::full;
     }
     withdrawn_.emplace(id);
+    withdrawals_.emplace_back(id);
     include(withdrawn_digest_, id);
     return key_merge::added;
 }
