--- a/libs/limits/include/limits/limits_service.h
+++ b/libs/limits/include/limits/limits_service.h
@@ -88,10 +88,10 @@
     /**
      * Ends an admitted request that did not use `unused_tokens` of its charge. Call it once for
      * each admission, with the whole charge if the request did not run. An unknown ticket is
-     * ignored: this gateway has left and joined again since. Precondition: `unused_tokens` is not
-     * negative.
+     * ignored: this gateway has left and joined again since. Returns what the window bound let it
+     * give back. Precondition: `unused_tokens` is not negative.
      */
-    void credit(admission_ticket ticket, std::int64_t unused_tokens, step& now);
+    micro_tokens credit(admission_ticket ticket, std::int64_t unused_tokens, step& now);
 
     /** Gives up a waiting request; no listener is told. An unknown ticket is ignored. */
     void cancel(admission_ticket ticket, step& now);
--- a/libs/limits/src/limits_service.cpp
+++ b/libs/limits/src/limits_service.cpp
@@ -145,11 +145,12 @@
     return {admission_state::waiting, ticket, {}};
 }
 
-void limits_service::credit(admission_ticket ticket, std::int64_t unused_tokens, step& now) {
+micro_tokens limits_service::credit(admission_ticket ticket, std::int64_t unused_tokens,
+                                    step& now) {
     CAMPHOR_PRECONDITION(unused_tokens >= 0);
     const auto found = admitted_.find(ticket);
     if (found == admitted_.end()) {
-        return;
+        return 0;
     }
     const admitted_request ended = std::move(found->second);
     admitted_.erase(found);
@@ -161,6 +162,7 @@
     entry.second.counts.credited_tokens += whole_tokens(given);
     entry.second.counts.lost_credit_tokens += whole_tokens(unused - given);
     drain(entry, now);
+    return given;
 }
 
 void limits_service::cancel(admission_ticket ticket, step& now) {
--- a/libs/membership/include/membership/standing_service.h
+++ b/libs/membership/include/membership/standing_service.h
@@ -162,6 +162,7 @@
     bool fill_withdrawals(const wire::probe& asked, wire::probe_answer& answer) const;
     void learn(peer& from, const wire::probe_answer& answer, step& now);
     void count_grant(const sent_probe& sent, const node_life& witness);
+    void count_pull(const node_life& previous_witness);
     void adopt(const epoch_record& record, step& now);
     void take_generation(step& now);
     void hear_configuration(std::uint64_t revision, const node_id& from, step& now);
--- a/libs/membership/src/standing_service.cpp
+++ b/libs/membership/src/standing_service.cpp
@@ -176,6 +176,7 @@
         }
     }
     answer.set_configuration_revision(configuration_revision_);
+    answer.set_complete(complete);
     answer.set_granted(complete && witness_.vouches(asked.epoch(), asked.generation()));
 }
 
@@ -212,6 +213,10 @@
     if (answer.granted() && answer.witness_version() == record().witness_version) {
         count_grant(sent, {received.from, received.from_incarnation});
     }
+    if (answer.complete() && answer.witness_version() == record().witness_version &&
+        answer.ready_version() + 1 >= record().witness_version) {
+        count_pull({received.from, received.from_incarnation});
+    }
     hear_configuration(answer.configuration_revision(), received.from, now);
     update_dead(now.time());
 }
@@ -266,6 +271,13 @@
     fresh_.granted(witness.address, sent.at);
 }
 
+void standing_service::count_pull(const node_life& previous_witness) {
+    const std::vector<node_life>& all = record().previous_witnesses;
+    if (std::find(all.begin(), all.end(), previous_witness) != all.end()) {
+        witness_.pulled_from(previous_witness.address);
+    }
+}
+
 void standing_service::hear_configuration(std::uint64_t revision, const node_id& from, step& now) {
     if (revision <= std::max(configuration_heard_, configuration_revision_)) {
         return;
