Test withdrawals and changing limits over the same histories

Cause: the histories drew few faults, as the generators grew with the run; they now draw at full size.

--- a/libs/limits/tests/fleet.h
+++ b/libs/limits/tests/fleet.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "window_bound.h"
+
 #include <harness/fake_cluster.h>
 #include <limits/limits_service.h>
 #include <membership/membership_service.h>
@@ -113,9 +115,14 @@
             cluster.act(gateway, [&](micro_kernel& kernel, step& now) {
                 kernel.find<limits_service>("limits").set_accounts({limit_}, revision_, now);
             });
+            in_force_[gateway] = limit_;
         }
+        note_allowed();
     }
 
+    /** The widest limits that any living gateway knows, over time. */
+    const std::vector<allowed_limit>& allowed() const { return allowed_; }
+
     admission admit(const node_id& gateway, std::int64_t cost,
                     duration patience = duration{5'000}) {
         admission answer;
@@ -221,6 +228,18 @@
         });
     }
 
+    void note_allowed() {
+        allowed_limit widest{cluster.now(), limit_.rate_tokens_per_s, limit_.burst_tokens};
+        for (const auto& [gateway, known] : in_force_) {
+            if (cluster.alive(gateway)) {
+                widest.rate_tokens_per_s =
+                    std::max(widest.rate_tokens_per_s, known.rate_tokens_per_s);
+                widest.burst_tokens = std::max(widest.burst_tokens, known.burst_tokens);
+            }
+        }
+        allowed_.push_back(widest);
+    }
+
     void note_admitted(const node_id& gateway, std::uint64_t life, admission_ticket ticket,
                        std::int64_t cost) {
         running_[{gateway, life, ticket}] = {received_.size(), cost};
@@ -232,6 +251,8 @@
     std::vector<node_id> agents_;
     account_limit limit_{tenant, 0, 0};
     std::uint64_t revision_ = 0;
+    std::map<node_id, account_limit> in_force_;
+    std::vector<allowed_limit> allowed_;
     std::vector<received> received_;
     std::map<ticket_key, std::int64_t> waiting_;
     std::map<ticket_key, running_admission> running_;
--- a/libs/limits/tests/test_fleet_properties.cpp
+++ b/libs/limits/tests/test_fleet_properties.cpp
@@ -1,5 +1,4 @@
 #include "fleet.h"
-#include "window_bound.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -17,6 +16,7 @@
 constexpr std::size_t agents = 5;
 constexpr std::size_t history_length = 60;
 constexpr duration traffic_period{250};
+constexpr duration in_force{5'000};
 constexpr duration until_full{45'000};
 constexpr std::size_t most_dead_agents = 2; // a majority of the witnesses lives
 
@@ -43,6 +43,8 @@
     clean,
     wait_long,
     rest,
+    change_limits,
+    withdraw_key,
     last
 };
 
@@ -105,6 +107,15 @@
         all.cluster.run_for(duration{30'000});
     }
 
+    /** Times at which a gateway would have admitted on a key withdrawn for too long. */
+    std::size_t late_admissions() const { return late_admissions_; }
+
+    std::size_t accepted_withdrawals() const {
+        return static_cast<std::size_t>(
+            std::count_if(withdrawals_.begin(), withdrawals_.end(),
+                          [](const withdrawal& each) { return each.accepted_at.has_value(); }));
+    }
+
     fleet all;
 
 private:
@@ -118,6 +129,7 @@
                 }
             }
             all.credit_oldest(50);
+            follow_withdrawals();
             all.cluster.run_for(std::min(traffic_period, end - all.cluster.now()));
         }
     }
@@ -160,6 +172,9 @@
         case act::kill_gateway:
             cluster.kill(gateway);
             break;
+        case act::withdraw_key:
+            withdraw(gateway);
+            break;
         default:
             break;
         }
@@ -205,6 +220,10 @@
             cluster.network() = {duration{1}, duration{300}, 0.2, 0.2};
             cluster.store().answer_loss = 0.3;
             break;
+        case act::change_limits:
+            all.set_limit(rate * static_cast<std::int64_t>(1 + next.other),
+                          burst * static_cast<std::int64_t>(1 + next.who));
+            break;
         case act::clean:
             cluster.network() = {};
             break;
@@ -219,23 +238,64 @@
         }
     }
 
+    /** Withdraws a new key at that gateway; accepted once it knows a majority that holds it. */
+    void withdraw(const node_id& gateway) {
+        const std::string key = "key-" + std::to_string(withdrawals_.size());
+        auto& log = all.keys(gateway);
+        log.merge({key}, all.cluster.now());
+        withdrawals_.push_back(
+            {key, gateway, all.cluster.kernel(gateway).life(), log.size(), std::nullopt});
+    }
+
+    void follow_withdrawals() {
+        for (withdrawal& each : withdrawals_) {
+            const bool same_life =
+                all.usable(each.gateway) && all.cluster.kernel(each.gateway).life() == each.life;
+            if (!each.accepted_at && same_life &&
+                all.standing(each.gateway).held_by_majority(each.position)) {
+                each.accepted_at = all.cluster.now();
+            }
+            const bool due = each.accepted_at && all.cluster.now() - *each.accepted_at > in_force;
+            for (const node_id& gateway : all.gateways()) {
+                if (due && all.usable(gateway) &&
+                    all.standing(gateway).has_standing(all.cluster.now()) &&
+                    !all.keys(gateway).withdrawn(each.key)) {
+                    ++late_admissions_;
+                }
+            }
+        }
+    }
+
+    struct withdrawal {
+        std::string key;
+        node_id gateway;
+        incarnation life;
+        std::uint64_t position = 0;
+        std::optional<time_point> accepted_at;
+    };
+
     std::set<node_id> killed_agents_;
+    std::vector<withdrawal> withdrawals_;
+    std::size_t late_admissions_ = 0;
 };
 
 } // namespace
 
-TEST_CASE("no account passes its bound in any window, and all shares come back") {
+TEST_CASE("bounds and withdrawals hold in any window, and all shares come back") {
     rc::prop("for any history", [] {
-        driver run(*rc::gen::arbitrary<std::uint64_t>());
+        driver run(*rc::gen::resize(rc::kNominalSize, rc::gen::arbitrary<std::uint64_t>()));
         const auto history =
-            *rc::gen::container<std::vector<command>>(history_length, any_command()).as("history");
+            *rc::gen::resize(rc::kNominalSize, rc::gen::container<std::vector<command>>(
+                                                   history_length, any_command()))
+                 .as("history");
         for (const command& each : history) {
             run.run(each);
         }
-        const std::vector<test::allowed_limit> allowed{{time_point{}, rate, burst}};
-        RC_ASSERT(test::within_every_window(run.all.all_received(), allowed));
+        RC_ASSERT(test::within_every_window(run.all.all_received(), run.all.allowed()));
         run.recover();
-        RC_ASSERT(test::within_every_window(run.all.all_received(), allowed));
+        RC_ASSERT(test::within_every_window(run.all.all_received(), run.all.allowed()));
+        RC_ASSERT(run.late_admissions() == 0);
+        RC_CLASSIFY(run.accepted_withdrawals() > 0, "withdrawals accepted");
         for (const node_id& each : run.all.gateways()) {
             RC_ASSERT(run.all.standing(each).has_standing(run.all.cluster.now()));
         }
