--- a/libs/agent/include/agent/backend_service.h
+++ b/libs/agent/include/agent/backend_service.h
@@ -30,12 +30,12 @@
 
 /** Times and bounds of a backend_service. */
 struct backend_settings {
-    std::string backend_server;     /**< Its name in the operators' text. */
+    std::string backend_server; /**< Its name in the operators' text. */
     std::string data_centre;
-    std::size_t seats = 16;         /**< Requests that run on the backend server at once. */
+    std::size_t seats = 16;             /**< Requests that run on the backend server at once. */
     std::size_t plain_capacity = 1'024; /**< Requests that wait for a plain service. */
-    duration resend_after{200};     /**< For parts that are not acknowledged. */
-    duration keep{120'000};         /**< Attempts are remembered for this long. */
+    duration resend_after{200};         /**< For parts that are not acknowledged. */
+    duration keep{120'000};             /**< Attempts are remembered for this long. */
     delivery::drain_settings drain;
 };
 
--- a/libs/agent/include/agent/job.h
+++ b/libs/agent/include/agent/job.h
@@ -30,8 +30,7 @@
 /** One attempt that an agent has taken. */
 struct job {
     job(delivery::attempt_id attempt, wire::run_attempt wanted, duration resend_after)
-        : id(std::move(attempt)), request(std::move(wanted)), outbox(resend_after),
-          meter(false) {}
+        : id(std::move(attempt)), request(std::move(wanted)), outbox(resend_after), meter(false) {}
 
     delivery::attempt_id id;
     wire::run_attempt request;
--- a/libs/agent/src/backend_calls.cpp
+++ b/libs/agent/src/backend_calls.cpp
@@ -61,9 +61,9 @@
     }
     started.state = job_state::recording;
     const auto& wanted = started.request;
-    started.ticket = once_->begin({wanted.client_account(), wanted.idempotency_key(),
-                                   content_of(wanted), started.deadline},
-                                  *this, now);
+    started.ticket = once_->begin(
+        {wanted.client_account(), wanted.idempotency_key(), content_of(wanted), started.deadline},
+        *this, now);
     by_ticket_[*started.ticket] = &started;
 }
 
@@ -222,10 +222,10 @@
     }
     metrics_->count("camphor_backend_deaths_total");
     const auto death = quarantine_->report_death(suspects, *this, now);
-    now.emit(write_log{log_level::error,
-                       "backend_server_died",
-                       {{"backend_server", server_->name},
-                        {"running", std::to_string(suspects.size())}}});
+    now.emit(write_log{
+        log_level::error,
+        "backend_server_died",
+        {{"backend_server", server_->name}, {"running", std::to_string(suspects.size())}}});
     deaths_[death] = std::move(numbers);
 }
 
@@ -293,11 +293,18 @@
 
 void backend_service::export_trace(const job& ended, step& now) {
     const auto& wanted = ended.request;
-    now.emit(export_span{{ended.trace, wanted.parent_span_id(), "agent", ended.arrived, now.time(),
+    now.emit(export_span{{ended.trace,
+                          wanted.parent_span_id(),
+                          "agent",
+                          ended.arrived,
+                          now.time(),
                           {{"service", wanted.service()}, {"adapter", wanted.adapter()}}}});
     if (ended.started != time_point{}) {
         const trace_context call = next_span(ended.trace.trace_id, now.random());
-        now.emit(export_span{{call, ended.trace.span_id, "backend_server", ended.started,
+        now.emit(export_span{{call,
+                              ended.trace.span_id,
+                              "backend_server",
+                              ended.started,
                               now.time(),
                               {{"backend_server", server_->name}}}});
     }
--- a/libs/agent/src/backend_service.cpp
+++ b/libs/agent/src/backend_service.cpp
@@ -132,8 +132,8 @@
         return;
     }
     const auto standing = quarantine_->standing(taken.suspect.content, now.time());
-    taken.alone = taken.request.suspect() ||
-                  standing.verdict == delivery::quarantine_verdict::run_alone;
+    taken.alone =
+        taken.request.suspect() || standing.verdict == delivery::quarantine_verdict::run_alone;
     send(taken, delivery::part_accepted{}, now);
     const auto& wanted = taken.request;
     queue_->admit({taken.number, wanted.client_account(), adapter_of(wanted),
@@ -144,8 +144,8 @@
 
 void backend_service::acknowledge(const message& received,
                                   const wire::part_acknowledged& acknowledged, step& now) {
-    job* known = find({received.from, received.from_incarnation,
-                       request_id{acknowledged.request()}, acknowledged.attempt()});
+    job* known = find({received.from, received.from_incarnation, request_id{acknowledged.request()},
+                       acknowledged.attempt()});
     if (known == nullptr) {
         return;
     }
@@ -198,8 +198,8 @@
     update_drain(now);
 }
 
-void backend_service::on_refused(std::uint64_t id, delivery::refusal_type why,
-                                 duration retry_after, step& now) {
+void backend_service::on_refused(std::uint64_t id, delivery::refusal_type why, duration retry_after,
+                                 step& now) {
     if (job* refused = find_number(id)) {
         end(*refused, delivery::part_refused{why, retry_after}, now);
     }
@@ -281,10 +281,10 @@
         placement::scheduler_settings scheduling;
         scheduling.slots.slots = server_->slots;
         scheduling.slots.engine_checks_fencing = server_->checks_fencing;
-        scheduling.weights = placement::weights_for(
-            text_->weigh() == config::deployment_weight::fairness
-                ? placement::weighed_measure::fairness
-                : placement::weighed_measure::load_stalls);
+        scheduling.weights =
+            placement::weights_for(text_->weigh() == config::deployment_weight::fairness
+                                       ? placement::weighed_measure::fairness
+                                       : placement::weighed_measure::load_stalls);
         auto built = std::make_unique<engine_queue>(
             engine_queue::parts{driver_, *pacer_, *this, std::string(name()), server_->address,
                                 server_->model},
@@ -295,8 +295,8 @@
         return; // an engine takes no orders before this life of the agent has its number
     }
     reporter_->changed(now);
-    now.emit(write_log{
-        log_level::info, "backend_server_taken", {{"backend_server", server_->name}}});
+    now.emit(
+        write_log{log_level::info, "backend_server_taken", {{"backend_server", server_->name}}});
 }
 
 std::uint64_t backend_service::unsettled() const {
@@ -319,9 +319,8 @@
     if (drain_.state() == delivery::drain_state::stopped) {
         exiting_ = true;
         membership_->deregister(now);
-        now.emit(write_log{log_level::info,
-                           "graceful_shutdown_ended",
-                           {{"cut", std::to_string(drain_.cut())}}});
+        now.emit(write_log{
+            log_level::info, "graceful_shutdown_ended", {{"cut", std::to_string(drain_.cut())}}});
         now.emit(exit_process{});
     }
 }
--- a/libs/agent/src/engine_queue.cpp
+++ b/libs/agent/src/engine_queue.cpp
@@ -43,7 +43,9 @@
     pump(now);
 }
 
-bool engine_queue::cancel(std::uint64_t id) { return scheduler_.cancel(id); }
+bool engine_queue::cancel(std::uint64_t id) {
+    return scheduler_.cancel(id);
+}
 
 void engine_queue::finished(std::uint64_t id, std::uint64_t generated_tokens, step& now) {
     const auto found = running_.find(id);
@@ -98,8 +100,7 @@
     return status;
 }
 
-bool engine_queue::on_permit(const placement::adapter_ref& adapter, time_point expires,
-                             step& now) {
+bool engine_queue::on_permit(const placement::adapter_ref& adapter, time_point expires, step& now) {
     const bool useful = scheduler_.permit(adapter, expires, now.time());
     if (useful) {
         pump(now);
--- a/libs/agent/src/vllm_driver.cpp
+++ b/libs/agent/src/vllm_driver.cpp
@@ -38,10 +38,10 @@
 
 http_request vllm_driver::order_request(const placement::slot_order& order) const {
     const std::string name = to_string(order.adapter);
-    http_request request = order.kind == order_kind::load
-                               ? json_post("/v1/load_lora_adapter",
-                                           {{"lora_name", name}, {"lora_path", name}})
-                               : json_post("/v1/unload_lora_adapter", {{"lora_name", name}});
+    http_request request =
+        order.kind == order_kind::load
+            ? json_post("/v1/load_lora_adapter", {{"lora_name", name}, {"lora_path", name}})
+            : json_post("/v1/unload_lora_adapter", {{"lora_name", name}});
     request.headers.push_back({fencing_header, std::to_string(order.fencing.value())});
     return request;
 }
@@ -61,7 +61,9 @@
     }
 }
 
-http_request vllm_driver::listing_request() const { return {"GET", "/v1/models", "", {}, ""}; }
+http_request vllm_driver::listing_request() const {
+    return {"GET", "/v1/models", "", {}, ""};
+}
 
 std::optional<placement::engine_listing> vllm_driver::listing_of(const engine_answer& answer,
                                                                  time_point asked_at) const {
--- a/libs/node/src/backend_port.cpp
+++ b/libs/node/src/backend_port.cpp
@@ -8,7 +8,9 @@
                            call_limits limits)
     : inbox_(events), server_(std::move(server)), limits_(limits), pool_(settings, *this) {}
 
-backend_port::~backend_port() { pool_.stop(); }
+backend_port::~backend_port() {
+    pool_.stop();
+}
 
 bool backend_port::carry_out(const effect& wanted) {
     if (const auto* call = std::get_if<call_backend>(&wanted)) {
--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,9 +1,11 @@
 #include "commands.h"
 
+#include "placement_command.h"
+
 namespace camphorgrade::experiment {
 
 const std::vector<command>& commands() {
-    static const std::vector<command> all{};
+    static const std::vector<command> all{placement_command};
     return all;
 }
 
