Report adapters that wait for a load, and keep them out of the load estimate

Cause: gateways could not see that an adapter was already waited for elsewhere, and took requests that wait for the store for a busy engine; both made duplicate loads until the store was overloaded.

--- a/libs/placement/include/placement/agent_status.h
+++ b/libs/placement/include/placement/agent_status.h
@@ -8,11 +8,11 @@
 
 namespace camphorgrade::placement {
 
-/** One slot that is not empty, as a gateway needs to know it. A value type. */
+/** An adapter in a slot or waiting for one, as a gateway needs to know it. A value type. */
 struct slot_status {
     std::uint64_t adapter = 0; /**< digest() of the adapter. */
-    bool resident = false;     /**< False while it is loading. */
-    std::uint32_t pins = 0;
+    bool resident = false;     /**< False while it is loading or waits to be. */
+    std::uint32_t pins = 0;    /**< Or requests that wait for it to be loaded. */
 
     friend bool operator==(const slot_status&, const slot_status&) = default;
 };
@@ -26,9 +26,10 @@
     bool leaving = false;
     std::uint32_t running = 0;
     std::uint32_t free_seats = 0;
-    std::uint64_t short_tokens = 0; /**< Waiting, of requests that ask for little. */
-    std::uint64_t long_tokens = 0;  /**< Waiting, of all others. */
-    std::uint64_t tokens_per_s = 1; /**< At full batch. */
+    std::uint64_t short_tokens = 0;    /**< Waiting for a seat, of requests that ask for little. */
+    std::uint64_t long_tokens = 0;     /**< Waiting for a seat, of all others. */
+    std::uint64_t unloaded_tokens = 0; /**< Waiting for an adapter to be loaded. */
+    std::uint64_t tokens_per_s = 1;    /**< At full batch. */
     std::uint32_t obtainable_slots = 0;
     std::uint32_t victim_worth = 0; /**< Requests per 1000 s of the adapter it would evict next. */
     std::vector<slot_status> slots;
--- a/libs/placement/include/placement/fair_queue.h
+++ b/libs/placement/include/placement/fair_queue.h
@@ -72,8 +72,8 @@
     /** Cost of all waiting requests. */
     std::uint64_t tokens() const noexcept { return tokens_; }
 
-    /** Cost of the waiting requests that ask for at most `short_tokens`. */
-    std::uint64_t tokens_of_short(std::uint64_t short_tokens) const;
+    /** Cost of the waiting requests that `matches` names. */
+    std::uint64_t tokens_of(const std::function<bool(const queued_request&)>& matches) const;
 
     /** How long the engine would take for all of it at full batch. */
     duration drain_time() const;
--- a/libs/placement/src/fair_queue.cpp
+++ b/libs/placement/src/fair_queue.cpp
@@ -109,11 +109,12 @@
     return all;
 }
 
-std::uint64_t fair_queue::tokens_of_short(std::uint64_t short_tokens) const {
+std::uint64_t
+fair_queue::tokens_of(const std::function<bool(const queued_request&)>& matches) const {
     std::uint64_t sum = 0;
     for (const auto& [name, each] : accounts_) {
         for (const auto& [key, request] : each.waiting) {
-            sum += request.max_tokens <= short_tokens ? request.cost() : 0;
+            sum += matches(request) ? request.cost() : 0;
         }
     }
     return sum;
--- a/libs/placement/src/reporter.cpp
+++ b/libs/placement/src/reporter.cpp
@@ -30,6 +30,7 @@
     report.set_free_seats(status.free_seats);
     report.set_short_tokens(status.short_tokens);
     report.set_long_tokens(status.long_tokens);
+    report.set_unloaded_tokens(status.unloaded_tokens);
     report.set_tokens_per_s(status.tokens_per_s);
     report.set_obtainable_slots(status.obtainable_slots);
     report.set_victim_worth(status.victim_worth);
--- a/libs/placement/src/router_service.cpp
+++ b/libs/placement/src/router_service.cpp
@@ -27,6 +27,7 @@
             .free_seats = report.free_seats(),
             .short_tokens = report.short_tokens(),
             .long_tokens = report.long_tokens(),
+            .unloaded_tokens = report.unloaded_tokens(),
             .tokens_per_s = report.tokens_per_s(),
             .obtainable_slots = report.obtainable_slots(),
             .victim_worth = report.victim_worth(),
--- a/libs/placement/src/scheduler.cpp
+++ b/libs/placement/src/scheduler.cpp
@@ -10,6 +10,7 @@
 constexpr std::size_t remembered_adapters = 512;
 constexpr std::uint64_t tokens_per_kilotoken = 1000;
 constexpr std::uint64_t short_answer_tokens = 128;
+constexpr std::size_t most_wanted_reported = 16;
 constexpr double worth_scale = 1000;
 constexpr duration reserved_bonus{10000};
 
@@ -70,8 +71,12 @@
 
 agent_status scheduler::status(time_point now) const {
     agent_status status;
-    status.short_tokens = queue_.tokens_of_short(short_answer_tokens);
-    status.long_tokens = queue_.tokens() - status.short_tokens;
+    const auto resident = [&](const queued_request& each) { return table_.resident(each.adapter); };
+    status.short_tokens = queue_.tokens_of([&](const queued_request& each) {
+        return resident(each) && each.max_tokens <= short_answer_tokens;
+    });
+    status.long_tokens = queue_.tokens_of(resident) - status.short_tokens;
+    status.unloaded_tokens = queue_.tokens() - status.short_tokens - status.long_tokens;
     status.tokens_per_s = static_cast<std::uint64_t>(settings_.queue.engine_tokens_per_s);
     status.obtainable_slots = static_cast<std::uint32_t>(obtainable_slots());
     const auto least = victim(false, now);
@@ -85,6 +90,14 @@
                                     static_cast<std::uint32_t>(each.pins)});
         }
     }
+    for (const adapter_backlog& each : queue_.backlogs()) {
+        if (status.slots.size() >= settings_.slots.slots + most_wanted_reported) {
+            break;
+        }
+        if (table_.state_of(each.adapter) == slot_state::empty) {
+            status.slots.push_back({digest(each.adapter), false, each.callers});
+        }
+    }
     return status;
 }
 
