--- a/libs/delivery/include/delivery/group_commit.h
+++ b/libs/delivery/include/delivery/group_commit.h
@@ -44,7 +44,7 @@
     duration interval{50};        /**< Least time between the starts of two writes. */
     duration lazy_delay{200};     /**< A lazy write waits so long for company. */
     std::size_t most_writes = 60; /**< In one transaction. */
-    std::size_t most_bytes = 512U * 1024U;
+    std::size_t most_bytes = std::size_t{512} * 1024;
     backoff_settings backoff;
     bucket_lease_settings lease;
 
--- a/libs/delivery/include/delivery/once_records.h
+++ b/libs/delivery/include/delivery/once_records.h
@@ -21,12 +21,12 @@
 /** Bounds and times of once_records. A value type. */
 struct once_settings {
     std::string key_prefix = "/camphor/once/";
-    std::size_t most_body_bytes = 64U * 1024U; /**< Larger bodies are not recorded. */
-    std::size_t most_waiting = 4'096;          /**< Requests that wait for their record. */
-    std::size_t most_remembered = 4'096;       /**< Outcomes kept in memory to spare reads. */
-    duration watch_for{2'000};    /**< Waits so long for the outcome of another agent. */
-    duration watch_interval{100}; /**< First wait between two reads of it; doubles. */
-    duration retry_after{1'000};  /**< Told to callers who may ask again. */
+    std::size_t most_body_bytes = std::size_t{64} * 1024; /**< Larger bodies are not recorded. */
+    std::size_t most_waiting = 4'096;    /**< Requests that wait for their record. */
+    std::size_t most_remembered = 4'096; /**< Outcomes kept in memory to spare reads. */
+    duration watch_for{2'000};           /**< Waits so long for the outcome of another agent. */
+    duration watch_interval{100};        /**< First wait between two reads of it; doubles. */
+    duration retry_after{1'000};         /**< Told to callers who may ask again. */
     group_commit_settings commit;
 
     friend bool operator==(const once_settings&, const once_settings&) = default;
--- a/libs/delivery/src/quarantine.cpp
+++ b/libs/delivery/src/quarantine.cpp
@@ -95,6 +95,7 @@
         return {};
     }
     std::vector<time_point> ends;
+    ends.reserve(deaths.size());
     for (const death_id& id : deaths) {
         ends.push_back(deaths_.at(id).ends);
     }
@@ -109,7 +110,7 @@
 death_id quarantine::report_death(const std::vector<death_suspect>& running,
                                   death_listener& listener, step& now) {
     forget(now.time());
-    const death_id id{now.self(), now.life(), ++last_death_};
+    death_id id{now.self(), now.life(), ++last_death_};
     std::vector<death_suspect> suspects = running;
     if (suspects.size() > settings_.most_suspects) {
         suspects.resize(settings_.most_suspects);
@@ -379,13 +380,14 @@
 
 std::vector<quarantine_view> quarantine::list(time_point at) const {
     std::vector<quarantine_view> views;
-    for (const auto& [content, ids] : by_content_) {
+    for (const auto& each : by_content_) {
+        const fingerprint& content = each.first;
         const std::vector<death_id> deaths = counted(content, at);
         if (deaths.empty()) {
             continue;
         }
         const auto& suspects = deaths_.at(deaths.front()).suspects;
-        const auto same = [&](const death_suspect& each) { return each.content == content; };
+        const auto same = [&](const death_suspect& one) { return one.content == content; };
         const auto suspect = std::find_if(suspects.begin(), suspects.end(), same);
         CAMPHOR_INVARIANT(suspect != suspects.end());
         views.push_back({*suspect, deaths.size(), standing(content, at)});
