--- a/libs/delivery/include/delivery/attempt_register.h
+++ b/libs/delivery/include/delivery/attempt_register.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <delivery/attempt_id.h>
 #include <kernel/clock.h>
 #include <kernel/ids.h>
 
@@ -9,17 +10,6 @@
 
 namespace camphorgrade::delivery {
 
-/** Names an attempt in the whole fleet. A value type. */
-struct attempt_id {
-    node_id gateway;
-    incarnation gateway_life;
-    request_id request;
-    std::uint32_t number = 0; /**< Counts from 1 within the request. */
-
-    friend bool operator==(const attempt_id&, const attempt_id&) = default;
-    friend auto operator<=>(const attempt_id&, const attempt_id&) = default;
-};
-
 /** What an agent makes of a run_attempt message. */
 enum class arrival : std::uint8_t {
     fresh,     /**< First sight: take it. */
--- a/libs/delivery/include/delivery/part.h
+++ b/libs/delivery/include/delivery/part.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <delivery/attempt_id.h>
 #include <delivery/refusal.h>
 #include <kernel/http_types.h>
 
@@ -83,11 +84,13 @@
 /** A message that is not a valid part. */
 enum class part_error { missing_kind, unknown_refusal };
 
-/** The message for `numbered` of an attempt. Thread safe. */
-wire::attempt_part to_wire(request_id request, std::uint32_t attempt,
-                           const numbered_part& numbered);
+/** The message for a part of an attempt. Thread safe. */
+wire::attempt_part to_wire(const attempt_id& attempt, const numbered_part& numbered);
 
-/** The part in a message; fails with part_error. Thread safe. */
+/**
+ * The part in a message; fails with part_error. A gateway must drop messages whose
+ * gateway_incarnation is not its own life: they answer an earlier life's requests. Thread safe.
+ */
 boost::leaf::result<numbered_part> from_wire(const wire::attempt_part& received);
 
 } // namespace camphorgrade::delivery
--- a/libs/delivery/src/once_records.cpp
+++ b/libs/delivery/src/once_records.cpp
@@ -1,3 +1,5 @@
+#include "once_record_codec.h"
+
 #include <delivery/once_records.h>
 
 #include <kernel/check.h>
@@ -14,30 +16,6 @@
 /** Own timers; group_commit has the tokens below its limit. */
 constexpr token due_token = group_commit::token_limit;
 
-std::optional<wire::once_record> parse(const kv_entry& entry) {
-    wire::once_record record;
-    return record.ParseFromString(entry.value) ? std::optional(std::move(record)) : std::nullopt;
-}
-
-recorded_outcome outcome_of(const wire::once_outcome& stored) {
-    recorded_outcome outcome{{stored.status(), {}}, stored.body(), stored.body_omitted()};
-    for (const auto& header : stored.headers()) {
-        outcome.head.headers.push_back({header.name(), header.value()});
-    }
-    return outcome;
-}
-
-void store_outcome(const recorded_outcome& outcome, wire::once_outcome& out) {
-    out.set_status(outcome.head.status);
-    for (const auto& [name, value] : outcome.head.headers) {
-        auto* header = out.add_headers();
-        header->set_name(name);
-        header->set_value(value);
-    }
-    out.set_body(outcome.body);
-    out.set_body_omitted(outcome.body_omitted);
-}
-
 } // namespace
 
 once_records::once_records(once_settings settings)
@@ -139,7 +117,7 @@
     record.set_incarnation(now.life().value());
     record.set_sequence(of.sequence);
     if (of.state == entry_state::recording) {
-        store_outcome(of.outcome, *record.mutable_outcome());
+        write_outcome(of.outcome, *record.mutable_outcome());
     }
     return record.SerializeAsString();
 }
@@ -310,7 +288,7 @@
         submit_start(at, 0, now);
         return;
     }
-    const std::optional<wire::once_record> record = parse(*found);
+    const std::optional<wire::once_record> record = parse_once_record(*found);
     if (!record) {
         decide_all(at->second, once_unknown{});
         entries_.erase(at);
@@ -336,7 +314,7 @@
         decide_all(waiting, once_refused{once_refusal::key_reused, {}});
         entries_.erase(at);
     } else if (record.has_outcome()) {
-        waiting.outcome = outcome_of(record.outcome());
+        waiting.outcome = read_outcome(record.outcome());
         remember(at->first, waiting, now);
         decide_all(waiting, once_replay{waiting.outcome});
         entries_.erase(at);
@@ -389,7 +367,8 @@
 
 void once_records::outcome_found(entry_ref at, const std::optional<kv_entry>& found, step& now) {
     entry& recording = at->second;
-    const std::optional<wire::once_record> record = found ? parse(*found) : std::nullopt;
+    const std::optional<wire::once_record> record =
+        found ? parse_once_record(*found) : std::nullopt;
     const bool own = record && record->node() == now.self().value() &&
                      record->incarnation() == now.life().value() &&
                      record->sequence() == recording.sequence;
--- a/libs/delivery/src/part.cpp
+++ b/libs/delivery/src/part.cpp
@@ -108,11 +108,11 @@
            std::holds_alternative<part_broken>(any) || std::holds_alternative<part_unknown>(any);
 }
 
-wire::attempt_part to_wire(request_id request, std::uint32_t attempt,
-                           const numbered_part& numbered) {
+wire::attempt_part to_wire(const attempt_id& attempt, const numbered_part& numbered) {
     wire::attempt_part out;
-    out.set_request(request.value());
-    out.set_attempt(attempt);
+    out.set_gateway_incarnation(attempt.gateway_life.value());
+    out.set_request(attempt.request.value());
+    out.set_attempt(attempt.number);
     out.set_sequence(numbered.sequence);
     std::visit(part_writer{&out}, numbered.content);
     return out;
--- a/libs/delivery/src/request_delivery.cpp
+++ b/libs/delivery/src/request_delivery.cpp
@@ -78,6 +78,15 @@
         return out;
     }
     const context at{now, &budget, &random, &out};
+    const part_source& source = parts_.source();
+    const bool replaced =
+        from.agent == source.agent && source.life != incarnation{} && source.life < from.life;
+    if (replaced) {
+        // A later life speaks, so the one that has the attempt never will.
+        fail_attempt({}, at);
+        set_wake(now, out);
+        return out;
+    }
     for (const part& next : parts_.accept(from, std::move(arrived))) {
         last_part_ = now;
         if (phase_ != phase::running || attempt_number != number_) {
@@ -277,7 +286,10 @@
     current_.on_sent();
     last_sent_ = now;
     const part_source& to = parts_.source();
-    out.emplace_back(send_attempt{number_, to.agent, to.life, request_.deadline - now, suspect_});
+    const duration left = request_.deadline - now;
+    // What the agent knows at its deadline, such as "not run", has to arrive before ours.
+    const duration told = left - std::min(settings_.answer_margin, left / 4);
+    out.emplace_back(send_attempt{number_, to.agent, to.life, told, suspect_});
 }
 
 void request_delivery::cancel_current(delivery_effects& out) {
