--- a/libs/agent/include/agent/backend_service.h
+++ b/libs/agent/include/agent/backend_service.h
@@ -6,7 +6,7 @@
 #include <agent/job.h>
 #include <agent/work_queue.h>
 
-#include <config/configuration.h>
+#include <config/configuration_service.h>
 #include <config/specs.h>
 #include <delivery/attempt_register.h>
 #include <delivery/drain.h>
--- a/libs/agent/src/agent_process.cpp
+++ b/libs/agent/src/agent_process.cpp
@@ -47,7 +47,9 @@
     shared.peers.attach(*nodes);
     auto standing = std::make_unique<membership::standing_service>(self);
     standing->set_withdrawal_log(shared.withdrawals);
-    auto known_keys = std::make_unique<keys::key_service>(settings.node.data_centre, shared.peers);
+    keys::key_service_options key_options;
+    key_options.data_centre = settings.node.data_centre;
+    auto known_keys = std::make_unique<keys::key_service>(key_options, shared.peers);
     shared.withdrawals.attach(*known_keys);
     backend_settings own;
     own.backend_server = settings.backend_server;
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -4,7 +4,7 @@
 #include <gateway/forwarder.h>
 #include <gateway/route.h>
 
-#include <config/configuration.h>
+#include <config/configuration_service.h>
 #include <delivery/drain.h>
 #include <delivery/quarantine.h>
 #include <kernel/service.h>
--- a/libs/gateway/src/gateway_process.cpp
+++ b/libs/gateway/src/gateway_process.cpp
@@ -39,7 +39,9 @@
     peers.attach(*nodes);
     auto standing = std::make_unique<membership::standing_service>(self);
     standing->set_withdrawal_log(withdrawals);
-    auto known_keys = std::make_unique<keys::key_service>(settings.node.data_centre, peers);
+    keys::key_service_options key_options;
+    key_options.data_centre = settings.node.data_centre;
+    auto known_keys = std::make_unique<keys::key_service>(key_options, peers);
     withdrawals.attach(*known_keys);
 
     kernel.add(std::make_unique<metrics>());
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -93,6 +93,7 @@
             each.http->stop();
         }
     }
+    store_->stop();
 }
 
 bool node_process::serve(const std::string& address, const std::string& service,
