Drop answers to an earlier life of a gateway

Cause: request ids begin anew with each life, so a late part could have met a new request. Conclusion: parts name the gateway's incarnation, and the forwarder checks it.

--- a/libs/agent/src/backend_calls.cpp
+++ b/libs/agent/src/backend_calls.cpp
@@ -316,7 +316,7 @@
 
 void backend_service::transmit(const job& from, const delivery::numbered_part& numbered,
                                step& now) {
-    const auto content = delivery::to_wire(from.id.request, from.id.number, numbered);
+    const auto content = delivery::to_wire(from.id, numbered);
     now.send(from.id.gateway, "forward", content.SerializeAsString());
 }
 
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -84,12 +84,12 @@
 
     checked check(const caller_arrived& arrived, step& now) const;
     std::optional<delivery::refusal> check_key(const caller_arrived& arrived,
-                                               const config::service_spec& service,
+                                               const config::service_spec& spec,
                                                open_request& out) const;
     checked check_completion(const caller_arrived& arrived, bool chat, step& now) const;
     checked check_plain(const caller_arrived& arrived, const route& to, step& now) const;
     std::optional<delivery::refusal> finish_check(const caller_arrived& arrived,
-                                                  const config::service_spec& service,
+                                                  const config::service_spec& spec,
                                                   open_request& out, step& now) const;
 
     void list_models(const caller_arrived& arrived, step& now);
--- a/libs/gateway/src/forwarder.cpp
+++ b/libs/gateway/src/forwarder.cpp
@@ -40,6 +40,9 @@
         metrics_->count("camphor_malformed_messages_total", {{"service", "forward"}});
         return;
     }
+    if (content.gateway_incarnation() != now.life().value()) {
+        return; // answers a request of an earlier life
+    }
     const request_id request{content.request()};
     const auto found = open_.find(request);
     if (found == open_.end()) {
--- a/libs/gateway/src/front_checks.cpp
+++ b/libs/gateway/src/front_checks.cpp
@@ -63,13 +63,13 @@
 }
 
 std::optional<delivery::refusal> front::check_key(const caller_arrived& arrived,
-                                                  const config::service_spec& service,
+                                                  const config::service_spec& spec,
                                                   open_request& out) const {
     const auto presented = presented_key(arrived.content.headers);
     if (const auto* refused = std::get_if<delivery::refusal>(&presented)) {
         return *refused;
     }
-    if (service.access == config::service_access::open) {
+    if (spec.access == config::service_access::open) {
         return std::nullopt;
     }
     const auto& key = std::get<std::optional<std::string>>(presented);
@@ -95,13 +95,13 @@
     }
     const auto& wanted = std::get<completion_request>(parsed);
     const auto adapter = text_->resolve_adapter(wanted.model);
-    const auto* service = adapter ? text_->service_of_adapter(adapter->name) : nullptr;
+    const auto* spec = adapter ? text_->service_of_adapter(adapter->name) : nullptr;
     open_request out;
     const config::service_spec keyed;
-    if (const auto refused = check_key(arrived, service != nullptr ? *service : keyed, out)) {
+    if (const auto refused = check_key(arrived, spec != nullptr ? *spec : keyed, out)) {
         return *refused; // callers without a key learn nothing of which adapters there are
     }
-    if (service == nullptr) {
+    if (spec == nullptr) {
         return not_run(refusal_type::unknown_adapter);
     }
     const std::string full_name = to_string(*adapter);
@@ -113,39 +113,39 @@
     attempt.set_max_tokens(wanted.max_tokens);
     attempt.set_repeatable(true);
     out.cost = wanted.prompt_tokens + wanted.max_tokens;
-    out.order.route.pool = service->model;
+    out.order.route.pool = spec->model;
     out.order.route.adapter = {adapter->name, adapter->version};
     out.order.delivery.stream = wanted.stream;
-    if (const auto refused = finish_check(arrived, *service, out, now)) {
+    if (const auto refused = finish_check(arrived, *spec, out, now)) {
         return *refused;
     }
     return out;
 }
 
 front::checked front::check_plain(const caller_arrived& arrived, const route& to, step& now) const {
-    const auto* service = text_->find_service(to.service);
+    const auto* spec = text_->find_service(to.service);
     open_request out;
     const config::service_spec keyed;
-    if (const auto refused = check_key(arrived, service != nullptr ? *service : keyed, out)) {
+    if (const auto refused = check_key(arrived, spec != nullptr ? *spec : keyed, out)) {
         return *refused;
     }
-    if (service == nullptr || service->kind != config::service_kind::plain) {
+    if (spec == nullptr || spec->kind != config::service_kind::plain) {
         return not_run(refusal_type::unknown_service);
     }
     auto& attempt = out.order.attempt;
     attempt.set_path(to.service_path);
     attempt.set_body(arrived.content.body);
-    attempt.set_repeatable(service->repeatable(arrived.content.method, to.service_path));
-    out.cost = service->cost_tokens;
-    out.order.route.pool = service->name;
-    if (const auto refused = finish_check(arrived, *service, out, now)) {
+    attempt.set_repeatable(spec->repeatable(arrived.content.method, to.service_path));
+    out.cost = spec->cost_tokens;
+    out.order.route.pool = spec->name;
+    if (const auto refused = finish_check(arrived, *spec, out, now)) {
         return *refused;
     }
     return out;
 }
 
 std::optional<delivery::refusal> front::finish_check(const caller_arrived& arrived,
-                                                     const config::service_spec& service,
+                                                     const config::service_spec& spec,
                                                      open_request& out, step& now) const {
     const auto& headers = arrived.content.headers;
     auto& attempt = out.order.attempt;
@@ -154,7 +154,7 @@
         return not_run(refusal_type::malformed_request);
     }
     attempt.set_client_account(out.client_account);
-    attempt.set_service(service.name);
+    attempt.set_service(spec.name);
     attempt.set_method(arrived.content.method);
     attempt.set_query(arrived.content.query);
     for (const auto& each : forwarded_headers(headers)) {
@@ -165,7 +165,7 @@
     attempt.set_idempotency_key(idempotency_key.value_or(""));
     attempt.set_cost_tokens(out.cost);
 
-    const auto content = delivery::quarantine_fingerprint(out.client_account, service.name,
+    const auto content = delivery::quarantine_fingerprint(out.client_account, spec.name,
                                                           attempt.adapter(), attempt.body());
     const auto standing = quarantine_->standing(content, now.time());
     if (standing.verdict == delivery::quarantine_verdict::refuse) {
@@ -182,7 +182,7 @@
     out.order.request = arrived.request;
     out.order.route.cost = out.cost;
     out.order.route.data_centre = settings_.data_centre;
-    out.order.delivery.deadline = now.time() + service.request_timeout;
+    out.order.delivery.deadline = now.time() + spec.request_timeout;
     out.order.delivery.rule = attempt.repeatable() ? delivery::repeat_rule::repeatable
                               : idempotency_key    ? delivery::repeat_rule::keyed
                                                    : delivery::repeat_rule::once_only;
