--- a/libs/agent/src/agent_process.cpp
+++ b/libs/agent/src/agent_process.cpp
@@ -6,6 +6,9 @@
 #include <agent/fencing_service.h>
 #include <agent/vllm_driver.h>
 
+#include <membership/standing_service.h>
+#include <placement/load_director.h>
+
 #include <node/backend_port.h>
 #include <node/daemon_options.h>
 #include <node/fleet_peers.h>
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -4,6 +4,7 @@
 #include <node/endpoint.h>
 #include <node/shutdown_signal.h>
 
+#include <boost/leaf/handle_errors.hpp>
 #include <nlohmann/json.hpp>
 #include <zmq.hpp>
 
