--- a/libs/node/src/status_sections.cpp
+++ b/libs/node/src/status_sections.cpp
@@ -2,6 +2,7 @@
 
 #include <config/configuration_service.h>
 #include <delivery/quarantine.h>
+#include <keys/key_service.h>
 #include <membership/membership_service.h>
 #include <membership/standing_service.h>
 #include <node/operator_service.h>
@@ -79,6 +80,19 @@
             {"refused_revision", status.fault ? json(status.fault->revision) : json(nullptr)}};
 }
 
+json describe_keys(const keys::key_service& keys, const membership::standing_service& standing) {
+    const auto status = keys.status();
+    json holders = json::array();
+    for (const auto& each : standing.holders(keys.withdrawal_count())) {
+        holders.push_back(each.value());
+    }
+    return {{"given", status.records},
+            {"withdrawn", status.withdrawn},
+            {"withdrawals_not_yet_stored", status.unwritten},
+            {"witnesses_that_hold_all", holders},
+            {"held_by_majority", standing.held_by_majority(keys.withdrawal_count())}};
+}
+
 json describe_quarantine(const delivery::quarantine& quarantine, time_point now) {
     json list = json::array();
     for (const auto& each : quarantine.list(now)) {
@@ -111,6 +125,14 @@
         "configuration", [&](time_point /*now*/) { return describe_configuration(configuration); });
     operators.add_section("quarantine",
                           [&](time_point now) { return describe_quarantine(quarantine, now); });
+    auto& keys = kernel.find<keys::key_service>("keys");
+    operators.add_section("keys",
+                          [&](time_point /*now*/) { return describe_keys(keys, standing); });
+    operators.add_command("withdraw-key", [&](const std::string& id, step& now) {
+        const bool taken = keys.withdraw(id, now) != keys::key_merge::malformed;
+        standing.probe_now(now);
+        return taken;
+    });
     operators.add_command("lift-quarantine", [&](const std::string& argument, step& now) {
         const auto content = from_hex(argument);
         return content && quarantine.lift(*content, now);
