--- a/libs/harness/include/harness/fake_cluster.h
+++ b/libs/harness/include/harness/fake_cluster.h
@@ -90,6 +90,11 @@
     /** Hands an event to a node's present life after a delay. */
     void post_later(const node_id& node, event happened, duration delay);
 
+    /** Runs `action` after a delay, whatever becomes of the nodes. */
+    void schedule_in(duration delay, std::function<void()> action) {
+        schedule(now() + delay, std::move(action));
+    }
+
     /**
      * Calls `act` with a step of the node at the present time and carries out its effects, as if
      * an event had led to them. Precondition: alive and not paused.
