Give the front its default wait for tokens

Cause: an aggregate's explicit empty initializer set token_wait to 0 ms, so a second gateway refused before its peer could give: 429 with retry_after_ms 1.

--- a/libs/gateway/src/gateway_services.cpp
+++ b/libs/gateway/src/gateway_services.cpp
@@ -16,7 +16,9 @@
     kernel.add(std::make_unique<forwarder>(delivery::delivery_settings{},
                                            delivery::retry_budget_settings{}));
     kernel.add(std::make_unique<gateway_fleet>());
-    kernel.add(std::make_unique<front>(front_settings{settings.node.data_centre, {}, {}}));
+    front_settings callers;
+    callers.data_centre = settings.node.data_centre;
+    kernel.add(std::make_unique<front>(callers));
     describe_gateway(kernel);
 }
 
