--- a/libs/config/include/config/packed_text.h
+++ b/libs/config/include/config/packed_text.h
@@ -24,11 +24,15 @@
 /** Names one apply, so that its author can tell whether it was written. */
 using apply_id = strong_id<struct apply_id_tag, std::string>;
 
+/** How many earlier applies a head remembers, so that each author can learn what became of his. */
+constexpr std::size_t max_earlier_applies = 16;
+
 /** Says which text is in force, by the digests of its chunks. A value type. */
 struct config_head {
     std::uint64_t revision = 0; /**< Counts up by one with every accepted apply, from 1. */
     std::uint32_t format = text_format;
     apply_id apply;
+    std::vector<apply_id> earlier_applies; /**< Newest first; of the revisions right before. */
     std::vector<chunk_digest> statement_chunks;
     std::vector<chunk_digest> adapter_chunks;
 
--- a/libs/config/src/packed_text.cpp
+++ b/libs/config/src/packed_text.cpp
@@ -68,6 +68,9 @@
     message.set_revision(head.revision);
     message.set_format(head.format);
     message.set_apply_id(head.apply.value());
+    for (const apply_id& each : head.earlier_applies) {
+        message.add_earlier_applies(each.value());
+    }
     for (const chunk_digest& digest : head.statement_chunks) {
         message.add_statement_chunks(digest.value());
     }
@@ -83,21 +86,26 @@
         !message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return assembly_fault::malformed_head;
     }
-    config_head head{message.revision(), message.format(), apply_id{message.apply_id()}, {}, {}};
+    config_head head{
+        message.revision(), message.format(), apply_id{message.apply_id()}, {}, {}, {}};
+    for (const std::string& each : message.earlier_applies()) {
+        head.earlier_applies.emplace_back(each);
+    }
     if (head.format > text_format || has_unknown_fields(message)) {
         return assembly_fault::newer_format;
     }
     const bool whole = read_digests(message.statement_chunks(), head.statement_chunks) &&
                        read_digests(message.adapter_chunks(), head.adapter_chunks);
     if (!whole || head.revision == 0 || head.format == 0 || head.statement_chunks.empty() ||
-        head.apply.value().size() > max_apply_id_bytes) {
+        head.apply.value().size() > max_apply_id_bytes ||
+        head.earlier_applies.size() > max_earlier_applies) {
         return assembly_fault::malformed_head;
     }
     return head;
 }
 
 packed_text pack(const operators_text& text, std::uint64_t revision, apply_id apply) {
-    packed_text packed{{revision, text_format, std::move(apply), {}, {}}, {}};
+    packed_text packed{{revision, text_format, std::move(apply), {}, {}, {}}, {}};
     for (std::string& piece : cut_statement(statement_to_yaml(text))) {
         chunk_digest digest = digest_of(piece);
         packed.chunks.emplace(digest, std::move(piece));
