--- a/libs/delivery/include/delivery/request_delivery.h
+++ b/libs/delivery/include/delivery/request_delivery.h
@@ -28,13 +28,9 @@
     duration resend_after{200};       /**< An unanswered message is sent again to the same agent. */
     duration accept_timeout{1'000};   /**< An agent that is silent so long is given up. */
     duration silence_timeout{20'000}; /**< Longest wait for the next part once started. */
-<<<<<<< HEAD
+    duration answer_margin{100}; /**< Agents are told to give up so much before the deadline. */
     std::uint64_t acknowledge_every = 16; /**< Parts. */
     duration acknowledge_within{300};     /**< A part that comes later than this is acknowledged. */
-=======
-    duration answer_margin{100}; /**< Agents are told to give up so much before the deadline. */
-    std::uint64_t acknowledge_every = 16;   /**< Parts. */
->>>>>>> delivery
     std::size_t most_buffered = 1U << 20U;  /**< Bytes of an answer held until it is whole. */
     std::size_t most_resumable = 1U << 18U; /**< Bytes of a stream kept for resuming it. */
     backoff_settings backoff;
--- a/libs/delivery/sim/include/delivery_sim/sim_gateway.h
+++ b/libs/delivery/sim/include/delivery_sim/sim_gateway.h
@@ -23,13 +23,21 @@
     virtual void on_ended(const std::string& name, const delivery_ended& how) = 0;
 };
 
+/** Decides whether an account's key works, in place of the key service. */
+class admission {
+public:
+    virtual ~admission() = default;
+
+    virtual bool admits(const std::string& account) const = 0;
+};
+
 /**
  * The least gateway that wires request_delivery to messages: service "gateway". Not thread safe.
  */
 class sim_gateway final : public service {
 public:
     sim_gateway(const delivery_settings& settings, const retry_budget_settings& budget,
-                const directory& known, caller_observer& observer);
+                const directory& known, const admission& keys, caller_observer& observer);
 
     std::string_view name() const noexcept override { return "gateway"; }
     void attach(micro_kernel& kernel) override;
@@ -57,6 +65,7 @@
     delivery_settings settings_;
     retry_budget budget_;
     const directory& known_;
+    const admission& keys_;
     caller_observer& observer_;
     quarantine* quarantine_ = nullptr;
     std::uint64_t last_request_ = 0;
--- a/libs/delivery/sim/include/delivery_sim/world.h
+++ b/libs/delivery/sim/include/delivery_sim/world.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -48,12 +49,16 @@
  * assert(simulated.callers().at("r1").bytes == world::whole_answer("hello", 4));
  * @endcode
  */
-class world final : public harness::fake_backend, public caller_observer {
+class world final : public harness::fake_backend, public caller_observer, public admission {
 public:
     explicit world(const world_settings& settings);
 
     void submit(const request_spec& spec);
     void drop_caller(const std::string& name);
+
+    /** The keys of an account stop working. */
+    void withdraw(const std::string& account);
+
     void kill(const node_id& node);
     void restart(const node_id& node);
     void kill_backend(const node_id& agent);
@@ -84,6 +89,7 @@
     void on_answer(const std::string& name, const call_progress& part) override;
     void on_refusal(const std::string& name, const refusal& reason) override;
     void on_ended(const std::string& name, const delivery_ended& how) override;
+    bool admits(const std::string& account) const override;
 
 private:
     using running_call = std::pair<node_id, call_id>;
@@ -91,7 +97,7 @@
     void add_gateway(const node_id& name);
     void add_agent(const node_id& name);
     void later(duration delay, std::function<void()> action);
-    void progress(running_call id, const call_progress& next);
+    void progress(const running_call& id, const call_progress& next);
     void next_chunk(const running_call& id, const std::string& body, unsigned index);
     void note(std::string what);
 
@@ -105,6 +111,7 @@
     std::map<std::string, node_id> gateway_of_;
     std::multimap<time_point, std::function<void()>> later_;
     std::vector<observation> observations_;
+    std::set<std::string> withdrawn_;
     std::uint64_t call_count_ = 0;
     harness::fake_cluster cluster_;
     time_point began_;
--- a/libs/delivery/sim/src/sim_agent.cpp
+++ b/libs/delivery/sim/src/sim_agent.cpp
@@ -144,8 +144,11 @@
     work& called = works_.at(id);
     called.call = call_id{(now.life().value() << life_shift) + ++last_call_};
     calls_.emplace(called.call, id);
-    now.emit(call_backend{
-        "agent", called.call, {called.run.method(), called.run.path(), {}, {}, called.run.body()}});
+    call_backend started;
+    started.service = "agent";
+    started.call = called.call;
+    started.request = {called.run.method(), called.run.path(), {}, {}, called.run.body()};
+    now.emit(started);
 }
 
 void sim_agent::answer(const attempt_id& id, part next, step& now) {
--- a/libs/delivery/sim/src/sim_gateway.cpp
+++ b/libs/delivery/sim/src/sim_gateway.cpp
@@ -28,8 +28,8 @@
 } // namespace
 
 sim_gateway::sim_gateway(const delivery_settings& settings, const retry_budget_settings& budget,
-                         const directory& known, caller_observer& observer)
-    : settings_(settings), budget_(budget), known_(known), observer_(observer) {}
+                         const directory& known, const admission& keys, caller_observer& observer)
+    : settings_(settings), budget_(budget), known_(known), keys_(keys), observer_(observer) {}
 
 void sim_gateway::attach(micro_kernel& kernel) {
     quarantine_ = &kernel.find<quarantine>("quarantine");
@@ -40,6 +40,10 @@
 }
 
 void sim_gateway::submit(const request_spec& spec, step& now) {
+    if (!keys_.admits(spec.account)) {
+        observer_.on_refusal(spec.name, {refusal_type::invalid_key, run_knowledge::not_run, {}});
+        return;
+    }
     const fingerprint content = quarantine_fingerprint(spec.account, "service", {}, spec.body);
     const quarantine_standing standing = quarantine_->standing(content, now.time());
     if (standing.verdict == quarantine_verdict::refuse) {
--- a/libs/delivery/sim/src/world.cpp
+++ b/libs/delivery/sim/src/world.cpp
@@ -18,6 +18,11 @@
 world::world(const world_settings& settings)
     : settings_(settings), cluster_(settings.seed), began_(cluster_.now()) {
     cluster_.answer_calls_with(this);
+    cluster_.observe([this](const node_id& node, const effect& each) {
+        if (std::holds_alternative<exit_process>(each)) {
+            note("process " + node.value() + " stopped");
+        }
+    });
     for (unsigned i = 1; i <= settings.gateways; ++i) {
         known_.nodes.emplace_back("g" + std::to_string(i));
     }
@@ -35,8 +40,8 @@
 void world::add_gateway(const node_id& name) {
     cluster_.add(name, [this](micro_kernel& kernel) {
         kernel.add(std::make_unique<quarantine>(quarantine_settings{}, known_));
-        kernel.add(
-            std::make_unique<sim_gateway>(settings_.delivery, settings_.budget, known_, *this));
+        kernel.add(std::make_unique<sim_gateway>(settings_.delivery, settings_.budget, known_,
+                                                 *this, *this));
     });
 }
 
@@ -100,6 +105,14 @@
     });
 }
 
+void world::withdraw(const std::string& account) {
+    withdrawn_.insert(account);
+}
+
+bool world::admits(const std::string& account) const {
+    return !withdrawn_.contains(account);
+}
+
 void world::drop_caller(const std::string& name) {
     caller_view& view = callers_.at(name);
     view.gone = !view.done();
@@ -162,16 +175,17 @@
     });
 }
 
-void world::progress(running_call id, const call_progress& next) {
+void world::progress(const running_call& id, const call_progress& next) {
     const auto found = running_.find(id);
     if (found == running_.end()) {
         return;
     }
     const std::string service = found->second;
+    const auto [node, call] = id;
     if (std::holds_alternative<http_end>(next) || std::holds_alternative<call_failure>(next)) {
         running_.erase(found);
     }
-    cluster_.post(id.first, call_progressed{service, id.second, next});
+    cluster_.post(node, call_progressed{service, call, next});
 }
 
 void world::on_call(const node_id& node, const call_backend& call) {
--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,11 +1,12 @@
 #include "commands.h"
 
 #include "placement_command.h"
+#include "replay_command.h"
 
 namespace camphorgrade::experiment {
 
 const std::vector<command>& commands() {
-    static const std::vector<command> all{placement_command};
+    static const std::vector<command> all{placement_command, replay_command};
     return all;
 }
 
