--- a/libs/http/include/http/http_server.h
+++ b/libs/http/include/http/http_server.h
@@ -47,6 +47,12 @@
     /** Requests that were handed on and are not answered yet. */
     std::size_t open_exchanges() const;
 
+    /**
+     * Reads the certificate file again; connections made from then on use it. Fails with
+     * http_server_error::bad_certificate and keeps the old one. Precondition: TLS is on.
+     */
+    boost::leaf::result<void> reload_certificate();
+
     /** Cuts what is open, reports it as lost, and joins all threads. Idempotent. */
     void stop();
 
