Let the test of a dying engine wait for the first bytes

Cause: the first load waits for a permit of the weight store, so a fixed 300 ms was too short. Conclusion: the test synchronizes on the event it needs.

--- a/tests/system/test_system.cpp
+++ b/tests/system/test_system.cpp
@@ -90,8 +90,10 @@
 TEST_CASE("a stream whose engine dies is completed elsewhere, each byte once") {
     system_fleet fleet(5, {});
     const auto asked = fleet.complete(0, "hall", "long", 40, true);
-    fleet.cluster().run_for(duration{300});
-    REQUIRE(!fleet.servers().runs().empty());
+    while (fleet.answer(asked).body.empty()) {
+        REQUIRE_FALSE(fleet.answer(asked).ended);
+        fleet.cluster().run_for(duration{10});
+    }
     fleet.servers().crash(fleet.servers().runs().front().server);
     REQUIRE(fleet.run_until_answered(long_enough));
     CHECK(fleet.answer(asked).whole);
