Judge an idempotency key's reuse only once it is known whose key it is

Cause: an agent that had just begun to record a wrong request for a used key refused the right one beside it as key_reused, because nobody had read the record yet. Conclusion: while a record is being written all contents wait; the record decides among them.

--- a/libs/delivery/include/delivery/once_records.h
+++ b/libs/delivery/include/delivery/once_records.h
@@ -106,6 +106,7 @@
         once_ticket ticket;
         once_listener* listener = nullptr;
         time_point deadline;
+        fingerprint content;
     };
     struct entry {
         fingerprint content;
@@ -131,7 +132,8 @@
     using entry_ref = std::map<std::string, entry>::iterator;
 
     std::string record_key(const once_request& request) const;
-    bool join(entry& known, const fingerprint& content, const waiter& who);
+    bool join(entry& known, const waiter& who);
+    void refuse_others(entry& of, const fingerprint& recorded);
     const remembered_outcome* remembered(const std::string& key, time_point at) const;
     void remember(const std::string& key, const entry& finished, step& now);
     std::string record_value(const entry& of, step& now) const;
--- a/libs/delivery/src/once_records.cpp
+++ b/libs/delivery/src/once_records.cpp
@@ -37,7 +37,7 @@
     CAMPHOR_PRECONDITION(!request.idempotency_key.empty());
     const std::string key = record_key(request);
     const once_ticket ticket{++last_ticket_};
-    const waiter who{ticket, &listener, request.deadline};
+    const waiter who{ticket, &listener, request.deadline, request.content};
     if (const auto* known = remembered(key, now.time())) {
         const bool same = known->content == request.content;
         decide(who, same ? once_decision{once_replay{known->outcome}}
@@ -47,13 +47,13 @@
         decide(who, once_refused{late ? once_refusal::store_unavailable : once_refusal::overloaded,
                                  settings_.retry_after});
     } else if (const auto found = entries_.find(key); found != entries_.end()) {
-        if (join(found->second, request.content, who)) {
+        if (join(found->second, who)) {
             tickets_.emplace(ticket, key);
         }
     } else {
         const auto at = entries_.try_emplace(key).first;
         at->second.content = request.content;
-        join(at->second, request.content, who);
+        join(at->second, who);
         tickets_.emplace(ticket, key);
         submit_start(at, 0, now);
     }
@@ -65,8 +65,10 @@
     return ticket;
 }
 
-bool once_records::join(entry& known, const fingerprint& content, const waiter& who) {
-    if (known.content != content) {
+bool once_records::join(entry& known, const waiter& who) {
+    // While the record is being written, nobody knows yet whose key it is.
+    const bool undecided = known.state == entry_state::starting;
+    if (known.content != who.content && !undecided) {
         decide(who, once_refused{once_refusal::key_reused, {}});
         return false;
     }
@@ -80,6 +82,19 @@
     return true;
 }
 
+void once_records::refuse_others(entry& of, const fingerprint& recorded) {
+    const auto others =
+        std::stable_partition(of.waiters.begin(), of.waiters.end(),
+                              [&](const waiter& each) { return each.content == recorded; });
+    const std::vector<waiter> refused(others, of.waiters.end());
+    of.waiters.erase(others, of.waiters.end());
+    for (const waiter& each : refused) {
+        deadlines_.erase({each.deadline, each.ticket});
+        --waiting_;
+        decide(each, once_refused{once_refusal::key_reused, {}});
+    }
+}
+
 void once_records::abandon(once_ticket ticket, step& now) {
     std::erase_if(decided_, [&](const decided& each) { return each.who.ticket == ticket; });
     const auto found = tickets_.find(ticket);
@@ -142,6 +157,7 @@
 
 void once_records::run_next(entry_ref at, step& now) {
     entry& started = at->second;
+    refuse_others(started, started.content);
     if (started.waiters.empty()) {
         submit_release(at, now);
         return;
@@ -310,8 +326,9 @@
     entry& waiting = at->second;
     const bool own_node = record.node() == now.self().value();
     const bool own_life = own_node && record.incarnation() == now.life().value();
-    if (fingerprint_from_bytes(record.fingerprint()) != waiting.content) {
-        decide_all(waiting, once_refused{once_refusal::key_reused, {}});
+    waiting.content = fingerprint_from_bytes(record.fingerprint());
+    refuse_others(waiting, waiting.content);
+    if (waiting.waiters.empty()) {
         entries_.erase(at);
     } else if (record.has_outcome()) {
         waiting.outcome = read_outcome(record.outcome());
