Tell a report for a later audit round from an empty one

Cause: a late copy of an audit's start made a member answer with a later round and nothing held; an auditor in that round took it for a report and minted the member's part again. Conclusion: fixed; the sum of parts is now asserted after each command as well.

--- a/libs/limits/src/account_share.cpp
+++ b/libs/limits/src/account_share.cpp
@@ -59,7 +59,9 @@
     burst_parts_ += taken.burst_parts;
     CAMPHOR_INVARIANT(rate_parts_ <= whole && burst_parts_ <= whole);
     apply_limits(now);
-    bucket_.add(taken.level, now);
+    // It may have been given under a larger burst.
+    const micro_tokens fitting = scale_down(account_burst(), taken.burst_parts, whole);
+    bucket_.add(std::min(taken.level, fitting), now);
 }
 
 void account_share::apply_limits(time_point now) {
--- a/libs/limits/src/limits_audit.cpp
+++ b/libs/limits/src/limits_audit.cpp
@@ -115,7 +115,8 @@
     out.set_epoch(content.epoch());
     out.set_round(book_.round());
     out.set_generation(generation_);
-    if (content.round() == book_.round()) {
+    out.set_only_round(content.round() != book_.round());
+    if (!out.only_round()) {
         for (const auto& [client_account, held] : reported_) {
             wire::share_entry& entry = *out.add_held();
             entry.set_client_account(client_account);
@@ -133,7 +134,7 @@
         content.epoch() != audit_epoch_) {
         return;
     }
-    if (content.round() != audit_->round()) {
+    if (content.only_round() || content.round() != audit_->round()) {
         // A member has joined a later round of another auditor: begin beyond it.
         if (content.round() > audit_->round()) {
             audit_count_ = std::max(audit_count_, count_of_round(content.round()));
--- a/libs/limits/tests/fleet.h
+++ b/libs/limits/tests/fleet.h
@@ -159,20 +159,15 @@
 
     /** Sums over all running gateways. */
     share held() {
-        share sum;
-        for (const node_id& each : gateways_) {
-            if (!cluster.alive(each)) {
-                continue;
-            }
-            for (const account_metrics& of : limits(each).metrics(cluster.now())) {
-                sum.rate_parts += static_cast<parts>(of.rate_share * whole + 0.5);
-                sum.burst_parts += static_cast<parts>(of.burst_share * whole + 0.5);
-                sum.level += static_cast<micro_tokens>(of.level_tokens * micro_tokens_per_token);
-            }
-        }
-        return sum;
+        return sum_where([&](const node_id& each) { return cluster.alive(each); });
     }
 
+    /** Sums over the gateways that may admit now, or will once they are resumed. */
+    share held_with_standing() {
+        return sum_where([&](const node_id& each) {
+            return cluster.alive(each) && standing(each).has_standing(cluster.now());
+        });
+    }
     const std::vector<received>& all_received() const { return received_; }
     std::size_t refused_late() const { return refused_late_; }
 
@@ -228,8 +223,25 @@
         });
     }
 
+    template <typename Counts>
+    share sum_where(Counts counts) {
+        share sum;
+        for (const node_id& each : gateways_) {
+            if (!counts(each)) {
+                continue;
+            }
+            for (const account_metrics& of : limits(each).metrics(cluster.now())) {
+                sum.rate_parts += static_cast<parts>(of.rate_share * whole + 0.5);
+                sum.burst_parts += static_cast<parts>(of.burst_share * whole + 0.5);
+                sum.level += static_cast<micro_tokens>(of.level_tokens * micro_tokens_per_token);
+            }
+        }
+        return sum;
+    }
+
     void note_allowed() {
-        allowed_limit widest{cluster.now(), limit_.rate_tokens_per_s, limit_.burst_tokens};
+        allowed_limit widest{cluster.now(), limit_.rate_tokens_per_s, limit_.burst_tokens,
+                             received_.size()};
         for (const auto& [gateway, known] : in_force_) {
             if (cluster.alive(gateway)) {
                 widest.rate_tokens_per_s =
--- a/libs/limits/tests/test_fleet_properties.cpp
+++ b/libs/limits/tests/test_fleet_properties.cpp
@@ -110,6 +110,9 @@
     /** Times at which a gateway would have admitted on a key withdrawn for too long. */
     std::size_t late_admissions() const { return late_admissions_; }
 
+    /** The most parts ever held by gateways that could admit. */
+    parts most_held() const { return most_held_; }
+
     std::size_t accepted_withdrawals() const {
         return static_cast<std::size_t>(
             std::count_if(withdrawals_.begin(), withdrawals_.end(),
@@ -130,6 +133,8 @@
             }
             all.credit_oldest(50);
             follow_withdrawals();
+            const share held = all.held_with_standing();
+            most_held_ = std::max({most_held_, held.rate_parts, held.burst_parts});
             all.cluster.run_for(std::min(traffic_period, end - all.cluster.now()));
         }
     }
@@ -277,6 +282,7 @@
     std::set<node_id> killed_agents_;
     std::vector<withdrawal> withdrawals_;
     std::size_t late_admissions_ = 0;
+    parts most_held_ = 0;
 };
 
 } // namespace
@@ -290,6 +296,7 @@
                  .as("history");
         for (const command& each : history) {
             run.run(each);
+            RC_ASSERT(run.most_held() <= whole);
         }
         RC_ASSERT(test::within_every_window(run.all.all_received(), run.all.allowed()));
         run.recover();
