--- a/libs/placement/src/reporter.cpp
+++ b/libs/placement/src/reporter.cpp
@@ -23,6 +23,9 @@
     wire::agent_report report;
     report.set_boot(status.boot);
     report.set_pool(status.pool);
+    for (const auto& each : status.services) {
+        report.add_services(each);
+    }
     report.set_role(status.role);
     report.set_data_centre(status.data_centre);
     report.set_leaving(status.leaving);
@@ -30,6 +33,7 @@
     report.set_free_seats(status.free_seats);
     report.set_short_tokens(status.short_tokens);
     report.set_long_tokens(status.long_tokens);
+    report.set_unloaded_tokens(status.unloaded_tokens);
     report.set_tokens_per_s(status.tokens_per_s);
     report.set_obtainable_slots(status.obtainable_slots);
     report.set_victim_worth(status.victim_worth);
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -16,6 +16,10 @@
 constexpr duration shortest_retry_after{250};
 constexpr int missed_reports = 3;
 
+bool serves(const agent_status& status, const std::string& pool) {
+    return status.pool == pool || std::ranges::find(status.services, pool) != status.services.end();
+}
+
 } // namespace
 
 router::router(router_settings settings) : settings_(settings), asked_(remembered_adapters) {}
@@ -84,13 +88,25 @@
         views_, [&](const auto& each) { return usable(each.second, any, now); }));
 }
 
-bool router::usable(const view& each, const route_request& request, time_point now) const {
+std::size_t router::ready_agents(time_point now) const {
+    return static_cast<std::size_t>(std::ranges::count_if(views_, [&](const auto& each) {
+        const auto& status = each.second.status;
+        const bool serves_any = !status.pool.empty() || !status.services.empty();
+        return serves_any && staying(each.second, now);
+    }));
+}
+
+bool router::staying(const view& each, time_point now) const {
     const duration patience = std::max(settings_.suspect_after, each.within * missed_reports);
+    return !each.status.leaving && now - each.received <= patience &&
+           !unavailable_.contains(each.agent);
+}
+
+bool router::usable(const view& each, const route_request& request, time_point now) const {
     const bool fits =
-        each.status.pool == request.pool &&
+        serves(each.status, request.pool) &&
         (request.role.empty() || each.status.role.empty() || each.status.role == request.role);
-    return fits && !each.status.leaving && now - each.received <= patience &&
-           !unavailable_.contains(each.agent) &&
+    return fits && staying(each, now) &&
            std::ranges::find(request.excluded, each.agent) == request.excluded.end();
 }
 
@@ -155,7 +171,8 @@
     const candidate* best = nullptr;
     std::size_t seen = 0;
     for (const candidate& each : all) {
-        const bool fits = each.load <= bound && each.to->status.obtainable_slots > 0;
+        const bool fits =
+            !overloaded(each) && each.load <= bound && each.to->status.obtainable_slots > 0;
         if (fits &&
             (best == nullptr || (settings_.weigh_victims &&
                                  each.to->status.victim_worth < best->to->status.victim_worth))) {
