Order loads by what is due and evict by recency while the store is pressed

Cause: after a shift, adapters with one request were evicted before old popular ones, so that the same loads came again while the store was at its limit. A test for unfamiliar requests at each agent (cumulative sum) did not help: an agent sees too few requests to notice in time.

--- a/libs/placement/include/placement/fair_queue.h
+++ b/libs/placement/include/placement/fair_queue.h
@@ -20,7 +20,8 @@
 struct adapter_backlog {
     adapter_ref adapter;
     std::uint32_t callers = 0;
-    time_point oldest;
+    time_point oldest; /**< Arrival of the first. */
+    time_point due;    /**< First arrival plus lead: short answers are due before long drafts. */
     std::uint64_t tokens_behind = 0; /**< How far its furthest account is behind the queue. */
 
     friend bool operator==(const adapter_backlog&, const adapter_backlog&) = default;
--- a/libs/placement/include/placement/placement_weights.h
+++ b/libs/placement/include/placement/placement_weights.h
@@ -22,7 +22,7 @@
  * thousand tokens that its account is behind the account served last, at most `most_behind`.
  */
 struct placement_weights {
-    duration per_caller{400};
+    duration per_caller{3000};
     duration per_kilotoken_behind{50};
     duration most_behind{10000};
 
--- a/libs/placement/include/placement/scheduler.h
+++ b/libs/placement/include/placement/scheduler.h
@@ -92,15 +92,14 @@
     void refuse_hopeless(time_point now);
     void start(schedule& decided, time_point now, std::size_t free_seats);
     void hold_backlogged(const std::vector<adapter_backlog>& backlogs, time_point now);
-    std::vector<load_want> missing(const std::vector<adapter_backlog>& backlogs,
-                                   time_point now) const;
+    std::vector<load_want> missing(const std::vector<adapter_backlog>& backlogs, time_point now);
     void add_prefetch(std::vector<load_want>& wants, time_point now) const;
     void order_loads(schedule& decided, time_point now);
     void make_room(schedule& decided, std::size_t needed, time_point now);
     bool closed(const adapter_ref& adapter) const { return closing_ == adapter; }
     void start_load(schedule& decided, const adapter_ref& adapter, time_point now);
     void close_a_slot(const std::vector<adapter_backlog>& backlogs, time_point now);
-    std::optional<adapter_ref> victim(bool pinned, time_point now) const;
+    std::optional<slot_view> victim(bool pinned, time_point now) const;
     double worth(const slot_view& slot, time_point now) const;
     std::size_t obtainable_slots() const;
     bool permitted(const adapter_ref& adapter, time_point now) const;
@@ -109,6 +108,7 @@
     slot_table table_;
     fair_queue queue_;
     popularity asked_;
+    time_point pressed_until_;
     std::map<std::uint64_t, adapter_ref> known_;
     std::map<adapter_ref, pin> holds_;
     std::map<adapter_ref, time_point> permits_;
--- a/libs/placement/src/fair_queue.cpp
+++ b/libs/placement/src/fair_queue.cpp
@@ -96,6 +96,7 @@
             adapter_backlog& sum = sums[request.adapter];
             const bool first = sum.callers == 0;
             sum.adapter = request.adapter;
+            sum.due = first ? key.key : std::min(sum.due, key.key);
             sum.oldest = first ? request.arrival : std::min(sum.oldest, request.arrival);
             sum.tokens_behind = std::max(sum.tokens_behind, floor_ - std::min(floor_, each.served));
             ++sum.callers;
--- a/libs/placement/src/load_ledger.cpp
+++ b/libs/placement/src/load_ledger.cpp
@@ -79,7 +79,7 @@
         const duration waited = now - agent->second.at;
         for (std::size_t i = 0; i < agent->second.wants.size(); ++i) {
             const load_want& each = agent->second.wants[i];
-            const duration urgency = each.prefetch ? duration{-1} : each.urgency + waited;
+            const duration urgency = each.prefetch ? duration::min() : each.urgency + waited;
             if (!best || urgency > best_urgency) {
                 best = candidate{agent, i};
                 best_urgency = urgency;
@@ -89,7 +89,7 @@
     if (!best) {
         return std::nullopt;
     }
-    if (best_urgency >= duration{0}) {
+    if (best_urgency > duration::min()) {
         last_demand_ = now;
         return best;
     }
--- a/libs/placement/src/placement_weights.cpp
+++ b/libs/placement/src/placement_weights.cpp
@@ -14,7 +14,7 @@
 
 placement_weights weights_for(weighed_measure first) {
     if (first == weighed_measure::fairness) {
-        return {.per_caller = duration{100}, .per_kilotoken_behind = duration{400}};
+        return {.per_caller = duration{2000}, .per_kilotoken_behind = duration{400}};
     }
     return {};
 }
--- a/libs/placement/src/scheduler.cpp
+++ b/libs/placement/src/scheduler.cpp
@@ -11,6 +11,11 @@
 constexpr std::uint64_t tokens_per_kilotoken = 1000;
 constexpr std::uint64_t short_answer_tokens = 128;
 constexpr std::size_t most_wanted_reported = 16;
+constexpr duration slow_half_life{300000};
+constexpr duration fast_half_life{150000};
+constexpr duration pressed_wait{1500};
+constexpr duration pressed_memory{20000};
+constexpr double ms_per_s = 1000;
 constexpr double worth_scale = 1000;
 constexpr duration reserved_bonus{10000};
 
@@ -18,7 +23,7 @@
 
 scheduler::scheduler(scheduler_settings settings, fencing_number fencing, time_point now)
     : settings_(settings), table_(settings.slots, fencing, now), queue_(settings.queue),
-      asked_(remembered_adapters) {}
+      asked_(remembered_adapters, slow_half_life, fast_half_life) {}
 
 std::optional<refused_request> scheduler::admit(const queued_request& request, time_point now) {
     if (table_.superseded()) {
@@ -81,8 +86,8 @@
     status.obtainable_slots = static_cast<std::uint32_t>(obtainable_slots());
     const auto least = victim(false, now);
     if (least && table_.count(slot_state::empty) == 0) {
-        const double per_s = asked_.rate(digest(*least), now);
-        status.victim_worth = static_cast<std::uint32_t>(per_s * worth_scale);
+        const double least_worth = worth(*least, now);
+        status.victim_worth = static_cast<std::uint32_t>(least_worth * worth_scale);
     }
     for (const slot_view& each : table_.slots()) {
         if (each.state == slot_state::loading || each.state == slot_state::resident) {
@@ -173,7 +178,7 @@
 }
 
 std::vector<load_want> scheduler::missing(const std::vector<adapter_backlog>& backlogs,
-                                          time_point now) const {
+                                          time_point now) {
     std::vector<load_want> wants;
     for (const adapter_backlog& each : backlogs) {
         const load_readiness readiness = table_.readiness(each.adapter, now);
@@ -181,14 +186,17 @@
             continue;
         }
         const placement_weights& weights = settings_.weights;
+        if (now - each.oldest >= pressed_wait) {
+            pressed_until_ = now + pressed_memory;
+        }
         const duration callers = weights.per_caller * (each.callers - 1);
         const duration behind =
             weights.per_kilotoken_behind *
             static_cast<std::int64_t>(each.tokens_behind / tokens_per_kilotoken);
         const duration first = reserved_for_ == each.adapter ? reserved_bonus : duration{};
-        wants.push_back(
-            {each.adapter,
-             now - each.oldest + callers + std::min(behind, weights.most_behind) + first, false});
+        wants.push_back({each.adapter,
+                         now - each.due + callers + std::min(behind, weights.most_behind) + first,
+                         false});
     }
     std::ranges::stable_sort(
         wants, [](const load_want& a, const load_want& b) { return a.urgency > b.urgency; });
@@ -255,7 +263,7 @@
         if (!least) {
             return;
         }
-        auto leave = table_.evictable(*least);
+        auto leave = table_.evictable(least->adapter);
         if (!leave) {
             return;
         }
@@ -290,14 +298,14 @@
         return;
     }
     if (const auto least = victim(true, now)) {
-        closing_ = least;
+        closing_ = least->adapter;
         reserved_for_ = oldest->adapter;
-        holds_.erase(*least);
+        holds_.erase(least->adapter);
     }
 }
 
-std::optional<adapter_ref> scheduler::victim(bool pinned, time_point now) const {
-    std::optional<adapter_ref> least;
+std::optional<slot_view> scheduler::victim(bool pinned, time_point now) const {
+    std::optional<slot_view> least;
     double least_worth = 0;
     for (const slot_view& each : table_.slots()) {
         if (each.state != slot_state::resident || (each.pins > 0) != pinned) {
@@ -305,7 +313,7 @@
         }
         const double value = worth(each, now);
         if (!least || value < least_worth) {
-            least = each.adapter;
+            least = each;
             least_worth = value;
         }
     }
@@ -316,10 +324,10 @@
     if (closed(slot.adapter)) {
         return -1;
     }
-    if (settings_.keep_popular) {
-        return asked_.rate(digest(slot.adapter), now);
-    }
-    return static_cast<double>(slot.last_used.time_since_epoch().count());
+    const duration idle = now - slot.last_used + duration{1};
+    const double recency = ms_per_s / static_cast<double>(idle.count());
+    const bool by_recency = !settings_.keep_popular || now < pressed_until_;
+    return by_recency ? recency : asked_.rate(digest(slot.adapter), now);
 }
 
 std::size_t scheduler::obtainable_slots() const {
