Set back loads of an account that had more than its even share of them

Cause: with one account at five times its rate the weight store is the bottleneck, and its loads were shared by waiting callers alone.

--- a/libs/placement/include/placement/fair_queue.h
+++ b/libs/placement/include/placement/fair_queue.h
@@ -22,6 +22,7 @@
     std::uint32_t callers = 0;
     time_point oldest; /**< Arrival of the first. */
     time_point due;    /**< First arrival plus lead: short answers are due before long drafts. */
+    std::string furthest_behind;     /**< The account among them that has had least. */
     std::uint64_t tokens_behind = 0; /**< How far its furthest account is behind the queue. */
 
     friend bool operator==(const adapter_backlog&, const adapter_backlog&) = default;
--- a/libs/placement/include/placement/load_ledger.h
+++ b/libs/placement/include/placement/load_ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <placement/load_want.h>
+#include <placement/popularity.h>
 
 #include <kernel/clock.h>
 #include <kernel/ids.h>
@@ -15,7 +16,9 @@
 /** What the weight store allows the whole fleet. A value type. */
 struct store_limit {
     double loads_per_s = 4;
-    std::size_t parallel = 8; /**< More loads in flight make each take longer. */
+    std::size_t parallel = 8;     /**< More loads in flight make each take longer. */
+    duration per_load_ahead{400}; /**< How much less urgent a client account's loads become with
+                                       each that it had beyond its even share of late. */
 
     friend bool operator==(const store_limit&, const store_limit&) = default;
 };
@@ -65,6 +68,9 @@
     std::size_t in_flight() const noexcept { return in_flight_.size(); }
 
 private:
+    static constexpr std::size_t remembered_accounts = 1024;
+    static constexpr duration account_half_life{30000};
+
     struct asked {
         std::vector<load_want> wants;
         time_point at;
@@ -79,6 +85,8 @@
     };
 
     std::optional<candidate> most_urgent(time_point now);
+    void note_given(const std::string& client_account, time_point now);
+    duration setback(const std::string& client_account, time_point now) const;
     bool prefetch_allowed(time_point now) const;
     duration interval() const;
     void forget_lapsed(time_point now);
@@ -86,6 +94,8 @@
     store_limit limit_;
     std::map<node_id, asked> asked_;
     std::map<std::uint64_t, flight> in_flight_;
+    popularity given_{remembered_accounts, account_half_life, account_half_life};
+    std::map<std::string, time_point> accounts_; /**< That had loads of late. */
     time_point next_grant_;
     time_point last_demand_;
     std::uint64_t next_grant_id_;
--- a/libs/placement/src/fair_queue.cpp
+++ b/libs/placement/src/fair_queue.cpp
@@ -98,7 +98,11 @@
             sum.adapter = request.adapter;
             sum.due = first ? key.key : std::min(sum.due, key.key);
             sum.oldest = first ? request.arrival : std::min(sum.oldest, request.arrival);
-            sum.tokens_behind = std::max(sum.tokens_behind, floor_ - std::min(floor_, each.served));
+            const std::uint64_t behind = floor_ - std::min(floor_, each.served);
+            if (first || behind > sum.tokens_behind) {
+                sum.furthest_behind = name;
+                sum.tokens_behind = behind;
+            }
             ++sum.callers;
         }
     }
--- a/libs/placement/src/load_director.cpp
+++ b/libs/placement/src/load_director.cpp
@@ -14,8 +14,8 @@
     std::vector<load_want> wants;
     wants.reserve(static_cast<std::size_t>(request.wanted_size()));
     for (const wire::wanted_load& each : request.wanted()) {
-        wants.push_back(
-            {parse_adapter(each.adapter()), duration{each.urgency_ms()}, each.prefetch()});
+        wants.push_back({parse_adapter(each.adapter()), each.client_account(),
+                         duration{each.urgency_ms()}, each.prefetch()});
     }
     return wants;
 }
--- a/libs/placement/src/load_ledger.cpp
+++ b/libs/placement/src/load_ledger.cpp
@@ -14,6 +14,14 @@
 constexpr duration quiet_before_prefetch{1000};
 constexpr duration want_life{2000};
 constexpr duration grant_life{3000};
+constexpr duration account_memory{60000};
+constexpr double account_window_s = 30;
+/** An account may have this much more than its even share before its loads are set back. */
+constexpr double tolerated_share = 1.25;
+
+std::uint64_t account_key(const std::string& client_account) {
+    return digest({client_account, ""});
+}
 
 } // namespace
 
@@ -51,6 +59,7 @@
         const auto taken = wants.begin() + static_cast<std::ptrdiff_t>(chosen->index);
         given.push_back({next_grant_id_, chosen->agent->first, taken->adapter});
         in_flight_.emplace(next_grant_id_++, flight{chosen->agent->first, now + grant_life});
+        note_given(taken->client_account, now);
         wants.erase(taken);
         next_grant_ = std::max(next_grant_, now - interval()) + interval();
     }
@@ -79,7 +88,9 @@
         const duration waited = now - agent->second.at;
         for (std::size_t i = 0; i < agent->second.wants.size(); ++i) {
             const load_want& each = agent->second.wants[i];
-            const duration urgency = each.prefetch ? duration::min() : each.urgency + waited;
+            const duration urgency =
+                each.prefetch ? duration::min()
+                              : each.urgency + waited - setback(each.client_account, now);
             if (!best || urgency > best_urgency) {
                 best = candidate{agent, i};
                 best_urgency = urgency;
@@ -96,6 +107,21 @@
     return prefetch_allowed(now) ? best : std::nullopt;
 }
 
+void load_ledger::note_given(const std::string& client_account, time_point now) {
+    given_.add(account_key(client_account), 1, now);
+    accounts_[client_account] = now;
+    std::erase_if(accounts_, [&](const auto& each) { return now - each.second >= account_memory; });
+}
+
+duration load_ledger::setback(const std::string& client_account, time_point now) const {
+    const double even = tolerated_share * given_.total_rate(now) /
+                        static_cast<double>(std::max<std::size_t>(1, accounts_.size()));
+    const double ahead = given_.rate(account_key(client_account), now) - even;
+    const double loads = std::max(0.0, ahead) * account_window_s;
+    return duration{
+        static_cast<std::int64_t>(loads * static_cast<double>(limit_.per_load_ahead.count()))};
+}
+
 bool load_ledger::prefetch_allowed(time_point now) const {
     return now - last_demand_ >= quiet_before_prefetch && in_flight_.size() < limit_.parallel / 2;
 }
--- a/libs/placement/src/load_pacer.cpp
+++ b/libs/placement/src/load_pacer.cpp
@@ -115,6 +115,7 @@
     for (const load_want& each : wants_) {
         wire::wanted_load* wanted = request.add_wanted();
         wanted->set_adapter(to_string(each.adapter));
+        wanted->set_client_account(each.client_account);
         wanted->set_urgency_ms(each.urgency.count());
         wanted->set_prefetch(each.prefetch);
     }
--- a/libs/placement/src/scheduler.cpp
+++ b/libs/placement/src/scheduler.cpp
@@ -194,7 +194,7 @@
             weights.per_kilotoken_behind *
             static_cast<std::int64_t>(each.tokens_behind / tokens_per_kilotoken);
         const duration first = reserved_for_ == each.adapter ? reserved_bonus : duration{};
-        wants.push_back({each.adapter,
+        wants.push_back({each.adapter, each.furthest_behind,
                          now - each.due + callers + std::min(behind, weights.most_behind) + first,
                          false});
     }
@@ -217,7 +217,7 @@
     std::ranges::sort(candidates, std::greater<>{});
     candidates.resize(std::min(candidates.size(), empty));
     for (const auto& [rate, adapter] : candidates) {
-        wants.push_back({adapter, duration{}, true});
+        wants.push_back({adapter, "", duration{}, true});
     }
 }
 
--- a/libs/placement/tests/test_load_pacing.cpp
+++ b/libs/placement/tests/test_load_pacing.cpp
@@ -15,14 +15,14 @@
 
 namespace {
 
-constexpr store_limit limit{.loads_per_s = 4, .parallel = 8};
+const store_limit limit{.loads_per_s = 4, .parallel = 8};
 
 time_point at(std::int64_t ms) {
     return time_point{duration{ms}};
 }
 
 load_want want(const std::string& name, std::int64_t urgency_ms, bool prefetch = false) {
-    return {{name, "1"}, duration{urgency_ms}, prefetch};
+    return {{name, "1"}, "account", duration{urgency_ms}, prefetch};
 }
 
 /** Takes every permit and notes when. */
@@ -179,7 +179,7 @@
 }
 
 TEST_CASE("the ledger keeps to the store's parallel loads until they end or lapse") {
-    load_ledger ledger({.loads_per_s = 100, .parallel = 2}, at(0));
+    load_ledger ledger(store_limit{.loads_per_s = 100, .parallel = 2}, at(0));
     std::vector<granted_load> given;
     for (std::int64_t ms = 0; ms < 2900; ms += 10) {
         ledger.ask(node_id{"a"}, {want("x", 10)}, at(ms));
--- a/libs/placement/tests/test_router.cpp
+++ b/libs/placement/tests/test_router.cpp
@@ -138,7 +138,7 @@
     random_source random(1);
     for (int i = 0; i < 1000; ++i) {
         const adapter_ref spread{"a" + std::to_string(i % 50), "1"};
-        const time_point now = at(1 + i * 10);
+        const time_point now = at(1 + i * std::int64_t{10});
         if (i % 10 == 0) {
             for (std::size_t n = 0; n < 10; ++n) {
                 agent_status busy = idle();
--- a/tools/experiment/placement_command.cpp
+++ b/tools/experiment/placement_command.cpp
@@ -90,7 +90,7 @@
     std::printf(" |\n");
 }
 
-int run_all(deployment sizes, const options::variables_map& given) {
+int run_all(const deployment& sizes, const options::variables_map& given) {
     const bool json = given.count("json") > 0;
     if (!json) {
         std::puts("| scenario | policy | stall mean ms | p95 ms | p99 ms | stalled | batch | first "
--- a/tools/experiment/placement_model.cpp
+++ b/tools/experiment/placement_model.cpp
@@ -110,7 +110,7 @@
     });
 }
 
-void placement_model::route(const workload_request& request, std::vector<node_id> tried) {
+void placement_model::route(const workload_request& request, const std::vector<node_id>& tried) {
     const placement::route to = policy_->choose(request, tried, now_, random_);
     if (const auto* agent = std::get_if<node_id>(&to)) {
         const std::size_t index = index_of(*agent);
@@ -126,14 +126,14 @@
     engine& target = engines_[to];
     tried.push_back(target.name);
     if (target.plan->admit(request.request, now_)) {
-        refused(request, std::move(tried));
+        refused(request, tried);
         return;
     }
     target.waiting.emplace(request.request.id, std::move(request));
     plan(to);
 }
 
-void placement_model::refused(const workload_request& request, std::vector<node_id> tried) {
+void placement_model::refused(const workload_request& request, const std::vector<node_id>& tried) {
     if (tried.size() < most_attempts) {
         later(sizes_.hop, [this, request, tried] { route(request, tried); });
         return;
@@ -158,7 +158,7 @@
         begin(at, std::move(each));
     }
     if (policy_->paced()) {
-        ask_director(at, std::move(decided.wants));
+        ask_director(at, decided.wants);
     }
     if (!here.plan->queue().empty()) {
         plan_soon(at, plan_interval);
@@ -296,7 +296,7 @@
     plan(at);
 }
 
-void placement_model::ask_director(std::size_t at, std::vector<placement::load_want> wants) {
+void placement_model::ask_director(std::size_t at, const std::vector<placement::load_want>& wants) {
     later(sizes_.hop, [this, at, wants] {
         ledger_.ask(engines_[at].name, wants, now_);
         direct();
--- a/tools/experiment/placement_model.h
+++ b/tools/experiment/placement_model.h
@@ -71,9 +71,9 @@
     void later(duration after, std::function<void()> act);
     bool measured(const workload_request& request) const;
     void arrive();
-    void route(const workload_request& request, std::vector<node_id> tried);
+    void route(const workload_request& request, const std::vector<node_id>& tried);
     void admit(std::size_t to, workload_request request, std::vector<node_id> tried);
-    void refused(const workload_request& request, std::vector<node_id> tried);
+    void refused(const workload_request& request, const std::vector<node_id>& tried);
     void plan(std::size_t at);
     void plan_soon(std::size_t at, duration after);
     void order(std::size_t at, const placement::slot_order& each);
@@ -81,7 +81,7 @@
     void begin(std::size_t at, placement::request_start started);
     void step(std::size_t at);
     void restart(std::size_t at);
-    void ask_director(std::size_t at, std::vector<placement::load_want> wants);
+    void ask_director(std::size_t at, const std::vector<placement::load_want>& wants);
     void direct();
     void report(std::size_t at);
     void report_soon(std::size_t at);
