--- a/libs/delivery/include/delivery/request_delivery.h
+++ b/libs/delivery/include/delivery/request_delivery.h
@@ -28,6 +28,8 @@
     duration resend_after{200};       /**< An unanswered message is sent again to the same agent. */
     duration accept_timeout{1'000};   /**< An agent that is silent so long is given up. */
     duration silence_timeout{20'000}; /**< Longest wait for the next part once started. */
+    duration wait_for_backend{1'000}; /**< Longest wait for one to come back, in all. */
+    duration backend_poll{100};       /**< Between two choices while none can take it. */
     duration answer_margin{100}; /**< Agents are told to give up so much before the deadline. */
     std::uint64_t acknowledge_every = 16; /**< Parts. */
     duration acknowledge_within{300};     /**< A part that comes later than this is acknowledged. */
@@ -75,7 +77,10 @@
     /** Answers choose_backend. Precondition: a choice is awaited. */
     delivery_effects backend_chosen(const node_id& agent, incarnation life, time_point now);
 
-    /** Answers choose_backend: none can take it. Precondition: a choice is awaited. */
+    /**
+     * Answers choose_backend: none can take it. The choice is asked for again for a bounded time,
+     * since a replaced backend server is back soon. Precondition: a choice is awaited.
+     */
     delivery_effects no_backend(duration retry_after, time_point now);
 
     /** A part of any attempt arrived from `from`. */
@@ -172,6 +177,7 @@
     time_point last_sent_;
     time_point last_part_;
     time_point retry_time_;
+    duration waited_for_backend_{};
     std::optional<time_point> wake_;
 };
 
--- a/libs/delivery/src/part_outbox.cpp
+++ b/libs/delivery/src/part_outbox.cpp
@@ -30,9 +30,12 @@
 std::vector<numbered_part> part_outbox::due(time_point now) {
     std::vector<numbered_part> found;
     for (auto& each : kept_) {
-        if (found.size() == max_resent || each.sent + resend_after_ > now) {
+        if (found.size() == max_resent) {
             break;
         }
+        if (each.sent + resend_after_ > now) {
+            continue;
+        }
         each.sent = now;
         found.push_back(each.content);
     }
--- a/libs/delivery/src/request_delivery.cpp
+++ b/libs/delivery/src/request_delivery.cpp
@@ -15,6 +15,7 @@
     CAMPHOR_PRECONDITION(settings.resend_after > duration{0});
     CAMPHOR_PRECONDITION(settings.accept_timeout > duration{0});
     CAMPHOR_PRECONDITION(settings.silence_timeout > duration{0});
+    CAMPHOR_PRECONDITION(settings.backend_poll > duration{0});
 }
 
 run_knowledge request_delivery::run() const noexcept {
@@ -63,9 +64,18 @@
     return out;
 }
 
-delivery_effects request_delivery::no_backend(duration retry_after, time_point /*now*/) {
+delivery_effects request_delivery::no_backend(duration retry_after, time_point now) {
     CAMPHOR_PRECONDITION(phase_ == phase::choosing);
     delivery_effects out;
+    const bool may_wait = waited_for_backend_ < settings_.wait_for_backend &&
+                          now + settings_.backend_poll < request_.deadline;
+    if (may_wait) {
+        waited_for_backend_ += settings_.backend_poll;
+        phase_ = phase::waiting;
+        retry_time_ = now + settings_.backend_poll;
+        set_wake(now, out);
+        return out;
+    }
     give_answer_up({.type = refusal_type::no_backend, .retry_after = retry_after}, out);
     return out;
 }
