A gateway is ready once the client accounts' shares are held

Cause: right after a fleet's first start no gateway holds a share until the first audit, so the first request of the demo was refused: 429 with retry_after_ms 7. Conclusion: /ready fails until the gateway has joined a round of audit.

--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -60,7 +60,7 @@
     void configuration_changed(const config::operators_text& text, std::uint64_t revision,
                                step& now) override;
 
-    /** Whether callers should be sent here: it knows the text, has standing and is not leaving. */
+    /** Whether callers should be sent here: it knows the text, can admit, and is not leaving. */
     bool ready(time_point now) const;
 
 private:
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -61,7 +61,8 @@
 }
 
 bool front::ready(time_point now) const {
-    return text_ != nullptr && !drain_.leaving() && standing_->has_standing(now);
+    return text_ != nullptr && !drain_.leaving() && standing_->has_standing(now) &&
+           limits_->shares_held();
 }
 
 void front::configuration_changed(const config::operators_text& text, std::uint64_t revision,
--- a/libs/limits/include/limits/limits_service.h
+++ b/libs/limits/include/limits/limits_service.h
@@ -96,6 +96,12 @@
     /** Gives up a waiting request; no listener is told. An unknown ticket is ignored. */
     void cancel(admission_ticket ticket, step& now);
 
+    /**
+     * Whether this gateway has joined a round of audit, so that the accounts' shares are held by
+     * someone. Before, in a fleet that has just started, it could only refuse.
+     */
+    bool shares_held() const noexcept { return generation_ != 0 && book_.round() != 0; }
+
     /** Refuses all further requests and gives all shares to a peer. See handed_back(). */
     void hand_back(step& now);
 
