--- a/libs/config/src/text_store.cpp
+++ b/libs/config/src/text_store.cpp
@@ -125,13 +125,13 @@
     CAMPHOR_PRECONDITION(!id.value().empty());
     BOOST_LEAF_AUTO(current, fetch());
     const std::uint64_t revision = current ? current->head.revision : 0;
+    if (current && current->text == text) {
+        return apply_unchanged{revision};
+    }
     if (revision != base) {
         return apply_raced{revision,
                            current ? diff(current->text, text) : std::vector<text_change>{}};
     }
-    if (current && current->text == text) {
-        return apply_unchanged{revision};
-    }
     packed_text packed = pack(text, base + 1, id);
     packed.head = succeed(std::move(packed.head), current);
     BOOST_LEAF_AUTO(written, write_chunks(packed, current));
@@ -243,6 +243,9 @@
         return leaf::new_error(store_fault::damaged);
     }
     remove_unused(written.mod_revisions, winner->head, winner->head_mod_revision);
+    if (winner->text == text) {
+        return apply_unchanged{winner->head.revision};
+    }
     return apply_raced{winner->head.revision, diff(winner->text, text)};
 }
 
--- a/libs/config/tests/test_text_store.cpp
+++ b/libs/config/tests/test_text_store.cpp
@@ -90,6 +90,7 @@
     CHECK_FALSE(texts.fetch()->has_value());
     CHECK(outcome_of<apply_accepted>(texts.apply(text_of(1), 0, apply_id{"a"}))->revision == 1);
     CHECK(outcome_of<apply_unchanged>(texts.apply(text_of(1), 1, apply_id{"b"}))->revision == 1);
+    CHECK(outcome_of<apply_unchanged>(texts.apply(text_of(1), 0, apply_id{"b2"}))->revision == 1);
     CHECK(outcome_of<apply_accepted>(texts.apply(text_of(2), 1, apply_id{"c"}))->revision == 2);
     CHECK(rate_in_store(store) == 2);
     CHECK(chunks_in_store(store) == 1);
--- a/libs/keys/src/key_registry.cpp
+++ b/libs/keys/src/key_registry.cpp
@@ -29,7 +29,7 @@
 
 leaf::result<client_key> key_registry::give(const std::string& client_account,
                                             const key_material& material) {
-    const client_key key(material.id, material.secret);
+    client_key key(material.id, material.secret);
     const std::string record = encode(make_record(key, client_account, material.salt));
     const std::string place = std::string(key_prefix) + key.id();
     const kv_txn create{{{place, 0}}, {kv_put{place, record, 0}}, {kv_range{place, ""}}};
