--- a/libs/config/tests/generators.h
+++ b/libs/config/tests/generators.h
@@ -51,7 +51,8 @@
     return made;
 }
 
-inline backend_server_spec backend_server(std::size_t index, std::size_t models) {
+inline backend_server_spec backend_server(std::size_t index, std::size_t models,
+                                          const std::vector<service_spec>& services) {
     backend_server_spec server;
     server.name = numbered("server-", index);
     server.address = "10.0.0.1:" + std::to_string(1000 + index);
@@ -61,6 +62,12 @@
         server.model = numbered("model-", index % models);
         server.slots = *rc::gen::inRange<std::uint32_t>(1, 99);
     }
+    for (const service_spec& each : services) {
+        if (server.kind == backend_kind::plain && each.kind == service_kind::plain &&
+            *rc::gen::arbitrary<bool>()) {
+            server.services.push_back(each.name);
+        }
+    }
     server.checks_fencing = *rc::gen::arbitrary<bool>();
     return server;
 }
@@ -87,7 +94,7 @@
     }
     const auto servers = *rc::gen::inRange<std::size_t>(0, 8);
     for (std::size_t i = 0; i < servers; ++i) {
-        statement.backend_servers.push_back(backend_server(i, models));
+        statement.backend_servers.push_back(backend_server(i, models, statement.services));
     }
     const auto count = *rc::gen::inRange<std::size_t>(0, 30);
     auto made = operators_text::create(std::move(statement), adapters(count, models));
