--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "limits_command.h"
 #include "load_command.h"
 #include "placement_command.h"
 #include "replay_command.h"
@@ -7,7 +8,12 @@
 namespace camphorgrade::experiment {
 
 const std::vector<command>& commands() {
-    static const std::vector<command> all{load_command, placement_command, replay_command};
+    static const std::vector<command> all{
+        limits_command,    //
+        load_command,      //
+        placement_command, //
+        replay_command,    //
+    };
     return all;
 }
 
