--- a/libs/config/src/packed_text.cpp
+++ b/libs/config/src/packed_text.cpp
@@ -1,13 +1,11 @@
 #include <config/packed_text.h>
 
-#include "statement_text.h"
+#include "statement_codec.h"
 #include "unknown_fields.h"
 
 #include <kernel/check.h>
 #include <wire/config.pb.h>
 
-#include <xxhash.h>
-
 #include <algorithm>
 #include <array>
 
@@ -16,33 +14,6 @@
 
 constexpr std::size_t max_head_bytes = 1U << 20U;
 constexpr std::size_t max_apply_id_bytes = 64;
-constexpr std::uint64_t mean_piece_items = 32;
-constexpr std::size_t target_piece_bytes = max_chunk_bytes / 4;
-constexpr std::string_view item_start = "  - ";
-
-/** Whether a piece of the statement begins with this line. */
-bool begins_piece(std::string_view line) {
-    return line.starts_with(item_start) &&
-           XXH64(line.data(), line.size(), 0) % mean_piece_items == 0;
-}
-
-/** Cuts YAML before list items that a hash chooses, so that an edit changes few pieces. */
-std::vector<std::string> cut_statement(std::string_view yaml) {
-    std::vector<std::string> pieces(1);
-    while (!yaml.empty()) {
-        const std::size_t end = std::min(yaml.find('\n'), yaml.size() - 1) + 1;
-        const std::string_view line = yaml.substr(0, end);
-        std::string& last = pieces.back();
-        if (!last.empty() &&
-            (begins_piece(line) || last.size() + line.size() > target_piece_bytes)) {
-            pieces.emplace_back(line);
-        } else {
-            last += line;
-        }
-        yaml.remove_prefix(end);
-    }
-    return pieces;
-}
 
 template <typename Digests>
 bool read_digests(const Digests& from, std::vector<chunk_digest>& to) {
@@ -106,7 +77,7 @@
 
 packed_text pack(const operators_text& text, std::uint64_t revision, apply_id apply) {
     packed_text packed{{revision, text_format, std::move(apply), {}, {}, {}}, {}};
-    for (std::string& piece : cut_statement(statement_to_yaml(text))) {
+    for (std::string& piece : cut_statement(text.statement())) {
         chunk_digest digest = digest_of(piece);
         packed.chunks.emplace(digest, std::move(piece));
         packed.head.statement_chunks.push_back(std::move(digest));
@@ -157,9 +128,9 @@
 
 std::variant<operators_text, assembly_fault> text_assembler::assemble(const config_head& head) {
     CAMPHOR_PRECONDITION(missing(head).empty());
-    std::string yaml;
+    std::string pieces;
     for (const chunk_digest& digest : head.statement_chunks) {
-        yaml += *find(digest);
+        pieces += *find(digest);
     }
     std::vector<adapter_catalogue::chunk_pointer> chunks;
     for (const chunk_digest& digest : head.adapter_chunks) {
@@ -173,16 +144,16 @@
     if (!catalogue) {
         return assembly_fault::malformed_chunk;
     }
-    auto parsed = parse_statement(yaml, std::move(*catalogue));
-    if (auto* text = std::get_if<operators_text>(&parsed)) {
+    auto statement = join_statement(pieces);
+    if (const auto* fault = std::get_if<assembly_fault>(&statement)) {
+        return *fault;
+    }
+    auto created = operators_text::create(std::get<operators_statement>(std::move(statement)),
+                                          std::move(*catalogue));
+    if (auto* text = std::get_if<operators_text>(&created)) {
         return std::move(*text);
     }
-    const auto& faults = std::get<std::vector<config_fault>>(parsed);
-    const bool newer = std::any_of(faults.begin(), faults.end(), [](const config_fault& each) {
-        return each.kind == config_fault_kind::unknown_field ||
-               each.kind == config_fault_kind::unsupported_format;
-    });
-    return newer ? assembly_fault::newer_format : assembly_fault::inconsistent;
+    return assembly_fault::inconsistent;
 }
 
 void text_assembler::keep_only(const config_head& head) {
--- a/libs/config/src/parse_operators_text.cpp
+++ b/libs/config/src/parse_operators_text.cpp
@@ -1,4 +1,5 @@
-#include "statement_text.h"
+#include <config/operators_text.h>
+
 #include "yaml_reader.h"
 
 #include <algorithm>
@@ -194,9 +195,9 @@
                        [&](const config_fault& each) { return each.path == fault.path; });
 }
 
-/** Reads the document and creates the text with `create`; joins the faults of both. */
-template <typename F>
-parse_result<operators_text> parse_with(std::string_view yaml, F create) {
+} // namespace
+
+parse_result<operators_text> parse_operators_text(std::string_view yaml) {
     auto document = read_yaml(yaml);
     if (auto* unreadable = std::get_if<std::vector<config_fault>>(&document)) {
         return std::move(*unreadable);
@@ -205,7 +206,7 @@
     fault_list faults;
     text_reader reader(faults);
     reader.read(root);
-    parse_result<operators_text> created = create(reader);
+    auto created = operators_text::create(std::move(reader.statement), std::move(reader.adapters));
     const std::vector<config_fault> read_faults = faults.take();
     fault_list all;
     for (const config_fault& fault : read_faults) {
@@ -224,22 +225,4 @@
     return created;
 }
 
-} // namespace
-
-parse_result<operators_text> parse_operators_text(std::string_view yaml) {
-    return parse_with(yaml, [](text_reader& read) {
-        return operators_text::create(std::move(read.statement), std::move(read.adapters));
-    });
-}
-
-parse_result<operators_text> parse_statement(std::string_view yaml, adapter_catalogue adapters) {
-    return parse_with(yaml, [&](text_reader& read) -> parse_result<operators_text> {
-        if (!read.adapters.empty()) {
-            return std::vector<config_fault>{
-                {config_fault_kind::conflict, 0, 0, "adapters", "the catalogue has the adapters"}};
-        }
-        return operators_text::create(std::move(read.statement), std::move(adapters));
-    });
-}
-
 } // namespace camphorgrade::config
--- a/libs/config/src/to_yaml.cpp
+++ b/libs/config/src/to_yaml.cpp
@@ -1,4 +1,4 @@
-#include "statement_text.h"
+#include <config/operators_text.h>
 
 #include <yaml-cpp/emitter.h>
 #include <yaml-cpp/stlemitter.h>
@@ -114,7 +114,9 @@
     out << YAML::EndMap;
 }
 
-std::string write(const operators_text& text, bool with_adapters) {
+} // namespace
+
+std::string to_yaml(const operators_text& text) {
     YAML::Emitter out;
     out << YAML::BeginMap;
     field(out, "format", text_format);
@@ -124,25 +126,13 @@
     emit_limits(out, text.statement());
     emit_all(out, "client_accounts", text.client_accounts());
     emit_all(out, "models", text.models());
-    if (with_adapters) {
-        out << YAML::Key << "adapters" << YAML::Value << YAML::BeginSeq;
-        text.adapters().for_each([&](const adapter_spec& adapter) { emit(out, adapter); });
-        out << YAML::EndSeq;
-    }
+    out << YAML::Key << "adapters" << YAML::Value << YAML::BeginSeq;
+    text.adapters().for_each([&](const adapter_spec& adapter) { emit(out, adapter); });
+    out << YAML::EndSeq;
     emit_all(out, "services", text.services());
     emit_all(out, "backend_servers", text.backend_servers());
     out << YAML::EndMap;
     return std::string(out.c_str(), out.size()) + '\n';
 }
 
-} // namespace
-
-std::string to_yaml(const operators_text& text) {
-    return write(text, true);
-}
-
-std::string statement_to_yaml(const operators_text& text) {
-    return write(text, false);
-}
-
 } // namespace camphorgrade::config
--- a/libs/config/tests/test_configuration_service.cpp
+++ b/libs/config/tests/test_configuration_service.cpp
@@ -157,9 +157,10 @@
         all.publish(newer);
     }
     SECTION("an unknown field") {
-        const std::string yaml = newer.chunks.at(newer.head.statement_chunks.front()) + "x: 1\n";
-        newer.head.statement_chunks = {digest_of(yaml)};
-        newer.chunks.emplace(digest_of(yaml), yaml);
+        const std::string piece = newer.chunks.at(newer.head.statement_chunks.front()) +
+                                  std::string("\x78\x01", 2); // protobuf field 15
+        newer.head.statement_chunks = {digest_of(piece)};
+        newer.chunks.emplace(digest_of(piece), piece);
         all.publish(newer);
     }
     SECTION("a damaged chunk") {
--- a/libs/config/tests/test_packed_text.cpp
+++ b/libs/config/tests/test_packed_text.cpp
@@ -3,6 +3,8 @@
 
 #include <config/packed_text.h>
 
+#include <wire/config.pb.h>
+
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
@@ -12,6 +14,9 @@
 
 namespace {
 
+/** Protobuf field 15, which no message has. */
+const std::string unknown_field("\x78\x01", 2);
+
 /** Adapters enough for many chunks. */
 std::vector<adapter_spec> many_adapters(std::size_t count) {
     std::vector<adapter_spec> all;
@@ -104,7 +109,7 @@
     config_head newer = head;
     newer.format = text_format + 1;
     CHECK(std::get<assembly_fault>(decode_head(encode(newer))) == assembly_fault::newer_format);
-    CHECK(std::get<assembly_fault>(decode_head(encode(head) + std::string("\x78\x01", 2))) ==
+    CHECK(std::get<assembly_fault>(decode_head(encode(head) + unknown_field)) ==
           assembly_fault::newer_format);
     CHECK(std::get<assembly_fault>(decode_head("")) == assembly_fault::malformed_head);
     rc::prop("garbage never decodes to a head that encodes otherwise", [](const std::string& text) {
@@ -117,15 +122,27 @@
 
 TEST_CASE("a text of a newer build is told apart from a broken one") {
     packed_text packed = pack(text_with(many_adapters(10)), 9, apply_id{"x"});
-    const auto with_statement = [&](const std::string& yaml) {
+    const auto with_statement = [&](const std::string& piece) {
         packed_text changed = packed;
-        changed.head.statement_chunks = {digest_of(yaml)};
-        changed.chunks.emplace(digest_of(yaml), yaml);
+        changed.head.statement_chunks = {digest_of(piece)};
+        changed.chunks.emplace(digest_of(piece), piece);
         return std::get<assembly_fault>(unpack(changed));
     };
-    const std::string yaml = packed.chunks.at(packed.head.statement_chunks.front());
-    CHECK(with_statement(yaml + "colour: red\n") == assembly_fault::newer_format);
-    CHECK(with_statement("garbage") == assembly_fault::inconsistent);
+    const std::string piece = packed.chunks.at(packed.head.statement_chunks.front());
+    camphorgrade::wire::statement_part edited;
+    REQUIRE(edited.ParseFromString(piece));
+    CHECK(with_statement(piece + unknown_field) == assembly_fault::newer_format);
+    edited.mutable_deployment()->set_weigh(99);
+    CHECK(with_statement(edited.SerializeAsString()) == assembly_fault::newer_format);
+    edited.mutable_deployment()->set_weigh(0);
+    edited.clear_models();
+    CHECK(with_statement(edited.SerializeAsString()) == assembly_fault::inconsistent);
+    edited.add_backend_servers()->MergeFromString(unknown_field);
+    CHECK(with_statement(edited.SerializeAsString()) == assembly_fault::newer_format);
+    CHECK(with_statement("garbage") == assembly_fault::malformed_chunk);
+    REQUIRE(edited.ParseFromString(piece));
+    edited.add_client_accounts()->set_name("no-rate");
+    CHECK(with_statement(edited.SerializeAsString()) == assembly_fault::malformed_chunk);
     std::swap(packed.head.adapter_chunks, packed.head.statement_chunks);
     CHECK(std::get<assembly_fault>(unpack(packed)) == assembly_fault::malformed_chunk);
 }
