--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "catalogue_command.h"
 #include "limits_command.h"
 #include "load_command.h"
 #include "placement_command.h"
@@ -9,6 +10,7 @@
 
 const std::vector<command>& commands() {
     static const std::vector<command> all{
+        catalogue_command, //
         limits_command,    //
         load_command,      //
         placement_command, //
