Refuse services whose dependencies are down, publish gauges, pace loads by the text's limit

Cause: a service without backend servers was refused only after routing failed; metrics showed nothing before the first request; the pacer kept 4 loads/s whatever the text says. Conclusion: availability is judged only with standing: a cut-off gateway says no_standing.

--- a/libs/agent/include/agent/backend_service.h
+++ b/libs/agent/include/agent/backend_service.h
@@ -13,6 +13,7 @@
 #include <delivery/once_records.h>
 #include <delivery/quarantine.h>
 #include <kernel/service.h>
+#include <placement/load_director.h>
 #include <placement/reporter.h>
 #include <telemetry/metrics.h>
 
@@ -131,6 +132,7 @@
     delivery::quarantine* quarantine_ = nullptr;
     placement::reporter* reporter_ = nullptr;
     placement::load_pacer* pacer_ = nullptr;
+    placement::load_director* director_ = nullptr;
     metrics* metrics_ = nullptr;
 
     std::optional<config::backend_server_spec> server_;
--- a/libs/agent/src/agent_status.cpp
+++ b/libs/agent/src/agent_status.cpp
@@ -28,6 +28,15 @@
             {"slots", slots}};
 }
 
+void publish_backend(const backend_service& backend, metrics& all, time_point now) {
+    const auto status = backend.status(now);
+    all.set("camphor_running_requests", {}, status.running);
+    all.set("camphor_free_seats", {}, status.free_seats);
+    all.set("camphor_waiting_tokens", {},
+            static_cast<double>(status.short_tokens + status.long_tokens));
+    all.set("camphor_occupied_slots", {}, static_cast<double>(status.slots.size()));
+}
+
 json describe_records(const delivery::once_records& once) {
     const auto counts = once.counts();
     return {{"runs", counts.runs},
@@ -44,6 +53,10 @@
     auto& backend = kernel.find<backend_service>("forward");
     auto& once = kernel.find<delivery::once_records>("once");
     add_common_sections(kernel);
+    operators.add_gauges([&backend, &once](metrics& all, time_point now) {
+        publish_backend(backend, all, now);
+        all.set("camphor_record_store_writes", {}, static_cast<double>(once.counts().store.writes));
+    });
     operators.set_ready([&backend](time_point /*now*/) { return backend.ready(); });
     operators.add_section("backend_server",
                           [&backend](time_point now) { return describe_backend(backend, now); });
--- a/libs/agent/src/backend_service.cpp
+++ b/libs/agent/src/backend_service.cpp
@@ -37,6 +37,7 @@
     quarantine_ = &kernel.find<delivery::quarantine>("quarantine");
     reporter_ = &kernel.find<placement::reporter>("reporter");
     pacer_ = &kernel.find<placement::load_pacer>("load_pacer");
+    director_ = &kernel.find<placement::load_director>("load_director");
     metrics_ = &kernel.find<metrics>("metrics");
     kernel.find<config::configuration_service>("configuration").add_listener(*this);
     reporter_->set_source(*this);
@@ -258,6 +259,10 @@
 void backend_service::configuration_changed(const config::operators_text& text,
                                             std::uint64_t /*revision*/, step& now) {
     text_ = &text;
+    const placement::store_limit limit{static_cast<double>(text.store().loads_per_s),
+                                       text.store().parallel_loads};
+    pacer_->set_limit(limit);
+    director_->set_limit(limit);
     const auto* server = text.find_backend_server(settings_.backend_server);
     if (server == nullptr) {
         now.emit(write_log{log_level::warning,
--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -3,6 +3,7 @@
 #include <gateway/completion_request.h>
 #include <gateway/forwarder.h>
 #include <gateway/route.h>
+#include <gateway/service_health.h>
 
 #include <config/configuration_service.h>
 #include <delivery/drain.h>
@@ -31,8 +32,8 @@
  * The service "front" of a gateway: takes callers' requests, checks them and their keys, charges
  * the client account, has them delivered, and answers. Not thread safe.
  *
- * Finds "configuration", "keys", "standing", "membership", "limits", "forward", "quarantine" and
- * "metrics" in its kernel.
+ * Finds "configuration", "keys", "standing", "membership", "limits", "forward", "quarantine",
+ * "service_health" and "metrics" in its kernel.
  */
 class front final : public service,
                     public forward_listener,
@@ -108,6 +109,7 @@
     membership::membership_service* membership_ = nullptr;
     limits::limits_service* limits_ = nullptr;
     delivery::quarantine* quarantine_ = nullptr;
+    service_health* health_ = nullptr;
     forwarder* forward_ = nullptr;
     metrics* metrics_ = nullptr;
     std::map<request_id, open_request> open_;
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -45,6 +45,7 @@
     limits_ = &kernel.find<limits::limits_service>("limits");
     quarantine_ = &kernel.find<delivery::quarantine>("quarantine");
     forward_ = &kernel.find<forwarder>("forward");
+    health_ = &kernel.find<service_health>("service_health");
     metrics_ = &kernel.find<metrics>("metrics");
     kernel.find<config::configuration_service>("configuration").add_listener(*this);
     forward_->set_listener(*this);
--- a/libs/gateway/src/front_checks.cpp
+++ b/libs/gateway/src/front_checks.cpp
@@ -147,6 +147,10 @@
 std::optional<delivery::refusal> front::finish_check(const caller_arrived& arrived,
                                                      const config::service_spec& spec,
                                                      open_request& out, step& now) const {
+    // Without standing, what this gateway sees of others means nothing; the charge refuses then.
+    if (standing_->has_standing(now.time()) && health_->why_unavailable(spec.name) != nullptr) {
+        return not_run(refusal_type::service_unavailable, retry_soon);
+    }
     const auto& headers = arrived.content.headers;
     auto& attempt = out.order.attempt;
     const auto idempotency_key = find_header(headers, "Idempotency-Key");
--- a/libs/gateway/src/gateway_services.cpp
+++ b/libs/gateway/src/gateway_services.cpp
@@ -3,6 +3,7 @@
 #include <gateway/front.h>
 #include <gateway/gateway_fleet.h>
 #include <gateway/gateway_status.h>
+#include <gateway/service_health.h>
 
 #include <memory>
 
@@ -16,6 +17,7 @@
     kernel.add(std::make_unique<forwarder>(delivery::delivery_settings{},
                                            delivery::retry_budget_settings{}));
     kernel.add(std::make_unique<gateway_fleet>());
+    kernel.add(std::make_unique<service_health>());
     front_settings callers;
     callers.data_centre = settings.node.data_centre;
     kernel.add(std::make_unique<front>(callers));
--- a/libs/node/include/node/operator_service.h
+++ b/libs/node/include/node/operator_service.h
@@ -8,6 +8,8 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace camphorgrade {
 
@@ -27,7 +29,8 @@
 public:
     using readiness = std::function<bool(time_point)>;
     using section = std::function<nlohmann::json(time_point)>;
-    /** Answers a request to change something; nullopt for "no such thing". */
+    using gauges = std::function<void(metrics&, time_point)>;
+    /** Carries out a request to change something; false for "no such thing". */
     using command = std::function<bool(const std::string& argument, step& now)>;
 
     operator_service();
@@ -43,6 +46,9 @@
     /** Adds a member to /status. */
     void add_section(const std::string& title, section describe);
 
+    /** Adds a function that sets gauges just before /metrics is answered. */
+    void add_gauges(gauges publish) { gauges_.push_back(std::move(publish)); }
+
     /** Adds POST /commands/<title>/<argument>; 200 when it returns true, else 404. */
     void add_command(const std::string& title, command run);
 
@@ -54,6 +60,7 @@
 
     metrics* metrics_ = nullptr;
     readiness ready_;
+    std::vector<gauges> gauges_;
     std::map<std::string, section> sections_;
     std::map<std::string, command> commands_;
 };
--- a/libs/node/src/operator_service.cpp
+++ b/libs/node/src/operator_service.cpp
@@ -49,6 +49,9 @@
         answer(arrived.request, ready ? status_ok : status_unavailable, text_type,
                ready ? "ready\n" : "not ready\n", now);
     } else if (request.path == "/metrics") {
+        for (const auto& publish : gauges_) {
+            publish(*metrics_, now.time());
+        }
         answer(arrived.request, status_ok, metrics_type, metrics_->prometheus_text(), now);
     } else if (request.path == "/status") {
         answer(arrived.request, status_ok, json_type, status_json(now.time()), now);
--- a/libs/node/src/status_sections.cpp
+++ b/libs/node/src/status_sections.cpp
@@ -128,6 +128,14 @@
     auto& keys = kernel.find<keys::key_service>("keys");
     operators.add_section("keys",
                           [&](time_point /*now*/) { return describe_keys(keys, standing); });
+    operators.add_gauges([&](metrics& all, time_point now) {
+        all.set("camphor_configuration_revision", {},
+                static_cast<double>(configuration.revision()));
+        all.set("camphor_has_standing", {}, standing.has_standing(now) ? 1 : 0);
+        all.set("camphor_known_nodes", {}, static_cast<double>(nodes.nodes().size()));
+        all.set("camphor_quarantined_requests", {},
+                static_cast<double>(quarantine.list(now).size()));
+    });
     operators.add_command("withdraw-key", [&](const std::string& id, step& now) {
         const bool taken = keys.withdraw(id, now) != keys::key_merge::malformed;
         standing.probe_now(now);
--- a/libs/placement/include/placement/load_director.h
+++ b/libs/placement/include/placement/load_director.h
@@ -25,6 +25,9 @@
 
     explicit load_director(store_limit limit);
 
+    /** The limit that the operators' text states from now on. */
+    void set_limit(store_limit limit);
+
     std::string_view name() const noexcept override { return service_name; }
     void on_message(const message& received, step& now) override;
     void on_timer(token id, step& now) override;
--- a/libs/placement/include/placement/load_pacer.h
+++ b/libs/placement/include/placement/load_pacer.h
@@ -49,6 +49,9 @@
 
     explicit load_pacer(store_limit limit);
 
+    /** The limit that the operators' text states from now on. */
+    void set_limit(store_limit limit);
+
     std::string_view name() const noexcept override { return service_name; }
 
     /** Who is told of permits. Precondition: `sink` outlives the pacer. */
--- a/libs/placement/include/placement/router.h
+++ b/libs/placement/include/placement/router.h
@@ -93,7 +93,10 @@
     /** How many replicas the adapter should have in a pool of `agents`. */
     std::size_t replicas(const adapter_ref& adapter, std::size_t agents, time_point now) const;
 
-    /** Number of agents that may get requests of any pool now. */
+    /** Whether the agent reports, serves something, and is not leaving. */
+    bool is_ready(const node_id& agent, time_point now) const;
+
+    /** Number of agents that are. */
     std::size_t ready_agents(time_point now) const;
 
     /** Number of agents that may get requests of the pool now. */
--- a/libs/placement/src/load_director.cpp
+++ b/libs/placement/src/load_director.cpp
@@ -24,6 +24,14 @@
 
 load_director::load_director(store_limit limit) : limit_(limit) {}
 
+void load_director::set_limit(store_limit limit) {
+    if (limit == limit_) {
+        return;
+    }
+    limit_ = limit;
+    ledger_.reset(); // a new ledger starts with nothing to give
+}
+
 void load_director::on_message(const message& received, step& now) {
     wire::load_request request;
     if (!request.ParseFromString(received.payload)) {
--- a/libs/placement/src/load_pacer.cpp
+++ b/libs/placement/src/load_pacer.cpp
@@ -36,6 +36,10 @@
     CAMPHOR_PRECONDITION(limit.loads_per_s > 0);
 }
 
+void load_pacer::set_limit(store_limit limit) {
+    limit_ = limit;
+}
+
 void load_pacer::set_live(std::vector<node_id> live) {
     live_ = std::move(live);
     const auto chosen = choose_director(live_);
--- a/libs/placement/src/router.cpp
+++ b/libs/placement/src/router.cpp
@@ -88,12 +88,19 @@
         views_, [&](const auto& each) { return usable(each.second, any, now); }));
 }
 
+bool router::is_ready(const node_id& agent, time_point now) const {
+    const auto found = views_.find(agent);
+    if (found == views_.end()) {
+        return false;
+    }
+    const auto& status = found->second.status;
+    const bool serves_any = !status.pool.empty() || !status.services.empty();
+    return serves_any && staying(found->second, now);
+}
+
 std::size_t router::ready_agents(time_point now) const {
-    return static_cast<std::size_t>(std::ranges::count_if(views_, [&](const auto& each) {
-        const auto& status = each.second.status;
-        const bool serves_any = !status.pool.empty() || !status.services.empty();
-        return serves_any && staying(each.second, now);
-    }));
+    return static_cast<std::size_t>(
+        std::ranges::count_if(views_, [&](const auto& each) { return is_ready(each.first, now); }));
 }
 
 bool router::staying(const view& each, time_point now) const {
--- a/tests/system/test_system.cpp
+++ b/tests/system/test_system.cpp
@@ -179,3 +179,20 @@
     CHECK(fleet.answer(bad).run() == "not_run");
     CHECK(fleet.answer(good).status == 200);
 }
+
+TEST_CASE("a service whose backend servers are gone is refused, and comes back by itself") {
+    system_fleet fleet(5, {.gateways = 1, .engines = 1, .bookings = 1});
+    fleet.cluster().kill(fleet.booking_agent(0));
+    fleet.cluster().run_for(duration{5'000});
+    const auto refused = fleet.book(0, "visit", "key-1");
+    const auto other = fleet.complete(0, "hall", "x", 4, false);
+    REQUIRE(fleet.run_until_answered(long_enough));
+    CHECK(fleet.answer(refused).error_type() == "service_unavailable");
+    CHECK(fleet.answer(refused).run() == "not_run");
+    CHECK(fleet.answer(other).status == 200);
+    fleet.cluster().restart(fleet.booking_agent(0));
+    fleet.cluster().run_for(duration{10'000});
+    const auto again = fleet.book(0, "visit", "key-1");
+    REQUIRE(fleet.run_until_answered(long_enough));
+    CHECK(fleet.answer(again).body == "ran visit");
+}
