Spend less processor time on an answer at the HTTP edge

perf showed directory scans of open descriptors and a wake-up for each chunk among the gateway's costs. The socket of a connection is now looked for from the lowest descriptor up, past those known; a waiting thread alone is woken; chunks that wait are sent as one.

--- a/libs/http/src/civetweb_server.cpp
+++ b/libs/http/src/civetweb_server.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <civetweb.h>
 #include <sys/socket.h>
@@ -146,20 +147,17 @@
         return;
     }
     const mg_request_info& info = *mg_get_request_info(connection);
+    const std::lock_guard lock(mutex_);
     state.descriptor =
         find_connected_socket(info.remote_addr, static_cast<std::uint16_t>(info.remote_port),
-                              static_cast<std::uint16_t>(info.server_port));
-    const std::lock_guard lock(mutex_);
-    descriptors_.push_back(state.descriptor);
+                              static_cast<std::uint16_t>(info.server_port), descriptors_);
+    descriptors_.insert(state.descriptor);
 }
 
 void civetweb_server::remove_connection(const connection_state& state) {
     const std::lock_guard lock(mutex_);
     --connection_count_;
-    const auto found = std::find(descriptors_.begin(), descriptors_.end(), state.descriptor);
-    if (found != descriptors_.end()) {
-        descriptors_.erase(found);
-    }
+    descriptors_.erase(state.descriptor);
 }
 
 bool civetweb_server::keeps_alive() const {
--- a/libs/http/src/civetweb_server.h
+++ b/libs/http/src/civetweb_server.h
@@ -13,7 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
-#include <vector>
+#include <set>
 
 struct mg_connection;
 struct mg_context;
@@ -97,7 +97,7 @@
     mutable std::mutex mutex_;
     std::map<exchange_id, std::shared_ptr<exchange>> exchanges_;
     std::size_t connection_count_ = 0;
-    std::vector<int> descriptors_;
+    std::set<int> descriptors_;
     bool stopping_ = false;
     std::uint64_t last_exchange_ = 0;
 };
--- a/libs/http/src/exchange.cpp
+++ b/libs/http/src/exchange.cpp
@@ -92,7 +92,7 @@
     }
     pending_bytes_ += size;
     parts_.push_back(std::move(part));
-    wake();
+    wake_locked();
     return true;
 }
 
@@ -101,24 +101,45 @@
         int watched = no_connection;
         {
             const std::lock_guard lock(mutex_);
+            is_waiting_ = !loss_ && parts_.empty();
             if (loss_) {
                 return *loss_;
             }
             if (!parts_.empty()) {
-                response_part part = std::move(parts_.front());
-                parts_.pop_front();
-                pending_bytes_ -= size_of(part);
-                return part;
+                return take_locked();
             }
-            std::uint64_t wakes = 0;
-            [[maybe_unused]] const auto drained = ::read(wake_event_, &wakes, sizeof wakes);
             watched = connection_;
         }
-        std::array<pollfd, 2> watch{pollfd{wake_event_, POLLIN, 0}, pollfd{watched, POLLRDHUP, 0}};
-        ::poll(watch.data(), watch.size(), -1);
-        if (watch[0].revents == 0 && watch[1].revents != 0) {
-            lose(caller_loss::closed);
+        sleep(watched);
+    }
+}
+
+response_part exchange::take_locked() {
+    response_part first = std::move(parts_.front());
+    parts_.pop_front();
+    pending_bytes_ -= size_of(first);
+    auto* const chunk = std::get_if<http_chunk>(&first);
+    while (chunk != nullptr && !parts_.empty()) {
+        const auto* const next = std::get_if<http_chunk>(&parts_.front());
+        if (next == nullptr) {
+            break;
         }
+        chunk->bytes += next->bytes;
+        pending_bytes_ -= next->bytes.size();
+        parts_.pop_front();
+    }
+    return first;
+}
+
+/** Until there is something to do, or the caller has hung up. */
+void exchange::sleep(int watched) {
+    std::array<pollfd, 2> watch{pollfd{wake_event_, POLLIN, 0}, pollfd{watched, POLLRDHUP, 0}};
+    ::poll(watch.data(), watch.size(), -1);
+    if (watch[0].revents != 0) {
+        std::uint64_t wakes = 0;
+        [[maybe_unused]] const auto drained = ::read(wake_event_, &wakes, sizeof wakes);
+    } else if (watch[1].revents != 0) {
+        lose(caller_loss::closed);
     }
 }
 
@@ -150,10 +171,13 @@
     if (connection_ != no_connection) {
         ::shutdown(connection_, SHUT_RDWR);
     }
-    wake();
+    wake_locked();
 }
 
-void exchange::wake() {
+void exchange::wake_locked() {
+    if (!std::exchange(is_waiting_, false)) {
+        return;
+    }
     const std::uint64_t one = 1;
     [[maybe_unused]] const auto written = ::write(wake_event_, &one, sizeof one);
 }
--- a/libs/http/src/exchange.h
+++ b/libs/http/src/exchange.h
@@ -33,7 +33,7 @@
     /** Queues a part; false once the caller is lost. Cuts a caller whose queue is full. */
     bool push(response_part part);
 
-    /** Blocks for the next part, or for the loss of the caller. */
+    /** Blocks for the next part, chunks that wait in a row as one, or for the caller's loss. */
     std::variant<response_part, caller_loss> wait();
 
     /** Records that the caller is lost, wakes wait(), and cuts the connection. */
@@ -47,7 +47,9 @@
 
 private:
     void lose_locked(caller_loss why);
-    void wake();
+    void wake_locked();
+    response_part take_locked();
+    void sleep(int watched);
 
     mutable std::mutex mutex_;
     std::deque<response_part> parts_;
@@ -55,6 +57,7 @@
     const std::size_t max_pending_bytes_;
     std::optional<caller_loss> loss_;
     int connection_;
+    bool is_waiting_ = false; /**< The connection's thread needs a wake-up to go on. */
     const int wake_event_;
 };
 
--- a/libs/http/src/socket_finder.cpp
+++ b/libs/http/src/socket_finder.cpp
@@ -1,9 +1,8 @@
 #include "socket_finder.h"
 
 #include <array>
-#include <charconv>
+#include <cerrno>
 #include <cstring>
-#include <filesystem>
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
@@ -15,6 +14,9 @@
 
 constexpr int not_found = -1;
 
+/** After so many descriptors that are closed, none above is taken to be open. */
+constexpr int most_closed_in_a_row = 1024;
+
 struct socket_name {
     std::string address;
     std::uint16_t port = 0;
@@ -59,17 +61,16 @@
     return ::getsockopt(descriptor, SOL_SOCKET, SO_ACCEPTCONN, &value, &length) == 0 && value != 0;
 }
 
-/** First open descriptor that `matches`. */
+/** First open descriptor that `matches`; the system hands out the lowest that is free. */
 template <typename Predicate>
 int find_descriptor(Predicate matches) {
-    std::error_code failure;
-    for (const auto& entry : std::filesystem::directory_iterator("/proc/self/fd", failure)) {
-        const std::string name = entry.path().filename().string();
-        int descriptor = not_found;
-        std::from_chars(name.data(), name.data() + name.size(), descriptor);
+    int closed_in_a_row = 0;
+    for (int descriptor = 0; closed_in_a_row < most_closed_in_a_row; ++descriptor) {
+        errno = 0;
         if (matches(descriptor)) {
             return descriptor;
         }
+        closed_in_a_row = errno == EBADF ? closed_in_a_row + 1 : 0;
     }
     return not_found;
 }
@@ -77,8 +78,11 @@
 } // namespace
 
 int find_connected_socket(const std::string& peer_address, std::uint16_t peer_port,
-                          std::uint16_t local_port) {
+                          std::uint16_t local_port, const std::set<int>& others) {
     return find_descriptor([&](int descriptor) {
+        if (others.contains(descriptor)) {
+            return false;
+        }
         const socket_name peer = name_of(descriptor, peer_name);
         return peer.port == peer_port && peer.address == peer_address &&
                name_of(descriptor, local_name).port == local_port;
