--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "catalogue_command.h"
+#include "limits_command.h"
 #include "load_command.h"
 #include "placement_command.h"
 #include "replay_command.h"
@@ -7,7 +9,13 @@
 namespace camphorgrade::experiment {
 
 const std::vector<command>& commands() {
-    static const std::vector<command> all{load_command, placement_command, replay_command};
+    static const std::vector<command> all{
+        catalogue_command, //
+        limits_command,    //
+        load_command,      //
+        placement_command, //
+        replay_command,    //
+    };
     return all;
 }
 
