--- a/libs/placement/src/scheduler.cpp
+++ b/libs/placement/src/scheduler.cpp
@@ -14,7 +14,7 @@
 constexpr duration slow_half_life{300000};
 constexpr duration fast_half_life{150000};
 constexpr duration pressed_wait{1500};
-constexpr duration pressed_memory{20000};
+constexpr duration pressed_memory{8000};
 constexpr double ms_per_s = 1000;
 constexpr double worth_scale = 1000;
 constexpr duration reserved_bonus{10000};
