--- a/libs/agent/src/agent_fleet.cpp
+++ b/libs/agent/src/agent_fleet.cpp
@@ -11,6 +11,7 @@
 
 std::vector<node_id> addresses_of(const std::vector<membership::node_info>& nodes) {
     std::vector<node_id> addresses;
+    addresses.reserve(nodes.size());
     for (const auto& each : nodes) {
         addresses.push_back(each.address);
     }
--- a/libs/agent/src/backend_calls.cpp
+++ b/libs/agent/src/backend_calls.cpp
@@ -12,7 +12,7 @@
 
 constexpr duration retry_soon{500};
 constexpr duration forget_unacknowledged_after{30'000};
-constexpr std::size_t max_recorded_body_bytes = 64U * 1024U;
+constexpr std::size_t max_recorded_body_bytes = std::size_t{64} * 1024;
 constexpr const char* event_stream = "text/event-stream";
 
 bool is_stream(const http_head& head) {
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -12,7 +12,6 @@
 
 constexpr duration tick_period{100};
 constexpr token tick = 1;
-constexpr duration retry_soon{1'000};
 
 delivery::refusal not_run(delivery::refusal_type type, duration retry_after = duration{0}) {
     return {type, delivery::run_knowledge::not_run, retry_after};
--- a/tests/path/child_process.cpp
+++ b/tests/path/child_process.cpp
@@ -107,7 +107,10 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    bind(listener, reinterpret_cast<sockaddr*>(&address), size);
+    const int bound = bind(listener, reinterpret_cast<sockaddr*>(&address), size);
+    if (bound != 0) {
+        throw std::runtime_error("no free port");
+    }
     getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
     close(listener);
     return ntohs(address.sin_port);
--- a/tests/path/test_site.cpp
+++ b/tests/path/test_site.cpp
@@ -61,7 +61,7 @@
 }
 
 std::string test_site::write_file(const std::string& name, const std::string& text) const {
-    const std::string path = directory_ + "/" + name;
+    std::string path = directory_ + "/" + name;
     std::ofstream(path, std::ios::binary) << text;
     return path;
 }
@@ -168,7 +168,10 @@
     }
     for (const auto& each : gateways_) {
         const std::string known = "\"ready_agents\": " + std::to_string(agents_.size());
-        if (!wait_ready(each) || !wait_for_text(port(each + "-operators"), "/status", known)) {
+        const int status_port = port(each + "-operators");
+        const bool serving = wait_ready(each) && wait_for_text(status_port, "/status", known) &&
+                             wait_for_text(status_port, "/status", "\"unavailable_services\": {}");
+        if (!serving) {
             return false;
         }
     }
