--- a/libs/placement/include/placement/reporter.h
+++ b/libs/placement/include/placement/reporter.h
@@ -25,10 +25,11 @@
 };
 
 struct reporter_settings {
-    duration period{1000};            /**< Between reports when nothing changes. */
-    duration shortest_interval{100};  /**< Between reports when much changes. */
-    std::uint64_t bytes_per_s = 3000; /**< To all gateways together; stretches the intervals. */
-    std::uint32_t full_every = 5;     /**< Reports between two that repeat unchanged slots. */
+    duration period{1000};                    /**< Between reports when nothing changes. */
+    duration shortest_interval{100};          /**< Between reports when much changes. */
+    std::uint64_t bytes_per_s = 3000;         /**< Sent to all gateways; stretches the intervals. */
+    std::uint64_t gateway_bytes_per_s = 4000; /**< Received by a gateway from all agents. */
+    std::uint32_t full_every = 5; /**< Reports between two that repeat unchanged slots. */
 };
 
 /**
@@ -55,26 +56,32 @@
 
     void set_gateways(std::vector<node_id> gateways) { gateways_ = std::move(gateways); }
 
+    /** How many agents report to each gateway. Precondition: at least one. */
+    void set_agents(std::size_t agents);
+
     /** Reports soon; at once when the agent has begun to leave. */
     void changed(step& now);
 
-    /** The shortest time between two reports at the current number of gateways. */
-    duration interval() const;
+    /** The time until the next report that what was sent last leaves in the budget. */
+    duration interval() const { return interval_for(last_size_); }
 
     void start(step& now) override;
     void on_timer(token id, step& now) override;
 
 private:
+    duration interval_for(std::uint64_t report_size) const;
     void report(step& now);
     void arm(time_point at, step& now);
 
     reporter_settings settings_;
     const status_source* source_ = nullptr;
     std::vector<node_id> gateways_;
+    std::size_t agents_ = 1;
     std::vector<slot_status> told_slots_;
     std::uint32_t since_full_ = 0;
     std::uint64_t sequence_ = 0;
-    std::uint64_t largest_report_ = 0;
+    std::uint64_t last_size_ = 0;
+    std::uint64_t largest_size_ = 0;
     bool told_leaving_ = false;
     time_point last_;
     time_point armed_for_;
--- a/libs/placement/include/placement/router_service.h
+++ b/libs/placement/include/placement/router_service.h
@@ -31,6 +31,9 @@
 
     router& routes() noexcept { return router_; }
 
+    /** The agent is gone for good: drops all that is kept of it. */
+    void forget(const node_id& agent);
+
     void on_message(const message& received, step& now) override;
 
 private:
--- a/libs/placement/src/reporter.cpp
+++ b/libs/placement/src/reporter.cpp
@@ -54,6 +54,12 @@
 
 reporter::reporter(reporter_settings settings) : settings_(settings) {
     CAMPHOR_PRECONDITION(settings.bytes_per_s > 0);
+    CAMPHOR_PRECONDITION(settings.gateway_bytes_per_s > 0);
+}
+
+void reporter::set_agents(std::size_t agents) {
+    CAMPHOR_PRECONDITION(agents > 0);
+    agents_ = agents;
 }
 
 void reporter::changed(step& now) {
@@ -61,10 +67,12 @@
     arm(leaves ? now.time() : std::max(now.time(), last_ + interval()), now);
 }
 
-duration reporter::interval() const {
-    const std::uint64_t bytes = largest_report_ * gateways_.size();
-    const duration paid{static_cast<std::int64_t>(bytes * ms_per_s / settings_.bytes_per_s)};
-    return std::max(settings_.shortest_interval, paid);
+duration reporter::interval_for(std::uint64_t report_size) const {
+    const std::uint64_t sent = report_size * gateways_.size();
+    const std::uint64_t received = report_size * agents_;
+    const std::uint64_t paid = std::max(sent * ms_per_s / settings_.bytes_per_s,
+                                        received * ms_per_s / settings_.gateway_bytes_per_s);
+    return std::max(settings_.shortest_interval, duration{static_cast<std::int64_t>(paid)});
 }
 
 void reporter::start(step& now) {
@@ -93,10 +101,11 @@
         since_full_ = 0;
     }
     report.set_sequence(++sequence_);
-    report.set_next_within_ms(
-        static_cast<std::uint32_t>(std::max(settings_.period, interval()).count()));
+    const duration latest = std::max(settings_.period, interval_for(largest_size_));
+    report.set_next_within_ms(static_cast<std::uint32_t>(latest.count()));
     const std::string payload = report.SerializeAsString();
-    largest_report_ = std::max<std::uint64_t>(largest_report_, payload.size());
+    last_size_ = payload.size();
+    largest_size_ = std::max(largest_size_, last_size_);
     for (const node_id& each : gateways_) {
         now.send(each, "router", payload);
     }
--- a/libs/placement/src/router_service.cpp
+++ b/libs/placement/src/router_service.cpp
@@ -43,6 +43,11 @@
     return router_.choose(request, now.time(), now.random());
 }
 
+void router_service::forget(const node_id& agent) {
+    router_.forget(agent);
+    last_.erase(agent);
+}
+
 void router_service::on_message(const message& received, step& now) {
     wire::agent_report report;
     if (!report.ParseFromString(received.payload)) {
--- a/libs/placement/tests/test_router.cpp
+++ b/libs/placement/tests/test_router.cpp
@@ -161,7 +161,7 @@
     agent_status full = idle();
     full.running = 8;
     full.free_seats = 0;
-    full.long_tokens = 400 * 60;
+    full.long_tokens = 24000;
     routes.on_report(node(0), full, duration{1000}, at(0));
     random_source random(1);
     const route refused = routes.choose(ask(hot), at(1), random);
@@ -215,11 +215,17 @@
     source.current.leaving = true;
     const token third = std::get<set_timer>(later.at(1)).id;
     const auto last = agent.handle(timer_fired{"reporter", third}, at(2000));
-    gateway.handle(message_received{std::get<send_message>(last.at(0)).content}, at(2005));
+    const message leaves = std::get<send_message>(last.at(0)).content;
+    gateway.handle(message_received{leaves}, at(2005));
     gateway.handle(message_received{second}, at(2006));
     CHECK(routes.available("base", at(2010)) == 0);
     CHECK(reports.interval() == duration{100});
     std::vector<node_id> many(50, node_id{"gateway"});
     reports.set_gateways(many);
-    CHECK(reports.interval() > duration{2000});
+    constexpr std::uint64_t bytes_per_s = reporter_settings{}.bytes_per_s;
+    const std::uint64_t sent = leaves.payload.size() * many.size();
+    CHECK(reports.interval() == duration{sent * 1000 / bytes_per_s});
+    reports.set_gateways({node_id{"gateway"}});
+    reports.set_agents(100);
+    CHECK(reports.interval() == duration{leaves.payload.size() * 100 * 1000 / 4000});
 }
--- a/tools/experiment/placement_model.cpp
+++ b/tools/experiment/placement_model.cpp
@@ -15,7 +15,7 @@
 constexpr double load_ms = 250;
 constexpr duration unload_time{5};
 constexpr duration report_period{1000};
-constexpr duration report_interval{100};
+constexpr duration report_interval{200};
 constexpr duration plan_interval{100};
 constexpr duration drain{90000};
 constexpr std::size_t most_attempts = 2;
