--- a/libs/gateway/include/gateway/front.h
+++ b/libs/gateway/include/gateway/front.h
@@ -3,6 +3,7 @@
 #include <gateway/completion_request.h>
 #include <gateway/forwarder.h>
 #include <gateway/route.h>
+#include <gateway/service_health.h>
 
 #include <config/configuration_service.h>
 #include <delivery/drain.h>
@@ -31,8 +32,8 @@
  * The service "front" of a gateway: takes callers' requests, checks them and their keys, charges
  * the client account, has them delivered, and answers. Not thread safe.
  *
- * Finds "configuration", "keys", "standing", "membership", "limits", "forward", "quarantine" and
- * "metrics" in its kernel.
+ * Finds "configuration", "keys", "standing", "membership", "limits", "forward", "quarantine",
+ * "service_health" and "metrics" in its kernel.
  */
 class front final : public service,
                     public forward_listener,
@@ -60,7 +61,7 @@
     void configuration_changed(const config::operators_text& text, std::uint64_t revision,
                                step& now) override;
 
-    /** Whether callers should be sent here: it knows the text, has standing and is not leaving. */
+    /** Whether callers should be sent here: it knows the text, can admit, and is not leaving. */
     bool ready(time_point now) const;
 
 private:
@@ -108,6 +109,7 @@
     membership::membership_service* membership_ = nullptr;
     limits::limits_service* limits_ = nullptr;
     delivery::quarantine* quarantine_ = nullptr;
+    service_health* health_ = nullptr;
     forwarder* forward_ = nullptr;
     metrics* metrics_ = nullptr;
     std::map<request_id, open_request> open_;
