--- a/libs/agent/src/agent_fleet.cpp
+++ b/libs/agent/src/agent_fleet.cpp
@@ -28,7 +28,9 @@
 }
 
 void agent_fleet::on_nodes_changed(step& now) {
-    pacer_->set_live(addresses_of(membership_->live_agents()));
+    const auto agents = addresses_of(membership_->live_agents());
+    pacer_->set_live(agents);
+    reporter_->set_agents(agents.size());
     // Leaving gateways too: they still finish requests, and choose agents for retries.
     std::vector<node_id> gateways;
     for (const auto& each : membership_->nodes()) {
--- a/libs/gateway/include/gateway/gateway_fleet.h
+++ b/libs/gateway/include/gateway/gateway_fleet.h
@@ -29,6 +29,7 @@
     membership::membership_service* membership_ = nullptr;
     placement::router_service* router_ = nullptr;
     std::set<std::string> leaving_vms_;
+    std::set<node_id> known_;
 };
 
 } // namespace camphorgrade::gateway
--- a/libs/gateway/src/gateway_fleet.cpp
+++ b/libs/gateway/src/gateway_fleet.cpp
@@ -24,13 +24,21 @@
 
 void gateway_fleet::update() {
     std::set<node_id> unavailable;
+    std::set<node_id> present;
     for (const auto& each : membership_->nodes()) {
+        present.insert(each.address);
         const bool leaving = each.state == membership::node_state::leaving;
         if (leaving || names_node(leaving_vms_, each.address)) {
             unavailable.insert(each.address);
         }
     }
     router_->routes().set_unavailable(std::move(unavailable));
+    for (const auto& each : known_) {
+        if (!present.contains(each)) {
+            router_->forget(each);
+        }
+    }
+    known_ = std::move(present);
 }
 
 } // namespace camphorgrade::gateway
