Make the edge's tests bite where breaking a rule went unseen

Twelve rules of http, kvstore and the stand-ins were broken one at a time. Two went unseen: lenient base64, now caught by two more malformed keys, and a half-dropped revision, which proved harmless, as the whole revision counts as compacted; the code is simpler for it. A resend after a lost answer is now caught by looking for a second connection.

--- a/libs/http/tests/loopback.cpp
+++ b/libs/http/tests/loopback.cpp
@@ -7,6 +7,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -91,6 +92,11 @@
     return raw_connection(::accept(descriptor_, nullptr, nullptr));
 }
 
+bool raw_listener::has_caller() const {
+    pollfd watch{descriptor_, POLLIN, 0};
+    return ::poll(&watch, 1, 0) == 1;
+}
+
 void raw_listener::close() {
     if (descriptor_ != closed) {
         ::close(std::exchange(descriptor_, closed));
--- a/libs/http/tests/loopback.h
+++ b/libs/http/tests/loopback.h
@@ -40,6 +40,10 @@
 
     std::uint16_t port() const { return port_; }
     raw_connection accept();
+
+    /** True when someone has connected and was not accepted yet. Does not wait. */
+    bool has_caller() const;
+
     void close();
 
 private:
--- a/libs/kvstore/src/memory_store.cpp
+++ b/libs/kvstore/src/memory_store.cpp
@@ -217,13 +217,11 @@
 void memory_store::record(kv_watch_event change) {
     revision_ = change.entry.mod_revision;
     history_.push_back(std::move(change));
-    // A revision is dropped whole, or a watch would be handed half of a transaction.
+    // Watches from a revision of which anything is dropped are told that it is compacted.
     while (history_.size() > settings_.history_limit &&
            history_.front().entry.mod_revision < revision_) {
         compacted_revision_ = history_.front().entry.mod_revision;
-        while (history_.front().entry.mod_revision == compacted_revision_) {
-            history_.pop_front();
-        }
+        history_.pop_front();
     }
 }
 
--- a/libs/kvstore/tests/test_etcd_client.cpp
+++ b/libs/kvstore/tests/test_etcd_client.cpp
@@ -78,6 +78,7 @@
     const raw_listener second;
     const etcd_client client({lossy.endpoint(), {"127.0.0.1", second.port()}});
     CHECK(failure_of(client.execute(one_write)) == kv_failure_kind::ambiguous);
+    CHECK_FALSE(second.has_caller());
 }
 
 TEST_CASE("revoking a lease that is gone succeeds") {
--- a/libs/kvstore/tests/test_etcd_json.cpp
+++ b/libs/kvstore/tests/test_etcd_json.cpp
@@ -98,6 +98,8 @@
         {"/v3/kv/range", R"({"key":"Zm9"})"},
         {"/v3/kv/range", R"({"key":"Zm 9v"})"},
         {"/v3/kv/range", R"({"key":"Zm9v\n"})"},
+        {"/v3/kv/range", R"({"key":"Zm9v    "})"},
+        {"/v3/kv/range", R"({"key":"YR=="})"},
         {"/v3/kv/range", R"({"key":5})"},
         {"/v3/kv/range", R"({"key":"Zm9v","limit":1})"},
         {"/v3/kv/range", R"({"key":"Zm9v","range_end":"AA==","rangeEnd":"AA=="})"},
--- a/libs/kvstore/tests/test_memory_store.cpp
+++ b/libs/kvstore/tests/test_memory_store.cpp
@@ -125,6 +125,14 @@
     CHECK(store.changes_since("a", "", 0).events.empty());
 }
 
+TEST_CASE("no watch sees half a transaction, whatever the history holds") {
+    memory_store store(memory_store_settings{3});
+    txn(store, {{}, {kv_put{"a", "1", 0}, kv_put{"b", "1", 0}}, {}});
+    txn(store, {{}, {kv_put{"a", "2", 0}, kv_put{"b", "2", 0}}, {}});
+    CHECK(store.changes_since("a", "c", 2).compacted);
+    CHECK(store.changes_since("a", "c", 3).events.size() == 2);
+}
+
 TEST_CASE("a watch that follows along rebuilds the store's content") {
     rc::prop("replayed changes equal a full range", [] {
         memory_store store;
