Count as unwritten only the withdrawals that this process has to write

Cause: processes that do not watch the key-value service counted every withdrawal heard from peers as not yet stored, and operators would have read that as lost. Conclusion: watchers count what the store lacks, the others what they were ordered.

--- a/libs/keys/include/keys/key_service.h
+++ b/libs/keys/include/keys/key_service.h
@@ -36,7 +36,7 @@
 struct key_status {
     std::size_t records = 0;
     std::size_t withdrawn = 0;
-    std::size_t unwritten = 0; /**< Withdrawals not yet seen in the key-value service. */
+    std::size_t unwritten = 0; /**< Withdrawals that this process has yet to write. */
     std::uint64_t malformed = 0;
     bool watcher = false;
     std::uint64_t store_calls = 0;
--- a/libs/keys/src/key_service.cpp
+++ b/libs/keys/src/key_service.cpp
@@ -114,9 +114,12 @@
 }
 
 key_status key_service::status() const {
+    const bool knows_store = watcher_ && withdrawn_follower_.has_read();
+    const std::size_t unwritten =
+        knows_store ? book_.withdrawn_ids().size() - stored_.size() : accepted_.size();
     return {book_.records().size(),
             book_.withdrawn_ids().size(),
-            book_.withdrawn_ids().size() - stored_.size(),
+            unwritten,
             malformed_,
             watcher_,
             record_follower_.calls() + withdrawn_follower_.calls() + writes_};
--- a/libs/keys/tests/test_key_service.cpp
+++ b/libs/keys/tests/test_key_service.cpp
@@ -123,6 +123,11 @@
     all.cluster.store().mode = store_mode::up;
     all.cluster.run_for(duration{10'000});
     CHECK(all.stored(1));
+    for (const config::peer& each : all.peers.all) {
+        if (all.cluster.alive(each.node)) {
+            CHECK(all.at(each.node).status().unwritten == 0);
+        }
+    }
 }
 
 TEST_CASE("withdrawals are numbered for those who pass them on") {
