Move rate away from gateways that are full

Cause: a full gateway's rate was lost while others had room; asks went out only where there was demand.

--- a/libs/limits/include/limits/limits_service.h
+++ b/libs/limits/include/limits/limits_service.h
@@ -39,6 +39,7 @@
     duration audit_period{5'000};
     duration audit_resend{500};
     duration audit_patience{3'000};
+    std::size_t asked_ahead = 2; /**< Peers in each balance period. */
     std::size_t asked_at_once = 3;
     std::size_t most_asked = 8; /**< In one round, unless a request needs all. */
 };
--- a/libs/limits/src/limits_exchange.cpp
+++ b/libs/limits/src/limits_exchange.cpp
@@ -10,6 +10,8 @@
 
 namespace {
 
+constexpr std::int64_t full_per_cent = 95;
+constexpr std::int64_t hundred = 100;
 constexpr micro_tokens reserve_divisor = 4; // of an even part of the burst, asked for beyond need
 
 void to_wire(const std::string& client_account, const share& from, wire::share_entry& out) {
@@ -135,16 +137,17 @@
 void limits_service::balance(account_entry& entry, step& now) {
     account& of = entry.second;
     const std::vector<std::uint64_t> others = peers();
-    const std::int64_t demand = of.demand.per_second(now.time());
-    if (others.empty() || demand == 0 || of.peers.active) {
+    const micro_tokens level = of.held.level(now.time());
+    const bool full = level >= scale_down(of.held.capacity(), full_per_cent, hundred);
+    if (others.empty() || !of.configured || of.peers.active || full) {
         return;
     }
     const micro_tokens even = of.held.account_burst() / static_cast<micro_tokens>(members_.size());
-    const micro_tokens level = of.held.level(now.time());
-    if (level >= even / 2) {
-        return;
+    const bool used = of.demand.per_second(now.time()) > 0;
+    const micro_tokens wanted = used ? std::max<micro_tokens>(even / 2 - level, 0) : 0;
+    for (std::size_t i = 0; i < options_.asked_ahead; ++i) {
+        ask(entry, others[now.random().below(others.size())], wanted, false, now);
     }
-    ask(entry, others[now.random().below(others.size())], even / 2 - level, false, now);
 }
 
 void limits_service::on_wanted(const wire::share_wanted& wanted, const message& received,
