--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -45,6 +45,7 @@
     limits_ = &kernel.find<limits::limits_service>("limits");
     quarantine_ = &kernel.find<delivery::quarantine>("quarantine");
     forward_ = &kernel.find<forwarder>("forward");
+    health_ = &kernel.find<service_health>("service_health");
     metrics_ = &kernel.find<metrics>("metrics");
     kernel.find<config::configuration_service>("configuration").add_listener(*this);
     forward_->set_listener(*this);
@@ -61,7 +62,8 @@
 }
 
 bool front::ready(time_point now) const {
-    return text_ != nullptr && !drain_.leaving() && standing_->has_standing(now);
+    return text_ != nullptr && !drain_.leaving() && standing_->has_standing(now) &&
+           limits_->shares_held();
 }
 
 void front::configuration_changed(const config::operators_text& text, std::uint64_t revision,
--- a/libs/placement/src/load_pacer.cpp
+++ b/libs/placement/src/load_pacer.cpp
@@ -36,6 +36,10 @@
     CAMPHOR_PRECONDITION(limit.loads_per_s > 0);
 }
 
+void load_pacer::set_limit(store_limit limit) {
+    limit_ = limit;
+}
+
 void load_pacer::set_live(std::vector<node_id> live) {
     live_ = std::move(live);
     const auto chosen = choose_director(live_);
@@ -115,6 +119,7 @@
     for (const load_want& each : wants_) {
         wire::wanted_load* wanted = request.add_wanted();
         wanted->set_adapter(to_string(each.adapter));
+        wanted->set_client_account(each.client_account);
         wanted->set_urgency_ms(each.urgency.count());
         wanted->set_prefetch(each.prefetch);
     }
