Read the list of nodes again while no witness answers

Cause: after a restart of the whole fleet nobody watched the store, as each node took itself to be fed by witnesses that no longer lived; no gateway got standing again. Conclusion: a node polls unless a witness of the epoch answered it within 10 s.

--- a/libs/membership/include/membership/standing_service.h
+++ b/libs/membership/include/membership/standing_service.h
@@ -34,6 +34,7 @@
     duration silent_after{4'000};  /**< A gateway not heard of for this long may be sealed. */
     duration lost_after{20'000};   /**< A witness not heard of for this long is replaced. */
     duration record_period{5'000}; /**< How often the store is read while no witness answers. */
+    duration fed_for{10'000};      /**< After a witness's answer the list is not polled. */
     std::size_t most_witnesses = 7;
 };
 
@@ -176,6 +177,7 @@
     std::vector<std::uint64_t> to_seal() const;
     bool leads() const;
     std::set<node_id> lost_witnesses(time_point now) const;
+    bool hears_witness(time_point now) const;
     bool majority_ready() const;
 
     epoch_intent intent(time_point now) const;
--- a/libs/membership/src/standing_epoch.cpp
+++ b/libs/membership/src/standing_epoch.cpp
@@ -33,7 +33,6 @@
     std::erase_if(abandoned_, not_member);
     left_ = record.find_address(self_.address) == nullptr;
     const bool witness = witness_.is_witness();
-    membership_->set_fed(!record.witnesses.empty());
     membership_->set_watching(witness, now);
     take_generation(now);
     for (standing_listener* each : listeners_) {
@@ -156,6 +155,15 @@
     return lost;
 }
 
+bool standing_service::hears_witness(time_point now) const {
+    const std::vector<node_life>& all = record().witnesses;
+    return std::any_of(all.begin(), all.end(), [&](const node_life& each) {
+        const auto found = peers_.find(each.address);
+        return found != peers_.end() && found->second.life == each.life &&
+               found->second.answered_at && now - *found->second.answered_at <= options_.fed_for;
+    });
+}
+
 bool standing_service::majority_ready() const {
     const auto ready = [&](const node_life& each) {
         const auto found = peers_.find(each.address);
--- a/libs/membership/src/standing_service.cpp
+++ b/libs/membership/src/standing_service.cpp
@@ -64,6 +64,7 @@
     const duration period = slow ? options_.agent_period : options_.probe_period;
     now.emit(set_timer{std::string(name()), timer_probe, now.time() + period});
     update_dead(now.time());
+    membership_->set_fed(hears_witness(now.time()));
     probe_witnesses(now);
     consider_epoch(now);
 }
