--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,13 +1,23 @@
 #include "commands.h"
 
+#include "catalogue_command.h"
 #include "delivery_command.h"
+#include "limits_command.h"
+#include "load_command.h"
 #include "placement_command.h"
 #include "replay_command.h"
 
 namespace camphorgrade::experiment {
 
 const std::vector<command>& commands() {
-    static const std::vector<command> all{delivery_command, placement_command, replay_command};
+    static const std::vector<command> all{
+        catalogue_command, //
+        delivery_command,  //
+        limits_command,    //
+        load_command,      //
+        placement_command, //
+        replay_command,    //
+    };
     return all;
 }
 
