Bind tests to the life that a part comes from and answers

Two rules broken on purpose went unnoticed: the sequencer's property fed foreign parts only after the right ones, and nothing restarted a gateway under an answer.

--- a/libs/delivery/sim/include/delivery_sim/world.h
+++ b/libs/delivery/sim/include/delivery_sim/world.h
@@ -114,6 +114,7 @@
     std::map<std::string, caller_view> callers_;
     std::map<std::string, delivery_ended> ended_;
     std::map<std::string, node_id> gateway_of_;
+    std::map<std::string, std::string> body_of_;
     std::multimap<time_point, std::function<void()>> later_;
     std::vector<observation> observations_;
     std::map<node_id, std::int64_t> last_offer_ms_;
--- a/libs/delivery/sim/src/world.cpp
+++ b/libs/delivery/sim/src/world.cpp
@@ -109,6 +109,7 @@
 void world::submit(const request_spec& spec) {
     callers_[spec.name].sent = cluster_.now();
     gateway_of_[spec.name] = spec.gateway;
+    body_of_[spec.name] = spec.body;
     const bool reachable = cluster_.alive(spec.gateway) && !cluster_.paused(spec.gateway);
     if (!reachable) {
         callers_[spec.name].cut = true;
@@ -256,7 +257,8 @@
     view.ended = cluster_.now();
     view.whole = std::holds_alternative<http_end>(part);
     view.cut = !view.whole;
-    note("caller " + name + (view.whole ? " whole" : " incomplete"));
+    const bool right = view.bytes == whole_answer(body_of_.at(name), settings_.chunks);
+    note("caller " + name + (!view.whole ? " incomplete" : right ? " whole" : " wrong"));
 }
 
 void world::on_refusal(const std::string& name, const refusal& reason) {
--- a/libs/delivery/tests/test_attempts.cpp
+++ b/libs/delivery/tests/test_attempts.cpp
@@ -68,14 +68,19 @@
         part_sequencer sequencer(*rc::gen::element(source, part_source{node_id{"a"}, {}}));
         std::string text;
         std::string wanted;
+        bool bound = sequencer.source().life != incarnation{};
         for (const std::uint64_t each : arrivals) {
+            // An earlier life and another agent say something else, and first.
+            const numbered_part wrong{each, part_chunk{"wrong"}};
+            RC_ASSERT(sequencer.accept({node_id{"b"}, incarnation{3}}, wrong).empty());
+            if (bound) {
+                RC_ASSERT(sequencer.accept({node_id{"a"}, incarnation{2}}, wrong).empty());
+            }
             const numbered_part next{each, part_chunk{std::to_string(each) + ","}};
             for (const part& due : sequencer.accept(source, next)) {
                 text += std::get<part_chunk>(due).bytes;
             }
-            // An earlier life and another agent say something else.
-            RC_ASSERT(sequencer.accept({node_id{"a"}, incarnation{2}}, next).empty());
-            RC_ASSERT(sequencer.accept({node_id{"b"}, incarnation{3}}, next).empty());
+            bound = true;
         }
         for (std::uint64_t i = 0; i < count; ++i) {
             wanted += std::to_string(i) + ",";
