Refuse each waiting request at its own deadline

Cause: the timer followed the deadline of the first waiting request only; one behind it with an earlier deadline could be answered up to 250 ms late. The new test states the rule but passes without the change too, as another timer is due in its case. Conclusion: the timer follows the earliest deadline in the queue.

--- a/libs/limits/src/limits_service.cpp
+++ b/libs/limits/src/limits_service.cpp
@@ -345,7 +345,10 @@
             continue;
         }
         const waiting_request& front = of.queue.front();
-        next = std::min({next, front.until, of.held.holds_at(front.cost, now.time())});
+        next = std::min(next, of.held.holds_at(front.cost, now.time()));
+        for (const waiting_request& each : of.queue) {
+            next = std::min(next, each.until);
+        }
         for (const auto& [peer, at] : of.peers.asked) {
             next = std::min(next, at + options_.answer_patience);
         }
--- a/libs/limits/tests/test_fleet.cpp
+++ b/libs/limits/tests/test_fleet.cpp
@@ -111,3 +111,17 @@
     all.cluster.resume(gateway);
     CHECK(all.admit(gateway, 1).refusal.reason == refusal_reason::no_standing);
 }
+
+TEST_CASE("a waiting request is refused when its deadline comes, also behind one that may wait") {
+    fleet all(5, 2, 3);
+    all.start(10, 1'000);
+    const node_id gateway = all.gateways()[0];
+    all.cluster.pause(all.gateways()[1]); // so that the search for tokens takes its time
+    while (all.admit(gateway, 5).state == admission_state::admitted) {
+    }
+    REQUIRE(all.admit(gateway, 1, duration{30}).state == admission_state::waiting);
+    all.cluster.run_for(duration{29});
+    CHECK(all.refused_late() == 0);
+    all.cluster.run_for(duration{2});
+    CHECK(all.refused_late() == 1);
+}
--- a/tools/experiment/limits_shares.cpp
+++ b/tools/experiment/limits_shares.cpp
@@ -112,7 +112,7 @@
     };
 
     node_id add_node(const std::string& address, node_role role, std::size_t place) {
-        const node_id name{address};
+        node_id name{address};
         const std::string data_centre = "dc-" + std::to_string(place % data_centres);
         cluster_.add(name, [this, role, data_centre](micro_kernel& kernel) {
             const membership::node_info self{kernel.self(),
