Avoid agents whose backend server is unreachable, and say so in their reports

Cause: an agent whose engine could not be reached still reported as ready and kept requests in its queue until their deadline: one of four engines down lost 30 of 60 requests (504). Conclusion: an unreachable server is probed every 500 ms; new work is refused at once, waiting work after one second, and gateways avoid the agent with backoff. Quarantine is checked again before each attempt.

--- a/libs/agent/include/agent/backend_service.h
+++ b/libs/agent/include/agent/backend_service.h
@@ -82,7 +82,9 @@
     void on_fencing_number(placement::fencing_number number, step& now) override;
 
     /** Whether the backend server is known and the agent takes work. */
-    bool ready() const noexcept { return queue_ != nullptr && drain_.accepts_new(); }
+    bool ready() const noexcept {
+        return queue_ != nullptr && !down_since_ && drain_.accepts_new();
+    }
 
 private:
     using job_ref = job&;
@@ -104,6 +106,8 @@
     void record_outcome(job_ref finished, step& now);
 
     void check_liveness(step& now);
+    void mark_down(step& now);
+    void tend_down_server(step& now);
     void liveness_known(bool died, step& now);
 
     void end(job_ref ended, delivery::part last, step& now);
@@ -147,6 +151,8 @@
     std::map<call_id, job*> by_call_;
     std::map<delivery::once_ticket, job*> by_ticket_;
     std::optional<call_id> liveness_call_;
+    std::optional<time_point> down_since_; // the backend server can't be reached
+    time_point next_probe_{};
     std::map<delivery::death_id, std::vector<std::uint64_t>> deaths_; // jobs that wait to be told
     std::size_t running_ = 0;   // recording, running and checking
     std::size_t exclusive_ = 0; // held, or running alone
--- a/libs/agent/src/backend_calls.cpp
+++ b/libs/agent/src/backend_calls.cpp
@@ -12,6 +12,8 @@
 
 constexpr duration retry_soon{500};
 constexpr duration forget_unacknowledged_after{30'000};
+constexpr duration probe_period{500};
+constexpr duration hold_queue_for{1'000}; // a backend server that only restarts is back by then
 constexpr std::size_t max_recorded_body_bytes = std::size_t{64} * 1024;
 constexpr const char* event_stream = "text/event-stream";
 
@@ -113,13 +115,21 @@
     if (liveness_call_ == call) {
         if (const auto* head = std::get_if<http_head>(&progress)) {
             const auto boot = driver_.boot_of(*head);
-            liveness_known(engine_ != nullptr && boot && *boot != engine_->boot(), now);
+            const bool restarted = engine_ != nullptr && boot && *boot != engine_->boot();
+            if (restarted) {
+                engine_->on_boot(*boot, now);
+            }
+            liveness_known(restarted, now);
         } else if (std::holds_alternative<call_failure>(progress)) {
             liveness_known(true, now);
         }
         return;
     }
     if (engine_ != nullptr && engine_->on_call(call, progress, now)) {
+        const auto* failed = std::get_if<call_failure>(&progress);
+        if (failed != nullptr && failed->kind == call_failure_kind::not_sent) {
+            mark_down(now);
+        }
         reporter_->changed(now);
         return;
     }
@@ -176,6 +186,7 @@
 
 void backend_service::take_failure(job_ref running, call_failure_kind kind, step& now) {
     if (kind == call_failure_kind::not_sent) {
+        mark_down(now);
         end(running, delivery::part_refused{delivery::refusal_type::backend_down, retry_soon}, now);
     } else if (running.cancelled) {
         end(running, delivery::part_broken{false}, now);
@@ -199,6 +210,14 @@
 void backend_service::liveness_known(bool died, step& now) {
     now.emit(cancel_call{*liveness_call_});
     liveness_call_.reset();
+    if (died) {
+        mark_down(now);
+    } else if (down_since_) {
+        down_since_.reset();
+        now.emit(
+            write_log{log_level::info, "backend_server_back", {{"backend_server", server_->name}}});
+        reporter_->changed(now);
+    }
     std::vector<job*> hit;
     for (const auto& [number, each] : by_number_) {
         const bool running = each->state == job_state::running;
@@ -212,6 +231,9 @@
         }
         return;
     }
+    if (hit.empty()) {
+        return; // nothing ran when it went
+    }
     std::vector<delivery::death_suspect> suspects;
     std::vector<std::uint64_t> numbers;
     for (job* each : hit) {
@@ -229,6 +251,36 @@
     deaths_[death] = std::move(numbers);
 }
 
+void backend_service::mark_down(step& now) {
+    if (down_since_) {
+        return;
+    }
+    down_since_ = now.time();
+    next_probe_ = now.time() + probe_period;
+    now.emit(write_log{
+        log_level::warning, "backend_server_unreachable", {{"backend_server", server_->name}}});
+    reporter_->changed(now);
+}
+
+void backend_service::tend_down_server(step& now) {
+    if (!down_since_) {
+        return;
+    }
+    if (now.time() >= next_probe_) {
+        next_probe_ = now.time() + probe_period;
+        check_liveness(now);
+    }
+    if (now.time() - *down_since_ < hold_queue_for) {
+        return;
+    }
+    for (const auto& [number, each] : by_number_) {
+        if (each->state == job_state::waiting && queue_->cancel(number)) {
+            end(*each, delivery::part_refused{delivery::refusal_type::backend_down, retry_soon},
+                now);
+        }
+    }
+}
+
 void backend_service::on_death_shared(const delivery::death_id& death, bool /*everywhere*/,
                                       step& now) {
     const auto found = deaths_.find(death);
--- a/libs/agent/src/backend_service.cpp
+++ b/libs/agent/src/backend_service.cpp
@@ -110,7 +110,7 @@
     if (!drain_.accepts_new()) {
         return part_refused{refusal_type::leaving, duration{0}};
     }
-    if (queue_ == nullptr) {
+    if (queue_ == nullptr || down_since_) {
         return part_refused{refusal_type::backend_down, retry_soon};
     }
     if (!standing_->accepts(wanted.epoch(), taken.id.gateway, taken.id.gateway_life)) {
@@ -189,6 +189,7 @@
 
 void backend_service::on_timer(token /*id*/, step& now) {
     enforce_deadlines(now);
+    tend_down_server(now);
     resend(now);
     forget_settled(now.time());
     if (queue_ != nullptr) {
@@ -246,7 +247,7 @@
 
 placement::agent_status backend_service::status(time_point now) const {
     placement::agent_status status;
-    if (queue_ != nullptr) {
+    if (queue_ != nullptr && !down_since_) {
         status = queue_->status(now);
     }
     status.data_centre = settings_.data_centre;
--- a/libs/gateway/include/gateway/forwarder.h
+++ b/libs/gateway/include/gateway/forwarder.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <delivery/agent_avoidance.h>
 #include <delivery/delivery_effect.h>
+#include <delivery/quarantine.h>
 #include <delivery/request_delivery.h>
 #include <delivery/retry_budget.h>
 #include <kernel/service.h>
@@ -11,6 +13,7 @@
 
 #include <map>
 #include <string>
+#include <vector>
 
 namespace camphorgrade::gateway {
 
@@ -20,6 +23,7 @@
     wire::run_attempt attempt; /**< All but what differs between attempts. */
     placement::route_request route;
     delivery::delivery_request delivery;
+    delivery::fingerprint content; /**< From quarantine_fingerprint(). */
 };
 
 /** Hears how the delivery of a request goes. Must outlive the forwarder. */
@@ -81,12 +85,17 @@
                        const delivery::delivery_effect& one, step& now);
     void choose(request_id request, delivery_state& state, const delivery::choose_backend& wanted,
                 step& now);
+    placement::route route_to_agent(const delivery_state& state, const std::vector<node_id>& tried,
+                                    step& now);
+    void note_health(const node_id& agent, const delivery::part& arrived, step& now);
     void send_attempt(delivery_state& state, const delivery::send_attempt& wanted, step& now);
     void send(const node_id& to, const wire::forward_to_agent& content, step& now);
     void cancel(request_id request, std::uint32_t attempt, const node_id& at, step& now);
 
     delivery::delivery_settings settings_;
     delivery::retry_budget budget_;
+    delivery::agent_avoidance avoidance_;
+    delivery::quarantine* quarantine_ = nullptr;
     membership::membership_service* membership_ = nullptr;
     placement::router_service* router_ = nullptr;
     metrics* metrics_ = nullptr;
--- a/libs/gateway/src/forwarder.cpp
+++ b/libs/gateway/src/forwarder.cpp
@@ -7,13 +7,20 @@
 
 namespace camphorgrade::gateway {
 
+namespace {
+
+constexpr delivery::backoff_settings avoid_for{duration{200}, duration{5'000}};
+
+} // namespace
+
 forwarder::forwarder(const delivery::delivery_settings& settings,
                      const delivery::retry_budget_settings& retries)
-    : settings_(settings), budget_(retries) {}
+    : settings_(settings), budget_(retries), avoidance_(avoid_for) {}
 
 void forwarder::attach(micro_kernel& kernel) {
     membership_ = &kernel.find<membership::membership_service>("membership");
     router_ = &kernel.find<placement::router_service>("router");
+    quarantine_ = &kernel.find<delivery::quarantine>("quarantine");
     metrics_ = &kernel.find<metrics>("metrics");
     membership_->add_listener(*this);
 }
@@ -53,6 +60,7 @@
     boost::leaf::try_handle_all(
         [&]() -> boost::leaf::result<void> {
             BOOST_LEAF_AUTO(arrived, delivery::from_wire(content));
+            note_health(received.from, arrived.content, now);
             carry_out(request,
                       found->second.machine.on_part(
                           content.attempt(), {received.from, received.from_incarnation},
@@ -135,24 +143,53 @@
 
 void forwarder::choose(request_id request, delivery_state& state,
                        const delivery::choose_backend& wanted, step& now) {
-    auto asked = state.order.route;
-    asked.excluded = wanted.tried;
-    auto chosen = router_->choose(asked, now);
-    if (std::holds_alternative<placement::route_refusal>(chosen) && !asked.excluded.empty()) {
-        // Better one that failed before than none.
-        asked.excluded.clear();
-        chosen = router_->choose(asked, now);
+    // A death elsewhere may have made the request a suspect since it was admitted.
+    const auto standing = quarantine_->standing(state.order.content, now.time());
+    if (standing.verdict == delivery::quarantine_verdict::refuse) {
+        carry_out(request,
+                  state.machine.give_up(delivery::refusal_type::quarantined, standing.ends_in),
+                  now);
+        return;
     }
+    const auto chosen = route_to_agent(state, wanted.tried, now);
     if (const auto* refused = std::get_if<placement::route_refusal>(&chosen)) {
         carry_out(request, state.machine.no_backend(refused->retry_after, now.time()), now);
         return;
     }
     const auto& agent = std::get<node_id>(chosen);
+    avoidance_.on_chosen(agent, now.time());
     const auto* info = membership_->find(agent);
     const incarnation life = info != nullptr ? info->life : incarnation{};
     carry_out(request, state.machine.backend_chosen(agent, life, now.time()), now);
 }
 
+placement::route forwarder::route_to_agent(const delivery_state& state,
+                                           const std::vector<node_id>& tried, step& now) {
+    auto asked = state.order.route;
+    asked.excluded = tried;
+    for (const auto& each : membership_->live_agents()) {
+        if (avoidance_.avoided(each.address, now.time())) {
+            asked.excluded.push_back(each.address);
+        }
+    }
+    auto chosen = router_->choose(asked, now);
+    if (std::holds_alternative<placement::route_refusal>(chosen) && !asked.excluded.empty()) {
+        // Better one that failed before than none.
+        asked.excluded.clear();
+        chosen = router_->choose(asked, now);
+    }
+    return chosen;
+}
+
+void forwarder::note_health(const node_id& agent, const delivery::part& arrived, step& now) {
+    const auto* refused = std::get_if<delivery::part_refused>(&arrived);
+    if (refused != nullptr && refused->type == delivery::refusal_type::backend_down) {
+        avoidance_.on_failed(agent, now.time(), now.random());
+    } else if (std::holds_alternative<delivery::part_head>(arrived)) {
+        avoidance_.on_answered(agent);
+    }
+}
+
 void forwarder::send_attempt(delivery_state& state, const delivery::send_attempt& wanted,
                              step& now) {
     wire::forward_to_agent content;
--- a/libs/gateway/src/front_checks.cpp
+++ b/libs/gateway/src/front_checks.cpp
@@ -171,6 +171,7 @@
 
     const auto content = delivery::quarantine_fingerprint(out.client_account, spec.name,
                                                           attempt.adapter(), attempt.body());
+    out.order.content = content;
     const auto standing = quarantine_->standing(content, now.time());
     if (standing.verdict == delivery::quarantine_verdict::refuse) {
         return not_run(refusal_type::quarantined, standing.ends_in);
--- a/tests/system/test_system.cpp
+++ b/tests/system/test_system.cpp
@@ -207,3 +207,19 @@
     fleet.cluster().run_for(duration{20'000});
     CHECK_FALSE(fleet.cluster().alive(fleet.engine_agent(0)));
 }
+
+TEST_CASE("one of four engines that is down unseen loses no request") {
+    system_fleet fleet(5, {.gateways = 2, .engines = 4, .bookings = 0});
+    fleet.servers().crash(fleet.engine_endpoint(0));
+    std::vector<std::uint64_t> asked;
+    for (int i = 0; i < 60; ++i) {
+        const std::string model = i % 2 == 0 ? "hall@v1" : "studio@v1";
+        asked.push_back(fleet.complete(i % 2, model, std::to_string(i), 4, false));
+        fleet.cluster().run_for(duration{50});
+    }
+    REQUIRE(fleet.run_until_answered(long_enough));
+    for (const auto each : asked) {
+        INFO(fleet.answer(each).body);
+        CHECK(fleet.answer(each).status == 200);
+    }
+}
