Measure how control and decisions grow with the fleet

camphor-experiment capacity drives the membership, standing and limits services on the fake cluster, and the router and key book directly.

--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "capacity_command.h"
 #include "catalogue_command.h"
 #include "delivery_command.h"
 #include "limits_command.h"
@@ -11,6 +12,7 @@
 
 const std::vector<command>& commands() {
     static const std::vector<command> all{
+        capacity_command,  //
         catalogue_command, //
         delivery_command,  //
         limits_command,    //
