--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -1,5 +1,6 @@
 #include "commands.h"
 
+#include "capacity_command.h"
 #include "catalogue_command.h"
 #include "configuration_command.h"
 #include "delivery_command.h"
@@ -12,6 +13,7 @@
 
 const std::vector<command>& commands() {
     static const std::vector<command> all{
+        capacity_command,      //
         catalogue_command,     //
         configuration_command, //
         delivery_command,      //
