Refuse leases longer than the published service grants

UBSan found a signed overflow in memory_store when a lease of an arbitrary 64-bit length was granted, as outside bytes can ask for at the kv stand-in. Leases above 9e9 seconds, the published bound, are now refused; a test case asks for one more. Before the change, ASan and UBSan ran http (29 cases), kvstore (24) and standins (10) with this one report; kvstore was not run again under them after it.

--- a/libs/kvstore/include/kvstore/memory_store.h
+++ b/libs/kvstore/include/kvstore/memory_store.h
@@ -43,8 +43,9 @@
      * Runs one request at `now`; leases that have run out by then end first.
      *
      * A request that the service would refuse (unknown lease, a key written twice in one
-     * transaction, a lease without a time to live) comes back as kv_failure not_applied. A watch
-     * answers at once with what is there, so an empty reply means "nothing yet".
+     * transaction, a lease without a time to live or with one above 9e9 seconds) comes back as
+     * kv_failure not_applied. A watch answers at once with what is there, so an empty reply means
+     * "nothing yet".
      */
     kv_reply apply(const kv_request& request, time_point now);
 
--- a/libs/kvstore/src/memory_store.cpp
+++ b/libs/kvstore/src/memory_store.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+/** Longest lease that the published service grants. */
+constexpr std::int64_t longest_ttl_s = 9'000'000'000;
+
 constexpr kv_failure refused{kv_failure_kind::not_applied};
 
 /** The same key may not be written twice at one revision. */
@@ -109,7 +112,7 @@
 }
 
 kv_reply memory_store::run(const kv_lease_grant& request, time_point now) {
-    if (request.ttl_s <= 0) {
+    if (request.ttl_s <= 0 || request.ttl_s > longest_ttl_s) {
         return refused;
     }
     const std::int64_t id = ++last_lease_;
--- a/libs/kvstore/tests/test_memory_store.cpp
+++ b/libs/kvstore/tests/test_memory_store.cpp
@@ -70,7 +70,8 @@
     const kv_txn unknown_lease{{}, {kv_put{"a", "", 7}}, {}};
     const kv_txn twice{{}, {kv_put{"a", "1", 0}, kv_put{"a", "2", 0}}, {}};
     const kv_txn put_and_delete{{}, {kv_put{"a", "1", 0}, kv_delete{"a", ""}}, {}};
-    const std::vector<kv_request> requests{unknown_lease, twice, put_and_delete, kv_lease_grant{0}};
+    const std::vector<kv_request> requests{unknown_lease, twice, put_and_delete, kv_lease_grant{0},
+                                           kv_lease_grant{9'000'000'001}};
     for (const kv_request& request : requests) {
         const kv_reply reply = store.apply(request, start);
         CHECK(std::get<kv_failure>(reply).kind == kv_failure_kind::not_applied);
