Ask for an operators' credential before a command; refuse settings that aren't in force

Cause: anyone who reached an operators' port could withdraw keys or lift quarantines, and message_keys were accepted without any effect. Conclusion: commands need a token from a file and are refused without one; a daemon that is given message_keys does not start, as messages are not authenticated yet.

--- a/libs/agent/src/agent_process.cpp
+++ b/libs/agent/src/agent_process.cpp
@@ -18,6 +18,9 @@
 int run_agent(const config::agent_settings& settings) {
     agent_parts parts;
     node_process process("camphor-agent", settings.node);
+    if (!process.read_credentials(parts.common.operator_token)) {
+        return exit_failed;
+    }
     add_agent_services(process.kernel(), settings, parts);
 
     call_pool_settings calls;
--- a/libs/config/include/config/settings.h
+++ b/libs/config/include/config/settings.h
@@ -29,6 +29,7 @@
     std::vector<std::string> key_value_endpoints;
     std::optional<std::string> vm_list_endpoint;
     std::optional<std::string> span_file;
+    std::optional<std::string> operator_token_file; /**< Credential for operators' commands. */
     log_level level = log_level::info;
     std::optional<message_key_files> message_keys;
 
--- a/libs/config/src/settings.cpp
+++ b/libs/config/src/settings.cpp
@@ -57,6 +57,7 @@
         out.vm_list_endpoint = std::move(vm_list);
     }
     optional_text(map, "span_file", out.span_file);
+    optional_text(map, "operator_token_file", out.operator_token_file);
     map.choice("log_level", out.level, {"debug", "info", "warning", "error"}, presence::optional);
     map.nested("message_keys", presence::optional, [&](const auto& node, const auto& path) {
         read_message_keys(node, path, faults, out);
--- a/libs/gateway/src/gateway_process.cpp
+++ b/libs/gateway/src/gateway_process.cpp
@@ -19,6 +19,9 @@
 int run_gateway(const config::gateway_settings& settings) {
     common_parts parts;
     node_process process("camphor-gateway", settings.node);
+    if (!process.read_credentials(parts.operator_token)) {
+        return exit_failed;
+    }
     add_gateway_services(process.kernel(), settings, parts);
 
     // A gateway calls no backend server: only the list of VMs.
--- a/libs/node/include/node/common_services.h
+++ b/libs/node/include/node/common_services.h
@@ -14,6 +14,7 @@
 struct common_parts {
     fleet_peers peers;
     key_withdrawals withdrawals;
+    std::string operator_token; /**< Credential for operators' commands; empty refuses them. */
 };
 
 /**
--- a/libs/node/include/node/node_process.h
+++ b/libs/node/include/node/node_process.h
@@ -41,6 +41,13 @@
     bool serve(const std::string& address, const std::string& service, std::uint64_t number,
                http_server_settings settings);
 
+    /**
+     * Reads the operators' credential into `credential`, which stays empty when none is set. False,
+     * and logged, when the settings ask for something that can't be had; the daemon then must not
+     * start.
+     */
+    bool read_credentials(std::string& credential);
+
     /** Adds a port of the daemon's own. Precondition: it outlives run(). */
     void add(port& added) { extra_ports_.push_back(&added); }
 
--- a/libs/node/include/node/operator_service.h
+++ b/libs/node/include/node/operator_service.h
@@ -33,7 +33,8 @@
     /** Carries out a request to change something; false for "no such thing". */
     using command = std::function<bool(const std::string& argument, step& now)>;
 
-    operator_service();
+    /** `credential` is the token that commands need; empty refuses all commands. */
+    explicit operator_service(std::string credential);
     ~operator_service() override;
 
     std::string_view name() const noexcept override { return "operators"; }
@@ -49,15 +50,20 @@
     /** Adds a function that sets gauges just before /metrics is answered. */
     void add_gauges(gauges publish) { gauges_.push_back(std::move(publish)); }
 
-    /** Adds POST /commands/<title>/<argument>; 200 when it returns true, else 404. */
+    /**
+     * Adds POST /commands/<title>/<argument>: 200 when it returns true, else 404; 401 without the
+     * credential as a bearer token.
+     */
     void add_command(const std::string& title, command run);
 
 private:
     void answer(request_id request, int status, const std::string& type, const std::string& body,
                 step& now);
+    bool authorized(const http_headers& headers) const;
     void run_command(const caller_arrived& arrived, step& now);
     std::string status_json(time_point now) const;
 
+    std::string credential_;
     metrics* metrics_ = nullptr;
     readiness ready_;
     std::vector<gauges> gauges_;
--- a/libs/node/src/common_services.cpp
+++ b/libs/node/src/common_services.cpp
@@ -34,7 +34,7 @@
     parts.withdrawals.attach(*known_keys);
 
     kernel.add(std::make_unique<metrics>());
-    kernel.add(std::make_unique<operator_service>());
+    kernel.add(std::make_unique<operator_service>(parts.operator_token));
     kernel.add(std::move(nodes));
     kernel.add(std::move(standing));
     kernel.add(std::make_unique<config::configuration_service>(configuration, parts.peers));
--- a/libs/node/src/node_process.cpp
+++ b/libs/node/src/node_process.cpp
@@ -10,6 +10,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <fstream>
 #include <random>
 #include <utility>
 
@@ -17,6 +18,8 @@
 
 namespace {
 
+constexpr std::size_t shortest_token = 16;
+
 /** Milliseconds since the Unix epoch: larger in each later life of a process. */
 incarnation new_incarnation() {
     const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
@@ -125,6 +128,25 @@
     return started;
 }
 
+bool node_process::read_credentials(std::string& credential) {
+    if (settings_.message_keys) {
+        // Better no start than messages that only seem to be authenticated.
+        log_.write({log_level::error, "message_keys_not_supported", {}});
+        return false;
+    }
+    if (!settings_.operator_token_file) {
+        return true;
+    }
+    std::ifstream in(*settings_.operator_token_file);
+    std::getline(in, credential);
+    if (credential.size() < shortest_token) {
+        credential.clear();
+        log_.write({log_level::error, "operator_token_unreadable_or_short", {}});
+        return false;
+    }
+    return true;
+}
+
 int node_process::run() {
     try {
         messages_ = std::make_unique<message_port>(kernel_.self(), curve_keys{});
--- a/libs/node/src/operator_service.cpp
+++ b/libs/node/src/operator_service.cpp
@@ -3,6 +3,7 @@
 #include <kernel/micro_kernel.h>
 
 #include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
 
 #include <utility>
 
@@ -16,12 +17,13 @@
 constexpr std::string_view commands_prefix = "/commands/";
 
 constexpr int status_ok = 200;
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
 constexpr int status_unavailable = 503;
 
 } // namespace
 
-operator_service::operator_service() = default;
+operator_service::operator_service(std::string credential) : credential_(std::move(credential)) {}
 operator_service::~operator_service() = default;
 
 void operator_service::attach(micro_kernel& kernel) {
@@ -60,7 +62,20 @@
     }
 }
 
+bool operator_service::authorized(const http_headers& headers) const {
+    const std::string expected = "Bearer " + credential_;
+    const std::string given = find_header(headers, "Authorization").value_or("");
+    return !credential_.empty() && given.size() == expected.size() &&
+           CRYPTO_memcmp(given.data(), expected.data(), expected.size()) == 0;
+}
+
 void operator_service::run_command(const caller_arrived& arrived, step& now) {
+    if (!authorized(arrived.content.headers)) {
+        metrics_->count("camphor_refused_commands_total");
+        answer(arrived.request, status_unauthorized, text_type, "an operator's token is needed\n",
+               now);
+        return;
+    }
     const std::string rest = arrived.content.path.substr(commands_prefix.size());
     const auto slash = rest.find('/');
     const auto found = commands_.find(rest.substr(0, slash));
--- a/tests/system/system_fleet.cpp
+++ b/tests/system/system_fleet.cpp
@@ -134,6 +134,7 @@
     settings.node.data_centre = "dc-1";
     cluster_.add(gateway(number), [this, settings](micro_kernel& kernel) {
         gateway_parts_.push_back(std::make_unique<common_parts>());
+        gateway_parts_.back()->operator_token = operator_token;
         gateway::add_gateway_services(kernel, settings, *gateway_parts_.back());
     });
 }
@@ -145,6 +146,7 @@
     settings.backend_server = backend_server;
     cluster_.add(node, [this, settings](micro_kernel& kernel) {
         agent_parts_.push_back(std::make_unique<agent::agent_parts>());
+        agent_parts_.back()->common.operator_token = operator_token;
         agent::add_agent_services(kernel, settings, *agent_parts_.back());
     });
 }
--- a/tests/system/system_fleet.h
+++ b/tests/system/system_fleet.h
@@ -29,6 +29,9 @@
     std::string run() const;
 };
 
+/** The credential that operators' commands need in a system_fleet. */
+inline constexpr const char* operator_token = "token-of-the-operators";
+
 /** Sizes and text of a system_fleet. */
 struct fleet_options {
     int gateways = 2;
--- a/tests/system/test_system.cpp
+++ b/tests/system/test_system.cpp
@@ -15,6 +15,17 @@
     return json::parse(answer.body)["choices"][0]["text"];
 }
 
+/** Asks an agent's operators' port to withdraw the fleet's key. */
+void withdraw_key(system_fleet& fleet, const std::string& credential) {
+    const http_request asked{"POST",
+                             "/commands/withdraw-key/" + fleet.key_id(),
+                             "",
+                             {{"Authorization", "Bearer " + credential}},
+                             ""};
+    fleet.cluster().post(fleet.engine_agent(0),
+                         caller_arrived{"operators", request_id{1'000'000}, asked});
+}
+
 /** The text of a stream, put together from its events. */
 std::string streamed_text(const caller_view& answer) {
     std::string text;
@@ -122,11 +133,7 @@
 TEST_CASE("a withdrawn key stops within five seconds, also while the store is out") {
     system_fleet fleet(5, {});
     fleet.cluster().store().mode = harness::store_mode::refusing;
-    fleet.cluster().post(
-        fleet.engine_agent(0),
-        caller_arrived{"operators",
-                       request_id{1'000'000},
-                       {"POST", "/commands/withdraw-key/" + fleet.key_id(), "", {}, ""}});
+    withdraw_key(fleet, operator_token);
     fleet.cluster().run_for(duration{5'000});
     const auto asked = fleet.complete(0, "hall", "x", 4, false);
     const auto other = fleet.complete(1, "hall", "x", 4, false);
@@ -223,3 +230,14 @@
         CHECK(fleet.answer(each).status == 200);
     }
 }
+
+TEST_CASE("a command without the operators' credential does nothing") {
+    system_fleet fleet(5, {});
+    for (const char* credential : {"", "wrong", "token-of-the-operators-and-more"}) {
+        withdraw_key(fleet, credential);
+    }
+    fleet.cluster().run_for(duration{5'000});
+    const auto asked = fleet.complete(0, "hall", "x", 4, false);
+    REQUIRE(fleet.run_until_answered(long_enough));
+    CHECK(fleet.answer(asked).status == 200);
+}
--- a/tools/camphorctl/http_fleet.cpp
+++ b/tools/camphorctl/http_fleet.cpp
@@ -54,7 +54,11 @@
     call_limits limits;
     limits.total_timeout = call_timeout;
     collecting_sink answer;
-    client_.call(*endpoint, {method, path, "", {}, ""}, limits, answer);
+    http_request request{method, path, "", {}, ""};
+    if (!token_.empty()) {
+        request.headers.push_back({"Authorization", "Bearer " + token_});
+    }
+    client_.call(*endpoint, request, limits, answer);
     const bool good = answer.whole && answer.status == status_ok;
     return good ? std::optional(answer.body) : std::nullopt;
 }
--- a/tools/camphorctl/http_fleet.h
+++ b/tools/camphorctl/http_fleet.h
@@ -4,11 +4,17 @@
 
 #include <http/http_client.h>
 
+#include <string>
+#include <utility>
+
 namespace camphorgrade::ctl {
 
 /** The daemons' operators' ports over HTTP. */
 class http_fleet final : public fleet {
 public:
+    /** `token` is the credential for commands; empty sends none. */
+    explicit http_fleet(std::string token) : token_(std::move(token)) {}
+
     std::optional<process_report> ask(const std::string& address) override;
     bool withdraw_key(const std::string& address, const std::string& id) override;
     void pause() override;
@@ -18,6 +24,7 @@
     std::optional<std::string> call(const std::string& address, const std::string& method,
                                     const std::string& path) const;
 
+    std::string token_;
     http_client client_;
 };
 
--- a/tools/camphorctl/main.cpp
+++ b/tools/camphorctl/main.cpp
@@ -6,6 +6,7 @@
 
 #include <openssl/rand.h>
 
+#include <fstream>
 #include <iostream>
 
 namespace {
@@ -68,7 +69,15 @@
         endpoints.push_back(*endpoint);
     }
     etcd_access store(std::move(endpoints));
-    ctl::http_fleet processes;
+    std::string token;
+    if (!asked.operator_token_file.empty()) {
+        std::ifstream in(asked.operator_token_file);
+        if (!std::getline(in, token)) {
+            std::cerr << "camphorctl: cannot read " << asked.operator_token_file << '\n';
+            return static_cast<int>(ctl::exit_code::bad_input);
+        }
+    }
+    ctl::http_fleet processes(std::move(token));
     ctl::control control({&store, &processes, draw_key, draw_apply_id, &std::cout, &std::cerr});
     return static_cast<int>(control.run(asked));
 }
--- a/tools/camphorctl/request.cpp
+++ b/tools/camphorctl/request.cpp
@@ -44,6 +44,8 @@
         "ip:port of the key-value service; may be repeated");
     add("operator", po::value(&out.operators)->composing(),
         "ip:port of a daemon's operators' port; may be repeated");
+    add("operator-token-file", po::value(&out.operator_token_file),
+        "file with the credential for commands on the operators' ports");
     add("base", po::value<std::uint64_t>(), "revision that the text was edited from");
     add("wait", po::bool_switch(&out.wait), "apply: wait until it is in force at every --operator");
     add("timeout", po::value(&out.timeout_s)->default_value(out.timeout_s),
--- a/tools/camphorctl/request.h
+++ b/tools/camphorctl/request.h
@@ -16,6 +16,7 @@
     std::vector<std::string> words; /**< The command and its arguments, such as "apply", FILE. */
     std::vector<std::string> store_endpoints;
     std::vector<std::string> operators;
+    std::string operator_token_file; /**< Empty for none. */
     std::optional<std::uint64_t> base;
     bool wait = false;
     bool json = false;
