Bring a fleet back whose witnesses are gone for good

Ruled out: silence as proof of death, which a partition looks like. Conclusion: removing the record is the operators' word that the silent witnesses are dead; only gateways without standing act on it.

--- a/libs/limits/tests/fleet.h
+++ b/libs/limits/tests/fleet.h
@@ -8,6 +8,7 @@
 #include <membership/standing_service.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -231,8 +232,8 @@
                 continue;
             }
             for (const account_metrics& of : limits(each).metrics(cluster.now())) {
-                sum.rate_parts += static_cast<parts>(of.rate_share * whole + 0.5);
-                sum.burst_parts += static_cast<parts>(of.burst_share * whole + 0.5);
+                sum.rate_parts += std::llround(of.rate_share * whole);
+                sum.burst_parts += std::llround(of.burst_share * whole);
                 sum.level += static_cast<micro_tokens>(of.level_tokens * micro_tokens_per_token);
             }
         }
--- a/libs/membership/include/membership/epoch_planner.h
+++ b/libs/membership/include/membership/epoch_planner.h
@@ -21,6 +21,7 @@
     bool leads = false;                /**< First member that is neither dead nor silent. */
     bool may_change_witnesses = false; /**< The present set has taken over from the one before. */
     std::set<node_id> lost_witnesses;  /**< Witnesses that have long not answered. */
+    bool record_removed = false; /**< By operators: the witnesses that do not answer are gone. */
     std::vector<node_info> nodes;
     std::size_t most_witnesses = 7;
 };
@@ -35,8 +36,9 @@
 
 /**
  * Whether the epoch can no longer give standing to anyone: a majority of its witnesses has been
- * restarted. Whoever joins then begins a set without a previous one, and the shares of all former
- * members are taken back after the validity of what the former witnesses granted. Thread safe.
+ * restarted, or operators have removed the record because a majority is gone for good. Whoever
+ * joins then begins a set without a previous one, and the shares of all former members are taken
+ * back after the validity of what the former witnesses granted. Thread safe.
  */
 bool needs_fresh_start(const epoch_record& current, const epoch_view& view);
 
--- a/libs/membership/include/membership/standing_service.h
+++ b/libs/membership/include/membership/standing_service.h
@@ -209,6 +209,7 @@
     bool left_ = false;
     bool store_busy_ = false;
     std::uint64_t writes_ = 0;
+    bool record_removed_ = false;         /**< From the store, while this node has no standing. */
     std::optional<epoch_record> pending_; /**< Being written. */
     std::optional<time_point> read_at_;
     std::uint64_t store_calls_ = 0;
--- a/libs/membership/src/epoch_planner.cpp
+++ b/libs/membership/src/epoch_planner.cpp
@@ -131,7 +131,7 @@
 }
 
 bool needs_fresh_start(const epoch_record& current, const epoch_view& view) {
-    return current.number != 0 && witnesses_replaced(current, view);
+    return current.number != 0 && (view.record_removed || witnesses_replaced(current, view));
 }
 
 std::optional<epoch_record> plan_next_epoch(const epoch_record& current, const epoch_view& view) {
--- a/libs/membership/src/standing_epoch.cpp
+++ b/libs/membership/src/standing_epoch.cpp
@@ -194,6 +194,7 @@
     seen.leads = leads();
     seen.may_change_witnesses = witnesses_settled() && majority_ready();
     seen.lost_witnesses = lost_witnesses(now);
+    seen.record_removed = record_removed_;
     seen.nodes = membership_->nodes();
     seen.most_witnesses = options_.most_witnesses;
     if (seen.intent == epoch_intent::stay && !fresh_.holds(now) &&
@@ -238,6 +239,8 @@
 
 void standing_service::on_epoch_read(const kv_range_result& result, step& now) {
     std::int64_t stored_at = 0;
+    const bool removed = result.entries.empty() && record().number != 0;
+    record_removed_ = removed && !fresh_.holds(now.time());
     if (!result.entries.empty()) {
         stored_at = result.entries.front().mod_revision;
         const bool readable = leaf::try_handle_all(
@@ -250,8 +253,8 @@
         if (!readable) {
             return;
         }
-    } else if (record().number != 0) {
-        return; // never begin anew below a known epoch
+    } else if (removed && !record_removed_) {
+        return; // whoever has standing does not begin anew
     }
     if (auto next = plan_next_epoch(record(), view(now.time()))) {
         write_epoch(std::move(*next), stored_at, now);
--- a/tests/system/test_system.cpp
+++ b/tests/system/test_system.cpp
@@ -1,5 +1,7 @@
 #include "system_fleet.h"
 
+#include <membership/standing_service.h>
+
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
@@ -160,6 +162,7 @@
 TEST_CASE("a gateway and an agent that shut down gracefully cut no request") {
     system_fleet fleet(5, {});
     std::vector<std::uint64_t> asked;
+    asked.reserve(60);
     for (int i = 0; i < 8; ++i) {
         asked.push_back(fleet.complete(i % 2, "hall", std::to_string(i), 60, i % 2 == 0));
     }
@@ -219,6 +222,7 @@
     system_fleet fleet(5, {.gateways = 2, .engines = 4, .bookings = 0});
     fleet.servers().crash(fleet.engine_endpoint(0));
     std::vector<std::uint64_t> asked;
+    asked.reserve(60);
     for (int i = 0; i < 60; ++i) {
         const std::string model = i % 2 == 0 ? "hall@v1" : "studio@v1";
         asked.push_back(fleet.complete(i % 2, model, std::to_string(i), 4, false));
@@ -241,3 +245,29 @@
     REQUIRE(fleet.run_until_answered(long_enough));
     CHECK(fleet.answer(asked).status == 200);
 }
+
+TEST_CASE(
+    "after losing a majority of witnesses for good, removing the epoch record brings it back") {
+    system_fleet fleet(5, {.gateways = 2, .engines = 6, .bookings = 1});
+    auto& standing =
+        fleet.cluster().kernel(fleet.gateway(0)).find<membership::standing_service>("standing");
+    const auto witnesses = standing.record().witnesses;
+    REQUIRE(witnesses.size() >= 3);
+    for (std::size_t i = 0; i < witnesses.size() / 2 + 1; ++i) {
+        fleet.cluster().kill(witnesses[i].address);
+    }
+    fleet.cluster().run_for(duration{60'000});
+    const auto refused = fleet.complete(0, "hall", "x", 4, false);
+    REQUIRE(fleet.run_until_answered(long_enough));
+    CHECK(fleet.answer(refused).run() == "not_run");
+
+    const kv_txn removal{{}, {kv_delete{membership::epoch_key, ""}}, {}};
+    fleet.cluster().store_state().apply(removal, fleet.cluster().now());
+    fleet.cluster().run_for(duration{60'000});
+    for (int gateway = 0; gateway < 2; ++gateway) {
+        const auto asked = fleet.complete(gateway, "hall", "x", 4, false);
+        REQUIRE(fleet.run_until_answered(long_enough));
+        INFO(fleet.answer(asked).body);
+        CHECK(fleet.answer(asked).status == 200);
+    }
+}
