--- a/libs/http/src/civetweb_connection.cpp
+++ b/libs/http/src/civetweb_connection.cpp
@@ -47,7 +47,7 @@
 
 leaf::result<std::string> read_body(mg_connection* connection, std::size_t size,
                                     duration time_limit) {
-    const system_clock clock;
+    const monotonic_clock clock;
     const time_point deadline = clock.now() + time_limit;
     std::string body;
     body.reserve(size);
--- a/libs/http/src/civetweb_server.h
+++ b/libs/http/src/civetweb_server.h
@@ -90,7 +90,7 @@
     const http_server_settings settings_;
     request_handler& handler_;
     const fault_formatter& formatter_;
-    const system_clock clock_;
+    const monotonic_clock clock_;
     mg_context* context_ = nullptr;
     std::uint16_t bound_port_ = 0;
 
--- a/libs/kernel/include/kernel/clock.h
+++ b/libs/kernel/include/kernel/clock.h
@@ -48,7 +48,7 @@
 };
 
 /** The operating system's monotonic clock. Thread safe. */
-class system_clock final : public clock {
+class monotonic_clock final : public clock {
 public:
     time_point now() const override;
 };
--- a/libs/kernel/src/clock.cpp
+++ b/libs/kernel/src/clock.cpp
@@ -9,7 +9,7 @@
     now_ = to;
 }
 
-time_point system_clock::now() const {
+time_point monotonic_clock::now() const {
     const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
     return time_point{std::chrono::duration_cast<duration>(since_boot)};
 }
--- a/libs/node/include/node/node_process.h
+++ b/libs/node/include/node/node_process.h
@@ -65,7 +65,7 @@
 
     std::string program_;
     config::node_settings settings_;
-    system_clock clock_;
+    monotonic_clock clock_;
     micro_kernel kernel_;
     inbox inbox_;
     log_port log_;
--- a/libs/node/src/span_port.cpp
+++ b/libs/node/src/span_port.cpp
@@ -14,7 +14,7 @@
 std::int64_t unix_offset_now() {
     const auto wall =
         std::chrono::duration_cast<duration>(std::chrono::system_clock::now().time_since_epoch());
-    return (wall - system_clock{}.now().time_since_epoch()).count();
+    return (wall - monotonic_clock{}.now().time_since_epoch()).count();
 }
 
 } // namespace
--- a/libs/node/tests/test_node.cpp
+++ b/libs/node/tests/test_node.cpp
@@ -41,7 +41,7 @@
     kernel.add(std::make_unique<ping_service>(peer, first));
     inbox events;
     message_port messages(self, {});
-    const system_clock time;
+    const monotonic_clock time;
     event_loop loop(kernel, events, messages, time);
     loop.add(messages);
     loop.run();
@@ -69,7 +69,7 @@
     kernel.add(std::make_unique<leaving_service>());
     inbox events;
     message_port messages(kernel.self(), {});
-    const system_clock time;
+    const monotonic_clock time;
     event_loop loop(kernel, events, messages, time);
     loop.request_shutdown();
     loop.run();
--- a/standins/include/standins/task_loop.h
+++ b/standins/include/standins/task_loop.h
@@ -37,7 +37,7 @@
 private:
     void run();
 
-    const system_clock clock_;
+    const monotonic_clock clock_;
     std::mutex mutex_;
     std::condition_variable changed_;
     std::map<std::pair<time_point, std::uint64_t>, task> tasks_;
