Free the seat of a caller that goes while its record is being written

Cause: an attempt cancelled in that state was never ended, so each such caller took one of the agent's seats for good and held up its graceful shutdown. Tests of real processes took ports from the range of outgoing connections, which may be in use when the process binds them. Conclusion: whoever abandons a record ends the attempt; test ports come from below that range.

--- a/libs/agent/src/backend_service.cpp
+++ b/libs/agent/src/backend_service.cpp
@@ -180,7 +180,11 @@
     if (known->state == job_state::waiting && queue_->cancel(known->number)) {
         end(*known, delivery::part_refused{delivery::refusal_type::deadline, duration{0}}, now);
     } else if (known->state == job_state::recording) {
+        // It was not told to run, and now never will be.
         once_->abandon(*known->ticket, now);
+        by_ticket_.erase(*known->ticket);
+        known->ticket.reset();
+        end(*known, delivery::part_refused{delivery::refusal_type::deadline, duration{0}}, now);
     } else if (known->state == job_state::running && known->request.repeatable()) {
         // What may not be repeated runs to its end, so that its outcome becomes known.
         now.emit(cancel_call{known->call});
--- a/tests/path/child_process.cpp
+++ b/tests/path/child_process.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <csignal>
+#include <cstdint>
 #include <fstream>
 #include <sstream>
 #include <stdexcept>
@@ -23,6 +24,21 @@
 
 constexpr int log_mode = 0644;
 
+constexpr int first_port = 20'000;
+constexpr int last_port = 32'000;
+constexpr int ports_of_one_test = 101;
+
+bool can_listen(int port) {
+    const int listener = socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    const int bound = bind(listener, reinterpret_cast<sockaddr*>(&address), sizeof address);
+    close(listener);
+    return bound == 0;
+}
+
 /** Starts build/bin/<program> with its output in `output_file`. */
 pid_t spawn(const std::string& program, const std::vector<std::string>& arguments,
             const std::string& output_file, const std::string& error_file) {
@@ -102,18 +118,15 @@
 }
 
 int free_port() {
-    const int listener = socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in address{};
-    address.sin_family = AF_INET;
-    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    const int bound = bind(listener, reinterpret_cast<sockaddr*>(&address), size);
-    if (bound != 0) {
-        throw std::runtime_error("no free port");
+    // Below the range that the system gives to outgoing connections, which come and go meanwhile.
+    static int next = first_port + (getpid() * ports_of_one_test) % (last_port - first_port);
+    for (int tried = first_port; tried < last_port; ++tried) {
+        next = next + 1 < last_port ? next + 1 : first_port;
+        if (can_listen(next)) {
+            return next;
+        }
     }
-    getsockname(listener, reinterpret_cast<sockaddr*>(&address), &size);
-    close(listener);
-    return ntohs(address.sin_port);
+    throw std::runtime_error("no free port");
 }
 
 std::string read_file(const std::string& path) {
--- a/tests/system/test_system.cpp
+++ b/tests/system/test_system.cpp
@@ -1,5 +1,6 @@
 #include "system_fleet.h"
 
+#include <agent/backend_service.h>
 #include <membership/standing_service.h>
 
 #include <catch2/catch.hpp>
@@ -271,3 +272,17 @@
         CHECK(fleet.answer(asked).status == 200);
     }
 }
+
+TEST_CASE("a caller that goes while its record is being written leaves no seat taken") {
+    system_fleet fleet(5, {.gateways = 1, .engines = 1, .bookings = 1});
+    fleet.cluster().store().mode = harness::store_mode::silent;
+    const auto asked = fleet.book(0, "visit", "key-1");
+    fleet.cluster().run_for(duration{500});
+    auto& backend =
+        fleet.cluster().kernel(fleet.booking_agent(0)).find<agent::backend_service>("forward");
+    REQUIRE(backend.status(fleet.cluster().now()).running == 1);
+    fleet.cluster().post(fleet.gateway(0), caller_gone{"front", request_id{asked}});
+    fleet.cluster().run_for(duration{500});
+    CHECK(backend.status(fleet.cluster().now()).running == 0);
+    CHECK(fleet.servers().count_runs("visit") == 0);
+}
