--- a/tests/system/fake_servers.cpp
+++ b/tests/system/fake_servers.cpp
@@ -52,7 +52,7 @@
         complete(node, call);
     } else if (call.request.method == "POST") {
         runs_.push_back({call.endpoint, "", call.request.body});
-        answer(node, call, 201, "ran " + call.request.body, duration{10});
+        answer(node, call, 201, "ran " + call.request.body, service_time);
     } else {
         answer(node, call, 200, "read " + path, duration{2});
     }
--- a/tests/system/fake_servers.h
+++ b/tests/system/fake_servers.h
@@ -54,8 +54,9 @@
     /** Times an adapter was unloaded while a completion ran on it. Must stay 0. */
     std::size_t evicted_in_use() const noexcept { return evicted_in_use_; }
 
-    duration step{5};       /**< Between two tokens. */
-    duration load_time{50}; /**< Of an adapter. */
+    duration step{5};          /**< Between two tokens. */
+    duration load_time{50};    /**< Of an adapter. */
+    duration service_time{10}; /**< Of a call to a plain service that changes something. */
 
 private:
     struct open_call {
