--- a/tests/path/test_crash.cpp
+++ b/tests/path/test_crash.cpp
@@ -169,3 +169,16 @@
     INFO((failures.empty() ? std::string("none") : failures.front()));
     CHECK(failures.empty());
 }
+
+TEST_CASE("a process whose VM the platform lists as leaving shuts down gracefully") {
+    test_site site({});
+    const std::string address = "127.0.0.1:" + std::to_string(site.port("agent-engine-1"));
+    const json list{{"vms", {{{"address", address}, {"state", "leaving"}}}}};
+    REQUIRE(call(site.port("vms"), "POST", "/control/vms", list.dump(),
+                 {{"Content-Type", "application/json"}})
+                    .status /
+                100 ==
+            2);
+    CHECK(site.process("agent-engine-1").wait() == 0);
+    CHECK(site.post(0, "/v1/completions", completion("x", 4, false)).status == 200);
+}
