Make one function serve every refusal that did not run

Cause: front, its checks and route each built the same refusal by a function of their own. Conclusion: not_run stands beside the type that it makes; behaviour is unchanged.

--- a/libs/delivery/include/delivery/refusal.h
+++ b/libs/delivery/include/delivery/refusal.h
@@ -53,6 +53,11 @@
     friend bool operator==(const refusal&, const refusal&) = default;
 };
 
+/** A refusal of a request that provably did not run. Thread safe. */
+constexpr refusal not_run(refusal_type type, duration retry_after = duration{0}) noexcept {
+    return {type, run_knowledge::not_run, retry_after};
+}
+
 /** Headers of a refusal: Content-Type, Retry-After, WWW-Authenticate. Thread safe. */
 http_headers refusal_headers(const refusal& refused);
 
--- a/libs/gateway/src/front.cpp
+++ b/libs/gateway/src/front.cpp
@@ -13,10 +13,6 @@
 constexpr duration tick_period{100};
 constexpr token tick = 1;
 
-delivery::refusal not_run(delivery::refusal_type type, duration retry_after = duration{0}) {
-    return {type, delivery::run_knowledge::not_run, retry_after};
-}
-
 delivery::refusal_type to_refusal(limits::refusal_reason reason) {
     switch (reason) {
     case limits::refusal_reason::no_standing:
@@ -118,7 +114,8 @@
     const auto answer = limits_->admit(
         admitted.client_account, static_cast<std::int64_t>(admitted.cost), token_deadline, now);
     if (answer.state == limits::admission_state::refused) {
-        refuse(request, not_run(to_refusal(answer.refusal.reason), answer.refusal.retry_after),
+        refuse(request,
+               delivery::not_run(to_refusal(answer.refusal.reason), answer.refusal.retry_after),
                now);
         return;
     }
@@ -143,7 +140,7 @@
     if (keys_->withdrawn(admitted.key)) {
         // Withdrawn while it waited.
         limits_->credit(ticket, static_cast<std::int64_t>(admitted.cost), now);
-        refuse(request, not_run(delivery::refusal_type::invalid_key), now);
+        refuse(request, delivery::not_run(delivery::refusal_type::invalid_key), now);
         return;
     }
     deliver(admitted, now);
@@ -157,7 +154,7 @@
     }
     const request_id request = found->second;
     by_ticket_.erase(found);
-    refuse(request, not_run(to_refusal(refused.reason), refused.retry_after), now);
+    refuse(request, delivery::not_run(to_refusal(refused.reason), refused.retry_after), now);
 }
 
 void front::deliver(open_request& admitted, step& now) {
--- a/libs/gateway/src/front_checks.cpp
+++ b/libs/gateway/src/front_checks.cpp
@@ -12,16 +12,13 @@
 
 namespace {
 
+using delivery::not_run;
 using delivery::refusal_type;
 
 constexpr duration retry_soon{1'000};
 constexpr std::size_t max_idempotency_key_bytes = 256;
 constexpr std::size_t most_models_listed = 10'000;
 
-delivery::refusal not_run(refusal_type type, duration retry_after = duration{0}) {
-    return {type, delivery::run_knowledge::not_run, retry_after};
-}
-
 bool is_valid_idempotency_key(const std::string& key) {
     const bool printable =
         std::all_of(key.begin(), key.end(), [](char c) { return c > ' ' && c <= '~'; });
--- a/libs/gateway/src/route.cpp
+++ b/libs/gateway/src/route.cpp
@@ -16,25 +16,21 @@
 constexpr std::array<const char*, 4> passed_on{"Content-Type", "Accept", "Accept-Language",
                                                "Idempotency-Key"};
 
-delivery::refusal refuse(delivery::refusal_type type) {
-    return {type, delivery::run_knowledge::not_run, duration{0}};
-}
-
 std::variant<route, delivery::refusal> plain_route(const http_request& request) {
     const bool known = std::any_of(plain_methods.begin(), plain_methods.end(),
                                    [&](const char* each) { return request.method == each; });
     if (!known) {
-        return refuse(delivery::refusal_type::method_not_allowed);
+        return delivery::not_run(delivery::refusal_type::method_not_allowed);
     }
     const std::string rest = request.path.substr(services_prefix.size());
     const auto slash = rest.find('/');
     const std::string name = rest.substr(0, slash);
     if (name.empty()) {
-        return refuse(delivery::refusal_type::unknown_service);
+        return delivery::not_run(delivery::refusal_type::unknown_service);
     }
     const std::string path = slash == std::string::npos ? "/" : rest.substr(slash);
     if (path.find("/..") != std::string::npos || path.find("/./") != std::string::npos) {
-        return refuse(delivery::refusal_type::malformed_request);
+        return delivery::not_run(delivery::refusal_type::malformed_request);
     }
     return route{route_kind::plain_service, name, path};
 }
@@ -42,7 +38,7 @@
 std::variant<route, delivery::refusal> only(const http_request& request, const char* method,
                                             route_kind kind) {
     if (request.method != method) {
-        return refuse(delivery::refusal_type::method_not_allowed);
+        return delivery::not_run(delivery::refusal_type::method_not_allowed);
     }
     return route{kind, {}, {}};
 }
@@ -62,7 +58,7 @@
     if (request.path.starts_with(services_prefix)) {
         return plain_route(request);
     }
-    return refuse(delivery::refusal_type::unknown_route);
+    return delivery::not_run(delivery::refusal_type::unknown_route);
 }
 
 std::variant<std::optional<std::string>, delivery::refusal>
@@ -74,7 +70,7 @@
     const std::string value = *find_header(headers, "Authorization");
     const bool is_bearer = value.starts_with(bearer_prefix);
     if (count > 1 || !is_bearer || value.size() > bearer_prefix.size() + max_key_bytes) {
-        return refuse(delivery::refusal_type::invalid_key);
+        return delivery::not_run(delivery::refusal_type::invalid_key);
     }
     return std::optional<std::string>{value.substr(bearer_prefix.size())};
 }
