--- /dev/null
+++ b/daemons/engine_agent.cpp
@@ -0,0 +1,29 @@
+#include "platform_daemon.h"
+
+#include <engine_agent/agent_process.h>
+#include <platform/engine_client.h>
+
+namespace camphorgrade {
+
+namespace {
+
+int run(const platform::platform_settings& settings) {
+    engine_agent::agent_settings agent;
+    agent.node_name = settings.node_name;
+    agent.peers = {settings.ip, settings.first_port};
+    agent.life = process_life();
+    const edge::upstream_address engine{
+        {boost::asio::ip::make_address(settings.backend.ip), settings.backend.port}, {}};
+    return engine_agent::run_agent(agent, [&](edge::buffered_calls& calls) {
+        return std::make_unique<platform::engine_client>(calls, engine, settings.node_name,
+                                                         platform::engine_client_settings{});
+    });
+}
+
+} // namespace
+
+} // namespace camphorgrade
+
+int main(int argc, char** argv) {
+    return camphorgrade::run_platform_daemon("camphor-engine-agent", argc, argv, camphorgrade::run);
+}
--- /dev/null
+++ b/daemons/entry.cpp
@@ -0,0 +1,65 @@
+#include "platform_daemon.h"
+
+#include <entry/entry_process.h>
+#include <platform/fleet_watcher.h>
+#include <platform/platform_codec.h>
+
+namespace camphorgrade {
+
+namespace {
+
+std::string peer_address(const std::string& ip, std::uint16_t port) {
+    return ip + ':' + std::to_string(port);
+}
+
+entry::entry_settings entry_settings_from(const platform::platform_settings& from) {
+    entry::entry_settings out;
+    out.node_name = from.node_name;
+    out.data_centre = from.data_centre;
+    out.callers = from.callers;
+    out.operators = from.readiness;
+    out.peers = {from.ip, from.first_port};
+    for (const auto& ip : from.seed_ips) {
+        out.seeds.push_back(peer_address(ip, from.first_port));
+    }
+    out.shutdown_grace = from.shutdown_grace;
+    out.life = process_life();
+    out.dispatch.retries.ratio = from.retry_ratio;
+    out.dispatch.retries.slack = from.retry_slack;
+    out.dispatch.retries.window = from.retry_window;
+    return out;
+}
+
+/** The platform's store as the source of what is known of the fleet. */
+class watched_store final : public entry::fleet_source {
+public:
+    watched_store(boost::asio::io_context& loop, edge::upstream_pool& pool,
+                  const platform::platform_settings& settings, serving::fleet_listener& listener)
+        : watcher_(loop, pool,
+                   {{boost::asio::ip::make_address(settings.store.ip), settings.store.port}, {}},
+                   {}, std::hash<std::string>{}(settings.node_name), listener) {}
+
+    void start() override { watcher_.start(); }
+
+private:
+    platform::fleet_watcher watcher_;
+};
+
+int run(const platform::platform_settings& settings) {
+    const platform::platform_codec codec;
+    const auto reader = platform::make_catalogue_reader();
+    return entry::run_entry(entry_settings_from(settings), codec, *reader,
+                            [&](boost::asio::io_context& loop, edge::upstream_pool& pool,
+                                serving::fleet_listener& listener) {
+                                return std::make_unique<watched_store>(loop, pool, settings,
+                                                                       listener);
+                            });
+}
+
+} // namespace
+
+} // namespace camphorgrade
+
+int main(int argc, char** argv) {
+    return camphorgrade::run_platform_daemon("camphor-entry", argc, argv, camphorgrade::run);
+}
--- /dev/null
+++ b/daemons/platform_daemon.cpp
@@ -0,0 +1,77 @@
+#include "platform_daemon.h"
+
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <exception>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+#include <variant>
+
+namespace camphorgrade {
+
+namespace {
+
+namespace options = boost::program_options;
+
+constexpr int exit_bad_settings = 2;
+constexpr int exit_failed = 1;
+constexpr const char* default_settings_path = "/etc/camphorgrade/boot.conf";
+
+int run_with(const std::string& program, const std::string& path, bool check_only,
+             int (*run)(const platform::platform_settings&)) {
+    std::ifstream file(path);
+    if (!file) {
+        std::cerr << program << ": cannot read " << path << '\n';
+        return exit_bad_settings;
+    }
+    std::ostringstream text;
+    text << file.rdbuf();
+    const auto parsed = platform::parse_settings(text.str());
+    if (const auto* faults = std::get_if<std::vector<platform::settings_fault>>(&parsed)) {
+        for (const auto& each : *faults) {
+            std::cerr << program << ": " << path << ": " << each.field << ' ' << each.reason
+                      << '\n';
+        }
+        return exit_bad_settings;
+    }
+    return check_only ? 0 : run(std::get<platform::platform_settings>(parsed));
+}
+
+} // namespace
+
+std::uint64_t process_life() {
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+}
+
+int run_platform_daemon(const std::string& program, int argc, const char* const* argv,
+                        int (*run)(const platform::platform_settings&)) {
+    static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
+    options::options_description known(program);
+    known.add_options()("help", "show this")("check", "check the settings and exit")(
+        "settings", options::value<std::string>()->default_value(default_settings_path),
+        "the platform's settings file");
+    try {
+        options::variables_map given;
+        options::store(options::parse_command_line(argc, argv, known), given);
+        options::notify(given);
+        if (given.count("help") != 0) {
+            std::cout << known;
+            return 0;
+        }
+        return run_with(program, given["settings"].as<std::string>(), given.count("check") != 0,
+                        run);
+    } catch (const options::error& error) {
+        std::cerr << program << ": " << error.what() << '\n';
+        return exit_bad_settings;
+    } catch (const std::exception& error) {
+        std::cerr << program << ": " << error.what() << '\n';
+        return exit_failed;
+    }
+}
+
+} // namespace camphorgrade
--- /dev/null
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -0,0 +1,160 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <serving/backend_server.h>
+#include <serving/service_catalogue.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace camphorgrade::adapters {
+
+/** What one gateway wants of an adapter at this engine. */
+struct adapter_want {
+    serving::held_weights weights;
+    std::uint32_t waiting = 0;
+    std::uint32_t in_use = 0;
+    duration oldest_wait{};
+    std::uint32_t urgency = 0;
+
+    friend bool operator==(const adapter_want&, const adapter_want&) = default;
+};
+
+/** All that one gateway wants of this engine. A value type. */
+struct engine_demand {
+    std::string backend_id;
+    std::vector<adapter_want> wants;
+    std::uint64_t queued_prompt_tokens = 0;
+    serving::engine_shape shape;
+
+    friend bool operator==(const engine_demand&, const engine_demand&) = default;
+};
+
+/** An engine's own report. A value type. */
+struct engine_snapshot {
+    std::string backend_id;
+    std::uint64_t born = 0;
+    std::uint64_t order_sequence = 0; /**< Orders that the engine has accepted in its life. */
+    bool is_busy = false;             /**< An order on a base model is being carried out. */
+    std::vector<serving::held_weights> models;
+    std::vector<serving::held_weights> adapters;
+    std::vector<serving::held_weights> loading;
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    std::uint64_t kv_used = 0;
+    std::uint64_t kv_total = 0;
+
+    friend bool operator==(const engine_snapshot&, const engine_snapshot&) = default;
+};
+
+enum class order_kind : std::uint8_t { load, unload };
+
+/** An order to the engine. A value type. */
+struct engine_order {
+    order_kind kind = order_kind::load;
+    serving::held_weights weights;       /**< Base model or "model/adapter"; version 0: newest. */
+    std::uint64_t expected_sequence = 0; /**< Refused if other orders came in between. */
+    std::uint64_t fencing_token = 0;
+
+    friend bool operator==(const engine_order&, const engine_order&) = default;
+};
+
+/** Times and bounds of an adapter_keeper. */
+struct adapter_keeper_settings {
+    std::uint32_t max_loading = 2;   /**< At once; the weight store slows down with more. */
+    duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
+    duration refused_pause{200};     /**< After an order that was refused or not answered. */
+    duration model_pause{1'000};     /**< Between orders to load a base model. */
+
+    friend bool operator==(const adapter_keeper_settings&,
+                           const adapter_keeper_settings&) = default;
+};
+
+/** How an order ended; what it changed is seen in the next snapshot. */
+enum class order_result : std::uint8_t { accepted, refused, unanswered };
+
+/** Name of a result as logs and metrics carry it. */
+std::string_view to_string(order_result result) noexcept;
+
+/**
+ * Decides which adapters one engine holds, from what gateways want and what the engine reports.
+ *
+ * One order is under way at a time, and each names the sequence that it expects, so an order that
+ * is carried out late can't follow a newer one. An adapter that any gateway uses or waits for is
+ * not evicted; of the others the least recently used goes first. The keeper is the only one that
+ * orders its engine; the engine's own start time is its fencing token, so what was meant for an
+ * earlier process of the engine is refused by a later one.
+ * Deterministic. Not thread safe.
+ */
+class adapter_keeper {
+public:
+    explicit adapter_keeper(adapter_keeper_settings settings);
+
+    void on_demand(const std::string& gateway, engine_demand demand, time_point now);
+    /** Counts the results of orders; tells which of them a snapshot that is asked for now shows. */
+    std::uint64_t results_seen() const noexcept { return results_seen_; }
+
+    /** A report that was asked for at `results_seen`; an outdated one is ignored. */
+    void on_snapshot(engine_snapshot snapshot, std::uint64_t results_seen, time_point now);
+    void on_order_result(const engine_order& order, order_result result, time_point now);
+
+    /** The order to give now, if any; it counts as under way until its result is told. */
+    std::optional<engine_order> next_order(time_point now);
+
+    /** What gateways are told. Precondition: a snapshot was seen. */
+    serving::engine_state state() const;
+
+    /** Whether a snapshot has to be seen before the next order. */
+    bool needs_snapshot() const noexcept { return needs_snapshot_; }
+
+    bool has_snapshot() const noexcept { return snapshot_.has_value(); }
+    const engine_snapshot& snapshot() const { return *snapshot_; }
+
+    /** Whether something is loading or wanted, so that news matter soon. */
+    bool is_active() const;
+
+    /** Gateways heard lately. */
+    std::vector<std::string> gateways(time_point now) const;
+
+private:
+    struct gateway_view {
+        engine_demand demand;
+        time_point heard;
+    };
+    struct total {
+        std::uint32_t waiting = 0;
+        std::uint32_t in_use = 0;
+        std::uint32_t urgency = 0;
+        time_point since;
+    };
+
+    void recount(time_point now);
+    std::uint64_t newest_wanted(const std::string& weights) const;
+    bool is_held(const serving::held_weights& weights) const;
+    bool is_loading(const std::string& name) const;
+    std::size_t places_taken() const;
+    std::size_t evictable() const;
+    std::optional<engine_order> model_order(time_point now);
+    std::optional<engine_order> adapter_order();
+    std::optional<serving::held_weights> victim() const;
+    engine_order make(order_kind kind, const serving::held_weights& weights) const;
+
+    adapter_keeper_settings settings_;
+    std::map<std::string, gateway_view> gateways_;
+    std::optional<engine_snapshot> snapshot_;
+    serving::engine_shape shape_;
+    std::map<serving::held_weights, total> wanted_;
+    std::map<std::string, time_point> used_; /**< When each adapter was last wanted. */
+    std::uint64_t queued_prompt_tokens_ = 0;
+    bool is_order_open_ = false;
+    bool needs_snapshot_ = true; /**< Since the last order, the engine's state isn't known. */
+    std::uint64_t results_seen_ = 0;
+    time_point paused_until_;
+    time_point model_paused_until_;
+};
+
+} // namespace camphorgrade::adapters
--- /dev/null
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -0,0 +1,267 @@
+#include <adapters/adapter_keeper.h>
+
+#include <kernel/check.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace camphorgrade::adapters {
+
+using serving::held_weights;
+
+namespace {
+
+bool names(const std::vector<held_weights>& held, const std::string& name) {
+    return std::any_of(held.begin(), held.end(),
+                       [&](const held_weights& each) { return each.name == name; });
+}
+
+std::string model_of(const std::string& weights) {
+    return weights.substr(0, weights.find('/'));
+}
+
+bool is_adapter(const std::string& weights) {
+    return weights.find('/') != std::string::npos;
+}
+
+} // namespace
+
+adapter_keeper::adapter_keeper(adapter_keeper_settings settings) : settings_(settings) {}
+
+void adapter_keeper::on_demand(const std::string& gateway, engine_demand demand, time_point now) {
+    if (demand.shape.adapter_places > 0 || !demand.shape.models.empty()) {
+        shape_ = demand.shape;
+    }
+    gateways_[gateway] = {std::move(demand), now};
+    recount(now);
+}
+
+void adapter_keeper::recount(time_point now) {
+    std::erase_if(gateways_, [&](const auto& each) {
+        return now - each.second.heard >= settings_.gateway_silence;
+    });
+    wanted_.clear();
+    queued_prompt_tokens_ = 0;
+    for (const auto& [name, view] : gateways_) {
+        queued_prompt_tokens_ += view.demand.queued_prompt_tokens;
+        for (const auto& each : view.demand.wants) {
+            const auto since = view.heard - each.oldest_wait;
+            auto [at, is_new] = wanted_.try_emplace(each.weights, total{0, 0, each.urgency, since});
+            at->second.waiting += each.waiting;
+            at->second.in_use += each.in_use;
+            at->second.urgency = std::min(at->second.urgency, each.urgency);
+            at->second.since = std::min(at->second.since, since);
+            used_[each.weights.name] = now;
+        }
+    }
+}
+
+void adapter_keeper::on_snapshot(engine_snapshot snapshot, std::uint64_t results_seen,
+                                 time_point now) {
+    if (results_seen != results_seen_ || is_order_open_) {
+        return;
+    }
+    if (snapshot_ && snapshot_->born != snapshot.born) {
+        paused_until_ = now;
+        model_paused_until_ = now;
+        used_.clear();
+    }
+    needs_snapshot_ = false;
+    snapshot_ = std::move(snapshot);
+    recount(now);
+}
+
+void adapter_keeper::on_order_result(const engine_order& order, order_result result,
+                                     time_point now) {
+    is_order_open_ = false;
+    needs_snapshot_ = true;
+    ++results_seen_;
+    if (result != order_result::accepted) {
+        paused_until_ = now + settings_.refused_pause;
+    } else if (order.kind == order_kind::load) {
+        used_[order.weights.name] = now;
+    }
+}
+
+std::uint64_t adapter_keeper::newest_wanted(const std::string& weights) const {
+    std::uint64_t newest = 0;
+    for (const auto& [each, demand] : wanted_) {
+        if (each.name == weights) {
+            newest = std::max(newest, each.version);
+        }
+    }
+    return newest;
+}
+
+bool adapter_keeper::is_held(const held_weights& weights) const {
+    return std::any_of(snapshot_->adapters.begin(), snapshot_->adapters.end(),
+                       [&](const held_weights& each) {
+                           return each.name == weights.name && each.version >= weights.version;
+                       });
+}
+
+bool adapter_keeper::is_loading(const std::string& name) const {
+    return names(snapshot_->loading, name);
+}
+
+std::size_t adapter_keeper::places_taken() const {
+    const auto only_loading = std::count_if(
+        snapshot_->loading.begin(), snapshot_->loading.end(),
+        [&](const held_weights& each) { return !names(snapshot_->adapters, each.name); });
+    return snapshot_->adapters.size() + static_cast<std::size_t>(only_loading);
+}
+
+std::size_t adapter_keeper::evictable() const {
+    const std::size_t taken = places_taken();
+    const std::size_t free = shape_.adapter_places > taken ? shape_.adapter_places - taken : 0;
+    const auto idle = std::count_if(
+        snapshot_->adapters.begin(), snapshot_->adapters.end(), [&](const held_weights& each) {
+            const bool is_wanted =
+                std::any_of(wanted_.begin(), wanted_.end(),
+                            [&](const auto& wanted) { return wanted.first.name == each.name; });
+            return !is_wanted && !is_loading(each.name);
+        });
+    return free + static_cast<std::size_t>(idle);
+}
+
+std::optional<engine_order> adapter_keeper::next_order(time_point now) {
+    if (!snapshot_ || is_order_open_ || needs_snapshot_ || now < paused_until_) {
+        return std::nullopt;
+    }
+    recount(now);
+    auto order = model_order(now);
+    if (!order) {
+        order = adapter_order();
+    }
+    is_order_open_ = order.has_value();
+    return order;
+}
+
+std::optional<engine_order> adapter_keeper::model_order(time_point now) {
+    if (!snapshot_->models.empty() || snapshot_->is_busy || now < model_paused_until_) {
+        return std::nullopt;
+    }
+    const auto fits =
+        std::find_if(shape_.models.begin(), shape_.models.end(),
+                     [&](const auto& each) { return each.weights_mb <= shape_.weights_mb; });
+    if (fits == shape_.models.end()) {
+        return std::nullopt;
+    }
+    model_paused_until_ = now + settings_.model_pause;
+    return make(order_kind::load, {fits->name, 0});
+}
+
+std::optional<engine_order> adapter_keeper::adapter_order() {
+    if (snapshot_->loading.size() >= settings_.max_loading) {
+        return std::nullopt;
+    }
+    const held_weights* chosen = nullptr;
+    const total* best = nullptr;
+    for (const auto& [weights, demand] : wanted_) {
+        const bool needs_load = demand.waiting > 0 && is_adapter(weights.name) &&
+                                weights.version >= newest_wanted(weights.name) &&
+                                names(snapshot_->models, model_of(weights.name)) &&
+                                !is_held(weights) && !is_loading(weights.name);
+        if (needs_load && (best == nullptr || std::tie(demand.urgency, demand.since) <
+                                                  std::tie(best->urgency, best->since))) {
+            chosen = &weights;
+            best = &demand;
+        }
+    }
+    if (chosen == nullptr) {
+        return std::nullopt;
+    }
+    const bool replaces = names(snapshot_->adapters, chosen->name);
+    if (replaces || places_taken() < shape_.adapter_places) {
+        return make(order_kind::load, *chosen);
+    }
+    if (const auto evicted = victim()) {
+        return make(order_kind::unload, *evicted);
+    }
+    return std::nullopt;
+}
+
+std::optional<held_weights> adapter_keeper::victim() const {
+    const held_weights* oldest = nullptr;
+    time_point oldest_use = time_point::max();
+    for (const auto& each : snapshot_->adapters) {
+        const bool is_wanted = std::any_of(wanted_.begin(), wanted_.end(), [&](const auto& wanted) {
+            return wanted.first.name == each.name;
+        });
+        if (is_wanted || is_loading(each.name)) {
+            continue;
+        }
+        const auto used = used_.find(each.name);
+        const auto at = used == used_.end() ? time_point{} : used->second;
+        if (oldest == nullptr || at < oldest_use) {
+            oldest = &each;
+            oldest_use = at;
+        }
+    }
+    return oldest == nullptr ? std::nullopt : std::optional<held_weights>(*oldest);
+}
+
+engine_order adapter_keeper::make(order_kind kind, const held_weights& weights) const {
+    return {kind, weights, snapshot_->order_sequence, snapshot_->born};
+}
+
+serving::engine_state adapter_keeper::state() const {
+    CAMPHOR_PRECONDITION(snapshot_.has_value());
+    serving::engine_state out;
+    out.born = snapshot_->born;
+    out.models = snapshot_->models;
+    const auto in_use = [&](const std::string& name) {
+        std::uint32_t users = 0;
+        for (const auto& [weights, demand] : wanted_) {
+            users += weights.name == name ? demand.in_use : 0;
+        }
+        return users;
+    };
+    for (const auto& each : snapshot_->adapters) {
+        out.adapters.push_back({each, false, in_use(each.name)});
+    }
+    for (const auto& each : snapshot_->loading) {
+        out.adapters.push_back({each, true, in_use(each.name)});
+    }
+    out.evictable = static_cast<std::uint32_t>(evictable());
+    out.waiting = snapshot_->waiting;
+    out.running = snapshot_->running;
+    out.kv_used = snapshot_->kv_used;
+    out.kv_total = snapshot_->kv_total;
+    out.queued_prompt_tokens = queued_prompt_tokens_;
+    return out;
+}
+
+bool adapter_keeper::is_active() const {
+    if (!snapshot_) {
+        return true;
+    }
+    const bool is_waited_for = std::any_of(
+        wanted_.begin(), wanted_.end(), [](const auto& each) { return each.second.waiting > 0; });
+    return is_waited_for || !snapshot_->loading.empty() || snapshot_->models.empty();
+}
+
+std::vector<std::string> adapter_keeper::gateways(time_point now) const {
+    std::vector<std::string> out;
+    for (const auto& [name, view] : gateways_) {
+        if (now - view.heard < settings_.gateway_silence) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
+std::string_view to_string(order_result result) noexcept {
+    switch (result) {
+    case order_result::accepted:
+        return "accepted";
+    case order_result::refused:
+        return "refused";
+    case order_result::unanswered:
+        return "unanswered";
+    }
+    return "unknown";
+}
+
+} // namespace camphorgrade::adapters
--- /dev/null
+++ b/libs/edge/include/edge/buffered_calls.h
@@ -0,0 +1,54 @@
+#pragma once
+
+#include <edge/upstream_pool.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace camphorgrade::edge {
+
+/** A whole answer. */
+struct buffered_answer {
+    http_head head;
+    std::string body;
+
+    friend bool operator==(const buffered_answer&, const buffered_answer&) = default;
+};
+
+/** How a buffered call ended without an answer. */
+enum class call_end : std::uint8_t { answered, not_connected, broken, timed_out };
+
+/**
+ * Calls whose answers are small and wanted whole, each with a timeout. Not thread safe.
+ * When it is destroyed, calls under way are given up and their callbacks never run.
+ */
+class buffered_calls {
+public:
+    using done = std::function<void(call_end, const buffered_answer&)>;
+
+    buffered_calls(boost::asio::io_context& loop, upstream_pool& pool);
+    ~buffered_calls();
+
+    buffered_calls(const buffered_calls&) = delete;
+    buffered_calls& operator=(const buffered_calls&) = delete;
+
+    /** `callback` runs once, from the event loop, never from within this call. */
+    void start(const upstream_address& to, const upstream_request& request, duration timeout,
+               done callback);
+
+private:
+    class call;
+
+    boost::asio::io_context& loop_;
+    upstream_pool& pool_;
+    std::map<std::uint64_t, std::unique_ptr<call>> open_;
+    std::uint64_t next_ = 1;
+};
+
+} // namespace camphorgrade::edge
--- /dev/null
+++ b/libs/edge/src/caller_connection.cpp
@@ -0,0 +1,413 @@
+#include "caller_connection.h"
+
+#include "socket_options.h"
+
+#include <edge/header_rules.h>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <cstdio>
+#include <utility>
+
+namespace camphorgrade::edge {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr std::size_t discard_bytes = 16'384;
+// After an answer that closes: time for the caller to read it before the connection goes.
+constexpr duration linger_time{1'000};
+
+std::string chunk(std::string_view bytes) {
+    std::array<char, 24> size{};
+    const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    std::string out;
+    out.reserve(bytes.size() + 24);
+    out.append(size.data(), static_cast<std::size_t>(digits));
+    out.append(bytes);
+    out.append("\r\n");
+    return out;
+}
+
+http_headers headers_of(const http::fields& fields) {
+    http_headers headers;
+    for (const auto& each : fields) {
+        headers.push_back({std::string(each.name_string()), std::string(each.value())});
+    }
+    return headers;
+}
+
+} // namespace
+
+caller_server::connection::connection(boost::asio::ip::tcp::socket socket,
+                                      std::shared_ptr<state> shared)
+    : shared_(std::move(shared)), socket_(std::move(socket)), timer_(socket_.get_executor()) {
+    shared_->connections.insert(this);
+}
+
+caller_server::connection::~connection() {
+    shared_->connections.erase(this);
+}
+
+void caller_server::connection::start() {
+    tune(socket_);
+    read_request();
+}
+
+void caller_server::connection::close_if_idle() {
+    if (is_idle_) {
+        close();
+    }
+}
+
+void caller_server::connection::read_request() {
+    if (is_closed_) {
+        return;
+    }
+    is_idle_ = true;
+    answer_done_ = false;
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(shared_->limits.max_header_bytes));
+    parser_->body_limit(shared_->limits.max_body_bytes);
+    if (input_.size() > 0) {
+        on_first_bytes({});
+        return;
+    }
+    set_timer(shared_->limits.idle_timeout, &connection::on_idle_expired);
+    socket_.async_wait(boost::asio::socket_base::wait_read,
+                       [self = shared_from_this()](const boost::system::error_code& error) {
+                           self->on_first_bytes(error);
+                       });
+}
+
+void caller_server::connection::on_first_bytes(const boost::system::error_code& error) {
+    if (error || is_closed_) {
+        close();
+        return;
+    }
+    is_idle_ = false;
+    set_timer(shared_->limits.header_timeout, &connection::on_header_expired);
+    http::async_read_header(socket_, input_, *parser_,
+                            [self = shared_from_this()](const boost::system::error_code& failed,
+                                                        std::size_t) { self->on_headers(failed); });
+}
+
+void caller_server::connection::on_headers(const boost::system::error_code& error) {
+    if (is_closed_) {
+        return;
+    }
+    if (error) {
+        refuse_for(error);
+        return;
+    }
+    const auto& head = parser_->get();
+    has_chunks_ = head.version() >= 11;
+    if (head.count(http::field::host) != 1 || head.version() > 11) {
+        refuse(400);
+        return;
+    }
+    if (same_name(std::string(head[http::field::expect]), "100-continue")) {
+        send("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    set_timer(shared_->limits.idle_timeout, &connection::on_header_expired);
+    http::async_read(socket_, input_, *parser_,
+                     [self = shared_from_this()](const boost::system::error_code& failed,
+                                                 std::size_t) { self->on_whole(failed); });
+}
+
+void caller_server::connection::on_whole(const boost::system::error_code& error) {
+    if (is_closed_) {
+        return;
+    }
+    if (error) {
+        refuse_for(error);
+        return;
+    }
+    timer_.cancel();
+    hand_on();
+}
+
+void caller_server::connection::hand_on() {
+    auto& message = parser_->get();
+    keep_alive_ = message.keep_alive();
+    caller_request request{std::string(message.method_string()), std::string(message.target()),
+                           headers_of(message), std::move(message.body()), shared_->time.now()};
+    auto created = std::make_shared<exchange>(shared_from_this(), std::move(request));
+    current_ = created;
+    watch_for_close();
+    shared_->handler.on_request(std::move(created));
+}
+
+void caller_server::connection::refuse(int status) {
+    shared_->handler.on_bad_request(status);
+    keep_alive_ = false;
+    answer_done_ = true;
+    send(head_text({status, {}}, "Content-Length: 0\r\n"));
+}
+
+void caller_server::connection::refuse_for(const boost::system::error_code& error) {
+    if (error == boost::asio::error::operation_aborted) {
+        return; // a timeout has refused it already
+    }
+    if (error == http::error::header_limit) {
+        refuse(431);
+    } else if (error == http::error::body_limit) {
+        refuse(413);
+    } else if (error == http::error::end_of_stream || error == http::error::partial_message ||
+               error.category() != http::make_error_code(http::error::bad_method).category()) {
+        close(); // the caller went in the middle of its request
+    } else {
+        refuse(400);
+    }
+}
+
+void caller_server::connection::watch_for_close() {
+    socket_.async_wait(boost::asio::socket_base::wait_read,
+                       [weak = weak_from_this()](const boost::system::error_code& error) {
+                           if (const auto self = weak.lock()) {
+                               self->on_readable(error);
+                           }
+                       });
+}
+
+void caller_server::connection::on_readable(const boost::system::error_code& error) {
+    if (is_closed_ || current_.expired() || error) {
+        return;
+    }
+    char byte = 0;
+    const auto got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got > 0) {
+        return; // the next request came early; it is read after this answer
+    }
+    if (got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+        watch_for_close();
+        return;
+    }
+    caller_is_gone();
+}
+
+void caller_server::connection::caller_is_gone() {
+    const auto now_gone = current_.lock();
+    close();
+    if (now_gone) {
+        now_gone->caller_left();
+    }
+}
+
+std::string caller_server::connection::head_text(const http_head& head, std::string_view framing) {
+    if (shared_->is_draining) {
+        keep_alive_ = false;
+    }
+    std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ';
+    out += reason_phrase(head.status);
+    out += "\r\n";
+    for (const auto& each : head.headers) {
+        out += each.name + ": " + each.value + "\r\n";
+    }
+    out += framing;
+    if (!keep_alive_) {
+        out += "Connection: close\r\n";
+    }
+    out += "\r\n";
+    return out;
+}
+
+void caller_server::connection::send(std::string_view bytes) {
+    if (is_closed_) {
+        return;
+    }
+    queued_.append(bytes);
+    if (!is_writing_) {
+        write_next();
+    }
+}
+
+void caller_server::connection::write_next() {
+    is_writing_ = true;
+    writing_.swap(queued_);
+    queued_.clear();
+    boost::asio::async_write(socket_, boost::asio::buffer(writing_),
+                             [self = shared_from_this()](const boost::system::error_code& error,
+                                                         std::size_t) { self->on_written(error); });
+}
+
+void caller_server::connection::on_written(const boost::system::error_code& error) {
+    is_writing_ = false;
+    if (is_closed_) {
+        return;
+    }
+    if (error) {
+        caller_is_gone();
+        return;
+    }
+    if (!queued_.empty()) {
+        write_next();
+    } else if (answer_done_) {
+        answer_complete();
+    }
+}
+
+void caller_server::connection::answer_complete() {
+    if (keep_alive_ && !shared_->is_draining) {
+        read_request();
+    } else {
+        linger();
+    }
+}
+
+void caller_server::connection::linger() {
+    boost::system::error_code ignored; // the caller may have closed already
+    socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    set_timer(linger_time, &connection::on_idle_expired);
+    discarded_.resize(discard_bytes);
+    drain_input();
+}
+
+void caller_server::connection::drain_input() {
+    socket_.async_read_some(
+        boost::asio::buffer(discarded_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            if (error || self->is_closed_) {
+                self->close();
+            } else {
+                self->drain_input();
+            }
+        });
+}
+
+void caller_server::connection::close() {
+    if (is_closed_) {
+        return;
+    }
+    is_closed_ = true;
+    timer_.cancel();
+    boost::system::error_code ignored; // nothing is left to do with a socket that fails to close
+    socket_.close(ignored);
+}
+
+void caller_server::connection::set_timer(duration after, void (connection::*expired)()) {
+    timer_.expires_after(after);
+    timer_.async_wait([weak = weak_from_this(), expired](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->is_closed_) {
+            ((*self).*expired)();
+        }
+    });
+}
+
+void caller_server::connection::on_idle_expired() {
+    close();
+}
+
+void caller_server::connection::on_header_expired() {
+    boost::system::error_code ignored; // the read that is under way ends with an error
+    refuse(408);
+    socket_.cancel(ignored);
+}
+
+caller_server::connection::exchange::exchange(std::shared_ptr<connection> on,
+                                              caller_request request)
+    : on_(std::move(on)), request_(std::move(request)) {
+    ++on_->shared_->open_exchanges;
+}
+
+caller_server::connection::exchange::~exchange() {
+    abort();
+}
+
+std::shared_ptr<caller_server::connection> caller_server::connection::exchange::release() {
+    auto connection = std::move(on_);
+    on_.reset();
+    gone_ = nullptr;
+    if (connection) {
+        --connection->shared_->open_exchanges;
+        connection->current_.reset();
+    }
+    return connection;
+}
+
+void caller_server::connection::exchange::caller_left() {
+    auto callback = std::move(gone_);
+    static_cast<void>(release());
+    if (callback) {
+        callback();
+    }
+}
+
+void caller_server::connection::exchange::answer(const http_head& head, std::string_view body) {
+    const auto connection = release();
+    if (!connection) {
+        return;
+    }
+    connection->answer_done_ = true;
+    std::string out =
+        connection->head_text(head, "Content-Length: " + std::to_string(body.size()) + "\r\n");
+    if (request_.method != "HEAD") {
+        out.append(body);
+    }
+    connection->send(out);
+}
+
+void caller_server::connection::exchange::begin(const http_head& head,
+                                                std::optional<std::uint64_t> length) {
+    if (!on_) {
+        return;
+    }
+    left_ = length;
+    is_chunked_ = !length && on_->has_chunks_;
+    std::string framing;
+    if (length) {
+        framing = "Content-Length: " + std::to_string(*length) + "\r\n";
+    } else if (is_chunked_) {
+        framing = "Transfer-Encoding: chunked\r\n";
+    } else {
+        on_->keep_alive_ = false;
+    }
+    on_->send(on_->head_text(head, framing));
+}
+
+void caller_server::connection::exchange::write(std::string_view bytes) {
+    if (!on_ || bytes.empty()) {
+        return;
+    }
+    if (left_) {
+        if (bytes.size() > *left_) {
+            abort();
+            return;
+        }
+        *left_ -= bytes.size();
+    }
+    on_->send(is_chunked_ ? chunk(bytes) : std::string(bytes));
+}
+
+void caller_server::connection::exchange::finish() {
+    if (left_.value_or(0) != 0) {
+        abort();
+        return;
+    }
+    const auto connection = release();
+    if (!connection) {
+        return;
+    }
+    connection->answer_done_ = true;
+    if (is_chunked_) {
+        connection->send("0\r\n\r\n");
+    } else if (!connection->is_writing_) {
+        connection->answer_complete();
+    }
+}
+
+void caller_server::connection::exchange::abort() {
+    if (const auto connection = release()) {
+        connection->close();
+    }
+}
+
+} // namespace camphorgrade::edge
--- /dev/null
+++ b/libs/edge/src/caller_server.cpp
@@ -0,0 +1,75 @@
+#include "caller_connection.h"
+
+#include <boost/asio/post.hpp>
+
+#include <vector>
+
+namespace camphorgrade::edge {
+
+namespace {
+
+// Connections that wait to be accepted; a burst of callers shouldn't be dropped by the kernel.
+constexpr int accept_backlog = 1024;
+
+} // namespace
+
+caller_server::caller_server(boost::asio::io_context& loop, const clock& clock,
+                             caller_handler& handler)
+    : state_(std::make_shared<state>(loop, clock, handler)) {}
+
+caller_server::~caller_server() {
+    stop_accepting();
+}
+
+namespace {
+
+/** Accepts one connection after another until the acceptor is closed. */
+template <typename Acceptor, typename Take>
+void accept_next(Acceptor& acceptor, Take take) {
+    acceptor.async_accept([&acceptor, take](const boost::system::error_code& error,
+                                            boost::asio::ip::tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted || !acceptor.is_open()) {
+            return;
+        }
+        if (!error) {
+            take(std::move(socket));
+        }
+        accept_next(acceptor, take);
+    });
+}
+
+} // namespace
+
+void caller_server::listen(const boost::asio::ip::tcp::endpoint& address) {
+    auto& acceptor = state_->acceptor;
+    acceptor.open(address.protocol());
+    acceptor.set_option(boost::asio::socket_base::reuse_address(true));
+    acceptor.bind(address);
+    acceptor.listen(accept_backlog);
+    accept_next(acceptor, [shared = state_](boost::asio::ip::tcp::socket socket) {
+        std::make_shared<connection>(std::move(socket), shared)->start();
+    });
+}
+
+void caller_server::set_limits(const caller_limits& limits) {
+    state_->limits = limits;
+}
+
+void caller_server::begin_drain() {
+    state_->is_draining = true;
+    const std::vector<connection*> all(state_->connections.begin(), state_->connections.end());
+    for (auto* each : all) {
+        each->close_if_idle();
+    }
+}
+
+void caller_server::stop_accepting() {
+    boost::system::error_code ignored; // closing an acceptor that isn't open changes nothing
+    state_->acceptor.close(ignored);
+}
+
+std::size_t caller_server::open_exchanges() const {
+    return state_->open_exchanges;
+}
+
+} // namespace camphorgrade::edge
--- /dev/null
+++ b/libs/edge/src/upstream_connection.cpp
@@ -0,0 +1,305 @@
+#include "upstream_connection.h"
+
+#include "socket_options.h"
+
+#include <edge/header_rules.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <utility>
+
+namespace camphorgrade::edge {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr int first_final_status = 200;
+
+std::string serialize(const upstream_request& request) {
+    std::string out = request.method + ' ' + request.target + " HTTP/1.1\r\n";
+    for (const auto& each : request.headers) {
+        out += each.name + ": " + each.value + "\r\n";
+    }
+    const bool has_body = !request.body.empty() || request.method == "POST" ||
+                          request.method == "PUT" || request.method == "PATCH";
+    if (has_body) {
+        out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
+    }
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+http_head head_of(const http::fields& fields, unsigned status) {
+    http_head head;
+    head.status = static_cast<int>(status);
+    for (const auto& each : fields) {
+        head.headers.push_back({std::string(each.name_string()), std::string(each.value())});
+    }
+    return head;
+}
+
+} // namespace
+
+upstream_pool::connection::connection(std::shared_ptr<state> shared, upstream_address to)
+    : shared_(std::move(shared)), to_(std::move(to)), socket_(shared_->loop),
+      timer_(shared_->loop) {}
+
+std::uint64_t upstream_pool::connection::start(const upstream_request& request,
+                                               upstream_sink& sink) {
+    sink_ = &sink;
+    ++call_number_;
+    output_ = serialize(request);
+    is_head_request_ = request.method == "HEAD";
+    correlation_header_ = request.correlation_header;
+    correlation_id_ = request.correlation_id;
+    is_written_ = false;
+    has_stray_answer_ = false;
+    timer_.cancel();
+    if (is_connected_) {
+        send_request();
+    } else {
+        connect();
+    }
+    return call_number_;
+}
+
+void upstream_pool::connection::cancel(std::uint64_t number) {
+    if (sink_ == nullptr || number != call_number_) {
+        return;
+    }
+    sink_ = nullptr;
+    close();
+}
+
+bool upstream_pool::connection::is_usable(time_point now) {
+    if (is_closed_ || now >= usable_until_) {
+        return false;
+    }
+    char byte = 0;
+    const auto got =
+        ::recv(socket_.lowest_layer().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void upstream_pool::connection::close() {
+    if (is_closed_) {
+        return;
+    }
+    is_closed_ = true;
+    timer_.cancel();
+    boost::system::error_code ignored; // nothing is left to do with a socket that fails to close
+    socket_.close(ignored);
+}
+
+void upstream_pool::connection::connect() {
+    timer_.expires_after(shared_->settings.connect_timeout);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && !self->is_connected_) {
+            self->fail(upstream_failure::not_connected);
+        }
+    });
+    socket_.async_connect(to_.endpoint,
+                          [self = shared_from_this()](const boost::system::error_code& error) {
+                              self->on_connected(error);
+                          });
+}
+
+void upstream_pool::connection::on_connected(const boost::system::error_code& error) {
+    if (is_closed_) {
+        return;
+    }
+    if (error) {
+        fail(upstream_failure::not_connected);
+        return;
+    }
+    timer_.cancel();
+    is_connected_ = true;
+    tune(socket_);
+    send_request();
+}
+
+void upstream_pool::connection::send_request() {
+    boost::asio::async_write(
+        socket_, boost::asio::buffer(output_),
+        [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
+            // A server may answer and close before it has read all; the reader sees that answer.
+            self->is_written_ = !error;
+        });
+    read_head();
+}
+
+void upstream_pool::connection::read_head() {
+    parser_.emplace();
+    parser_->header_limit(static_cast<std::uint32_t>(shared_->settings.max_header_bytes));
+    parser_->body_limit(boost::none);
+    parser_->skip(is_head_request_);
+    http::async_read_header(socket_, input_, *parser_,
+                            [self = shared_from_this()](const boost::system::error_code& error,
+                                                        std::size_t) { self->on_head(error); });
+}
+
+void upstream_pool::connection::on_head(const boost::system::error_code& error) {
+    if (is_closed_) {
+        return;
+    }
+    if (error) {
+        fail(upstream_failure::broken);
+        return;
+    }
+    if (static_cast<int>(parser_->get().result_int()) < first_final_status) {
+        read_head();
+        return;
+    }
+    if (!belongs_to_call()) {
+        has_stray_answer_ = true;
+        begin_body();
+        return;
+    }
+    has_stray_answer_ = false;
+    upstream_framing framing;
+    const auto length = parser_->content_length();
+    framing.has_length = static_cast<bool>(length);
+    framing.length = length.value_or(0);
+    sink_->on_head(head_of(parser_->get(), parser_->get().result_int()), framing);
+    if (!is_closed_) {
+        begin_body();
+    }
+}
+
+bool upstream_pool::connection::belongs_to_call() const {
+    if (correlation_id_.empty()) {
+        return true;
+    }
+    const auto& fields = parser_->get();
+    const auto found = fields.find(correlation_header_);
+    return found == fields.end() || found->value() == correlation_id_;
+}
+
+void upstream_pool::connection::begin_body() {
+    if (parser_->is_done()) {
+        complete();
+    } else {
+        read_body();
+    }
+}
+
+void upstream_pool::connection::read_body() {
+    auto& body = parser_->get().body();
+    body.data = body_.data();
+    body.size = body_.size();
+    body.more = true;
+    http::async_read_some(socket_, input_, *parser_,
+                          [self = shared_from_this()](const boost::system::error_code& error,
+                                                      std::size_t) { self->on_body(error); });
+}
+
+void upstream_pool::connection::on_body(const boost::system::error_code& error) {
+    if (is_closed_) {
+        return;
+    }
+    if (error && error != http::error::need_buffer) {
+        fail(upstream_failure::broken);
+        return;
+    }
+    const std::size_t got = body_.size() - parser_->get().body().size;
+    if (got > 0 && !has_stray_answer_) {
+        sink_->on_body({body_.data(), got});
+    }
+    if (is_closed_) {
+        return;
+    }
+    begin_body();
+}
+
+void upstream_pool::connection::complete() {
+    if (has_stray_answer_) {
+        read_head();
+        return;
+    }
+    const bool reusable =
+        parser_->get().keep_alive() && is_written_ && input_.size() == 0 && !parser_->need_eof();
+    const auto idle_for = idle_time();
+    auto* sink = std::exchange(sink_, nullptr);
+    const auto self = shared_from_this();
+    if (reusable && idle_for > duration::zero()) {
+        park(idle_for);
+    } else {
+        close();
+    }
+    sink->on_end();
+}
+
+duration upstream_pool::connection::idle_time() const {
+    const auto& settings = shared_->settings;
+    const auto value = parser_->get()[http::field::keep_alive];
+    const std::string_view text(value.data(), value.size());
+    constexpr std::string_view parameter = "timeout=";
+    const auto at = text.find(parameter);
+    if (at == std::string_view::npos) {
+        return settings.default_idle;
+    }
+    std::int64_t seconds = 0;
+    const auto* begin = text.data() + at + parameter.size();
+    std::from_chars(begin, text.data() + text.size(), seconds);
+    return duration{seconds * 1'000} - settings.idle_margin;
+}
+
+void upstream_pool::connection::fail(upstream_failure why) {
+    auto* sink = std::exchange(sink_, nullptr);
+    const auto self = shared_from_this();
+    close();
+    if (sink != nullptr) {
+        sink->on_failure(why);
+    }
+}
+
+void upstream_pool::connection::park(duration idle_for) {
+    auto& idle = shared_->idle[to_];
+    if (shared_->is_closing || idle.size() >= shared_->settings.max_idle_each) {
+        close();
+        return;
+    }
+    usable_until_ = shared_->time.now() + idle_for;
+    idle.push_back(shared_from_this());
+    watch_idle();
+    timer_.expires_after(idle_for);
+    timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->sink_ == nullptr) {
+            self->leave_pool();
+        }
+    });
+}
+
+void upstream_pool::connection::watch_idle() {
+    socket_.async_wait(boost::asio::socket_base::wait_read,
+                       [weak = weak_from_this()](const boost::system::error_code& error) {
+                           const auto self = weak.lock();
+                           if (!error && self && self->sink_ == nullptr) {
+                               self->leave_pool(); // it closed, or sent what nobody asked for
+                           }
+                       });
+}
+
+void upstream_pool::connection::leave_pool() {
+    const auto self = shared_from_this();
+    const auto found = shared_->idle.find(to_);
+    if (found != shared_->idle.end()) {
+        auto& kept = found->second;
+        kept.erase(std::remove(kept.begin(), kept.end(), self), kept.end());
+    }
+    close();
+}
+
+} // namespace camphorgrade::edge
--- /dev/null
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <adapters/engine_port.h>
+#include <edge/buffered_calls.h>
+#include <serving/backend_server.h>
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace camphorgrade::engine_agent {
+
+/** Settings of the process beside an engine. A value type. */
+struct agent_settings {
+    std::string node_name;
+    serving::network_address peers; /**< Messages of the system's own processes. */
+    std::uint64_t life = 1;         /**< Larger for each later process on this VM. */
+    duration idle_poll{100};        /**< Between looks at an engine where nothing is wanted. */
+    duration active_poll{15};       /**< While an adapter is loading or waited for. */
+    duration heartbeat{400};        /**< Reports to gateways, at least. */
+    duration report_delay{4};       /**< Changes within it are told together. */
+
+    friend bool operator==(const agent_settings&, const agent_settings&) = default;
+};
+
+/** Makes the way to the engine when the process has its loop and connections. */
+using engine_port_maker =
+    std::function<std::unique_ptr<adapters::engine_port>(edge::buffered_calls&)>;
+
+/**
+ * Runs the process beside an engine until SIGTERM. Returns the exit code.
+ * Call from the main thread only.
+ */
+int run_agent(const agent_settings& settings, const engine_port_maker& make_engine);
+
+} // namespace camphorgrade::engine_agent
--- /dev/null
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -0,0 +1,180 @@
+#include "agent_node.h"
+
+#include <csignal>
+#include <utility>
+
+namespace camphorgrade::engine_agent {
+
+namespace {
+
+constexpr int status_ok = 200;
+
+/** Whether gateways decide otherwise on `b` than on `a`; load figures alone can wait. */
+bool differs_in_adapters(const serving::engine_state& a, const serving::engine_state& b) {
+    return a.born != b.born || a.models != b.models || a.adapters != b.adapters ||
+           a.evictable != b.evictable;
+}
+
+} // namespace
+
+agent_node::agent_node(const agent_settings& settings, const engine_port_maker& make_engine)
+    : settings_(settings), log_(settings.node_name, clock_, sink_, {}), pool_(loop_, clock_, {}),
+      calls_(loop_, pool_), engine_(make_engine(calls_)), keeper_({}),
+      socket_(loop_, clock_,
+              {boost::asio::ip::make_address(settings.peers.ip), settings.peers.port},
+              settings.life, [this](const peering::peer_message& message) { on_message(message); }),
+      server_(loop_, clock_, *this), look_timer_(loop_), report_timer_(loop_),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
+
+void agent_node::run() {
+    log_.line("process_started")
+        .text("role", "engine_agent")
+        .number("life", static_cast<std::int64_t>(settings_.life));
+    server_.listen({boost::asio::ip::make_address(settings_.peers.ip), settings_.peers.port});
+    wait_for_signal();
+    look();
+    schedule_report(settings_.heartbeat);
+    loop_.run();
+    log_.line("process_stopped");
+    log_.flush();
+}
+
+void agent_node::wait_for_signal() {
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            log_.line("settings_reload").flag("changed", false);
+            wait_for_signal();
+        } else {
+            log_.line("shutdown_began");
+            loop_.stop();
+        }
+    });
+}
+
+void agent_node::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
+    exchange->answer({status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}},
+                     metrics_.prometheus_text());
+}
+
+void agent_node::on_message(const peering::peer_message& message) {
+    const auto* demand = std::get_if<adapters::engine_demand>(&message.body);
+    if (demand == nullptr) {
+        return;
+    }
+    if (backend_id_.empty()) {
+        backend_id_ = demand->backend_id;
+    }
+    keeper_.on_demand(message.sender, *demand, clock_.now());
+    give_orders();
+    report_soon();
+    if (keeper_.is_active() && !is_looking_) {
+        schedule_look(settings_.active_poll);
+    }
+}
+
+void agent_node::look() {
+    is_looking_ = true;
+    const auto results_seen = keeper_.results_seen();
+    engine_->snapshot([this, results_seen](std::optional<adapters::engine_snapshot> snapshot) {
+        on_snapshot(std::move(snapshot), results_seen);
+    });
+}
+
+void agent_node::on_snapshot(std::optional<adapters::engine_snapshot> snapshot,
+                             std::uint64_t results_seen) {
+    is_looking_ = false;
+    const bool is_reachable = snapshot.has_value();
+    if (is_reachable != is_engine_reachable_) {
+        is_engine_reachable_ = is_reachable;
+        log_.line(is_reachable ? "engine_regained" : "engine_lost")
+            .text("backend_server", backend_id_);
+    }
+    if (snapshot) {
+        if (!snapshot->backend_id.empty()) {
+            backend_id_ = snapshot->backend_id;
+        }
+        keeper_.on_snapshot(std::move(*snapshot), results_seen, clock_.now());
+        give_orders();
+        report_soon();
+    }
+    const bool is_urgent = is_reachable && keeper_.is_active();
+    schedule_look(is_urgent ? settings_.active_poll : settings_.idle_poll);
+}
+
+void agent_node::give_orders() {
+    const auto order = keeper_.next_order(clock_.now());
+    if (!order || backend_id_.empty()) {
+        return;
+    }
+    engine_->order(*order, backend_id_, [this, given = *order](adapters::order_result result) {
+        log_.line("order_given")
+            .text("kind", given.kind == adapters::order_kind::load ? "load" : "unload")
+            .text("weights", given.weights.name)
+            .number("version", static_cast<std::int64_t>(given.weights.version))
+            .number("expected_sequence", static_cast<std::int64_t>(given.expected_sequence))
+            .text("result", to_string(result));
+        metrics_.count("camphor_engine_orders_total", {{"result", std::string(to_string(result))}});
+        keeper_.on_order_result(given, result, clock_.now());
+        if (!is_looking_) {
+            look();
+        }
+    });
+}
+
+void agent_node::schedule_look(duration after) {
+    look_timer_.expires_after(after);
+    look_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error && !is_looking_) {
+            look();
+        }
+    });
+}
+
+void agent_node::report_soon() {
+    if (!keeper_.has_snapshot() || is_report_soon_) {
+        return;
+    }
+    const auto state = keeper_.state();
+    if (!reported_ || differs_in_adapters(*reported_, state)) {
+        is_report_soon_ = true;
+        schedule_report(settings_.report_delay);
+    }
+}
+
+void agent_node::schedule_report(duration after) {
+    report_timer_.expires_after(after);
+    report_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (error) {
+            return;
+        }
+        is_report_soon_ = false;
+        report();
+        log_.flush();
+        schedule_report(settings_.heartbeat);
+    });
+}
+
+void agent_node::report() {
+    if (!keeper_.has_snapshot() || backend_id_.empty() || !is_engine_reachable_) {
+        return;
+    }
+    peering::engine_report out;
+    out.backend_id = backend_id_;
+    out.state = keeper_.state();
+    out.gateways = keeper_.gateways(clock_.now());
+    reported_ = out.state;
+    for (const auto& each : out.gateways) {
+        socket_.send(each, out);
+    }
+}
+
+int run_agent(const agent_settings& settings, const engine_port_maker& make_engine) {
+    agent_node node(settings, make_engine);
+    node.run();
+    return 0;
+}
+
+} // namespace camphorgrade::engine_agent
--- /dev/null
+++ b/libs/entry/src/event_stream.cpp
@@ -0,0 +1,46 @@
+#include "event_stream.h"
+
+#include <charconv>
+
+namespace camphorgrade::entry {
+
+namespace {
+
+constexpr std::string_view event_end = "\n\n";
+constexpr std::string_view id_field = "id:";
+
+} // namespace
+
+std::string event_stream::take(std::string_view bytes) {
+    pending_.append(bytes);
+    const auto end = pending_.rfind(event_end);
+    if (end == std::string::npos) {
+        return {};
+    }
+    std::string whole = pending_.substr(0, end + event_end.size());
+    pending_.erase(0, whole.size());
+    read_ids(whole);
+    return whole;
+}
+
+void event_stream::read_ids(std::string_view events) {
+    while (!events.empty()) {
+        const auto newline = events.find('\n');
+        auto line = events.substr(0, newline);
+        events.remove_prefix(newline == std::string_view::npos ? events.size() : newline + 1);
+        if (line.substr(0, id_field.size()) != id_field) {
+            continue;
+        }
+        line.remove_prefix(id_field.size());
+        if (!line.empty() && line.front() == ' ') {
+            line.remove_prefix(1);
+        }
+        std::uint64_t id = 0;
+        const auto parsed = std::from_chars(line.data(), line.data() + line.size(), id);
+        if (parsed.ec == std::errc{}) {
+            last_id_ = id;
+        }
+    }
+}
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/gateway_node.cpp
@@ -0,0 +1,345 @@
+#include "gateway_node.h"
+
+#include "operator_pages.h"
+
+#include <boost/asio/post.hpp>
+
+#include <csignal>
+#include <utility>
+#include <variant>
+
+namespace camphorgrade::entry {
+
+namespace {
+
+constexpr duration tick_interval{50};
+// Time for the platform's load balancer to see that this process is leaving.
+constexpr duration rotation_time{3'200};
+// Left of the shutdown's grace for the last bytes and the exit itself.
+constexpr duration exit_margin{400};
+
+boost::asio::ip::tcp::endpoint endpoint_of(const serving::network_address& address) {
+    return {boost::asio::ip::make_address(address.ip), address.port};
+}
+
+} // namespace
+
+gateway_node::gateway_node(const entry_settings& settings, const serving::request_codec& codec,
+                           const serving::catalogue_reader& reader,
+                           const fleet_source_maker& make_source)
+    : settings_(settings), codec_(codec), reader_(reader),
+      log_(settings.node_name, clock_, sink_, {}), pool_(loop_, clock_, {}),
+      dispatcher_(settings.dispatch, settings.data_centre,
+                  std::hash<std::string>{}(settings.node_name) ^ settings.life),
+      registrations_({}), callers_(loop_, clock_, *this),
+      operators_(std::make_unique<operator_pages>(loop_, clock_, *this)),
+      peers_(loop_, clock_, pool_, dispatcher_, *this, settings.peers, settings.life,
+             settings.seeds, {}),
+      source_(make_source(loop_, pool_, *this)), timer_(loop_),
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
+
+gateway_node::~gateway_node() = default;
+
+void gateway_node::run() {
+    log_.line("process_started")
+        .text("role", "entry")
+        .text("data_centre", settings_.data_centre)
+        .number("life", static_cast<std::int64_t>(settings_.life));
+    operators_->listen(endpoint_of(settings_.operators));
+    callers_.listen(endpoint_of(settings_.callers));
+    peers_.start();
+    source_->start();
+    signals_.async_wait([this](const boost::system::error_code& error, int signal) {
+        if (!error) {
+            on_signal(signal);
+        }
+    });
+    tick();
+    loop_.run();
+    log_.line("process_stopped").number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    log_.flush();
+}
+
+void gateway_node::on_signal(int signal) {
+    if (signal == SIGHUP) {
+        log_.line("settings_reload").flag("changed", false);
+    } else {
+        begin_shutdown();
+    }
+    signals_.async_wait([this](const boost::system::error_code& error, int next) {
+        if (!error) {
+            on_signal(next);
+        }
+    });
+}
+
+void gateway_node::begin_shutdown() {
+    if (is_stopping_) {
+        return;
+    }
+    is_stopping_ = true;
+    stop_began_ = now();
+    callers_.begin_drain();
+    log_.line("shutdown_began").number("open_requests", static_cast<std::int64_t>(flows_.size()));
+}
+
+bool gateway_node::is_ready() const {
+    return !is_stopping_ && dispatcher_.catalogue() != nullptr && has_registrations_;
+}
+
+void gateway_node::tick() {
+    const auto at = now();
+    for (const auto& id : registrations_.expire(at)) {
+        remove(id, "not_registered_again");
+    }
+    dispatcher_.tick(at);
+    carry_out_effects();
+    log_.flush();
+    if (is_stopping_) {
+        const auto passed = at - stop_began_;
+        const bool is_empty = callers_.open_exchanges() == 0 && passed >= rotation_time;
+        if (is_empty || passed >= settings_.shutdown_grace - exit_margin) {
+            loop_.stop();
+            return;
+        }
+    }
+    timer_.expires_after(tick_interval);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            tick();
+        }
+    });
+}
+
+void gateway_node::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
+    const auto& request = exchange->request();
+    auto profile = codec_.decode(request.target, request.headers);
+    const auto content = serving::crash_register::fingerprint(profile.key.value_or(""),
+                                                              request.target, request.body);
+    auto correlation = profile.id;
+    const auto ticket = dispatcher_.arrive(std::move(profile), content, request.received);
+    exchange->on_gone([this, ticket] { caller_left(ticket); });
+    flows_[ticket] =
+        std::make_unique<request_flow>(*this, ticket, std::move(exchange), std::move(correlation));
+    metrics_.count("camphor_requests_total");
+    carry_out_effects();
+}
+
+void gateway_node::on_bad_request(int status) {
+    log_.line("request_malformed").number("status", status);
+    metrics_.count("camphor_malformed_requests_total", {{"status", std::to_string(status)}});
+}
+
+void gateway_node::caller_left(serving::ticket request) {
+    const auto found = flows_.find(request);
+    if (found == flows_.end()) {
+        return;
+    }
+    log_.line("caller_left").text("request", found->second->correlation_id());
+    metrics_.count("camphor_callers_left_total");
+    found->second->give_up();
+    finished(request, 0);
+}
+
+void gateway_node::attempt_ended(serving::ticket request, serving::attempt_outcome outcome) {
+    dispatcher_.on_attempt_ended(request, outcome, now());
+    if (outcome != serving::attempt_outcome::whole) {
+        const auto found = flows_.find(request);
+        log_.line("attempt_failed")
+            .text("request", found == flows_.end() ? "" : found->second->correlation_id())
+            .text("outcome", to_string(outcome));
+        metrics_.count("camphor_failed_attempts_total",
+                       {{"outcome", std::string(to_string(outcome))}});
+    }
+    carry_out_effects();
+}
+
+void gateway_node::finished(serving::ticket request, int status) {
+    const auto found = flows_.find(request);
+    if (found == flows_.end()) {
+        return;
+    }
+    const auto took = now() - found->second->exchange().request().received;
+    log_.line("request_finished")
+        .text("request", found->second->correlation_id())
+        .number("status", status)
+        .number("took_ms", took.count());
+    metrics_.observe("camphor_request_ms", {{"status", std::to_string(status)}},
+                     static_cast<double>(took.count()));
+    dispatcher_.release(request);
+    peers_.demand_changed();
+    finished_.push_back(std::move(found->second));
+    flows_.erase(found);
+    if (finished_.size() == 1) {
+        boost::asio::post(loop_, [this] { sweep(); });
+    }
+}
+
+void gateway_node::sweep() {
+    finished_.clear();
+}
+
+void gateway_node::carry_out_effects() {
+    for (auto effects = dispatcher_.take_effects(); !effects.empty();
+         effects = dispatcher_.take_effects()) {
+        peers_.demand_changed();
+        for (const auto& each : effects) {
+            std::visit([this](const auto& effect) { carry_out(effect); }, each);
+        }
+    }
+}
+
+void gateway_node::carry_out(const serving::end_request& effect) {
+    const auto found = flows_.find(effect.request);
+    if (found == flows_.end()) {
+        return;
+    }
+    log_.line("request_ended")
+        .text("request", found->second->correlation_id())
+        .text("reason", to_string(effect.reason))
+        .number("retry_after_ms", effect.retry_after.count())
+        .number("open_requests", static_cast<std::int64_t>(flows_.size()))
+        .number("store_age_ms", store_age().count());
+    metrics_.count("camphor_ended_requests_total",
+                   {{"reason", std::string(to_string(effect.reason))}});
+    found->second->end(effect);
+}
+
+void gateway_node::carry_out(const serving::send_attempt& effect) {
+    const auto found = flows_.find(effect.request);
+    if (found == flows_.end()) {
+        return;
+    }
+    log_.line("attempt_sent")
+        .text("request", found->second->correlation_id())
+        .text("backend_server", effect.backend_id)
+        .number("attempt", effect.number)
+        .number("urgency", effect.urgency)
+        .number("weights_version", static_cast<std::int64_t>(effect.expected_version));
+    found->second->attempt(effect);
+}
+
+void gateway_node::carry_out(const serving::wait_for_weights& effect) {
+    const auto found = flows_.find(effect.request);
+    if (found == flows_.end()) {
+        return;
+    }
+    log_.line("waiting_for_adapter")
+        .text("request", found->second->correlation_id())
+        .text("backend_server", effect.backend_id)
+        .number("estimate_ms", effect.first_answer.count());
+}
+
+void gateway_node::on_catalogue(serving::service_catalogue catalogue, const std::string& text) {
+    const auto* known = dispatcher_.catalogue();
+    const auto version = catalogue.version;
+    if (known != nullptr && version <= known->catalogue().version) {
+        return;
+    }
+    edge::caller_limits limits;
+    limits.max_header_bytes = catalogue.bounds.max_header_bytes;
+    limits.max_body_bytes = catalogue.bounds.max_body_bytes;
+    limits.header_timeout = catalogue.bounds.header_timeout;
+    limits.idle_timeout = catalogue.bounds.idle_timeout;
+    callers_.set_limits(limits);
+    log_.line("catalogue_in_force")
+        .number("version", static_cast<std::int64_t>(version))
+        .number("routes", static_cast<std::int64_t>(catalogue.routes.size()));
+    dispatcher_.set_catalogue(std::move(catalogue), now());
+    catalogue_text_ = text;
+    peers_.demand_changed();
+}
+
+void gateway_node::on_peer_catalogue(const std::string& text) {
+    if (auto catalogue = reader_.read(text)) {
+        on_catalogue(std::move(*catalogue), text);
+    } else {
+        on_bad_record("catalogue of a peer", "unreadable");
+    }
+}
+
+void gateway_node::on_adapter_version(const std::string& weights, std::uint64_t version) {
+    log_.line("adapter_version")
+        .text("weights", weights)
+        .number("version", static_cast<std::int64_t>(version));
+    dispatcher_.set_adapter_version(weights, version);
+}
+
+void gateway_node::on_registrations(const std::vector<serving::backend_server>& servers) {
+    has_registrations_ = true;
+    for (const auto& id : registrations_.on_all(servers, now())) {
+        remove(id, "not_registered");
+    }
+    for (const auto& each : servers) {
+        apply(each);
+    }
+}
+
+void gateway_node::on_registration(const serving::backend_server& server) {
+    registrations_.on_registration(server.id);
+    apply(server);
+}
+
+void gateway_node::apply(const serving::backend_server& server) {
+    const auto* known = dispatcher_.board().find(server.id);
+    const bool is_news = known == nullptr || known->server.is_draining != server.is_draining ||
+                         known->server.born != server.born;
+    if (is_news) {
+        log_.line("backend_server_registered")
+            .text("backend_server", server.id)
+            .text("service", server.service)
+            .flag("draining", server.is_draining);
+    }
+    dispatcher_.board().put(server);
+    if (is_news) {
+        peers_.demand_changed();
+    }
+}
+
+void gateway_node::on_deregistration(const std::string& id) {
+    if (registrations_.on_deregistration(id, now())) {
+        remove(id, "deregistered");
+    }
+}
+
+void gateway_node::remove(const std::string& id, const char* reason) {
+    log_.line("backend_server_gone").text("backend_server", id).text("reason", reason);
+    dispatcher_.board().remove(id);
+}
+
+void gateway_node::on_contact(bool reachable) {
+    registrations_.on_contact(reachable, now());
+    if (reachable) {
+        last_store_answer_ = now();
+        has_store_answer_ = true;
+    }
+    if (reachable != is_store_reachable_) {
+        is_store_reachable_ = reachable;
+        log_.line(reachable ? "store_regained" : "store_lost");
+    }
+}
+
+duration gateway_node::store_age() const {
+    return has_store_answer_ ? now() - last_store_answer_ : duration{-1};
+}
+
+void gateway_node::on_bad_record(const std::string& key, const std::string& reason) {
+    log_.line("record_passed_over").text("key", key).text("reason", reason);
+}
+
+std::string gateway_node::metrics_text() {
+    metrics_.set("camphor_open_requests", {}, static_cast<double>(flows_.size()));
+    metrics_.set("camphor_waiting_requests", {},
+                 static_cast<double>(dispatcher_.waiting_requests()));
+    metrics_.set("camphor_store_age_ms", {}, static_cast<double>(store_age().count()));
+    return metrics_.prometheus_text();
+}
+
+int run_entry(const entry_settings& settings, const serving::request_codec& codec,
+              const serving::catalogue_reader& reader, const fleet_source_maker& make_source) {
+    gateway_node node(settings, codec, reader, make_source);
+    node.run();
+    return 0;
+}
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/gateway_node.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "gateway_peers.h"
+#include "request_flow.h"
+
+#include <edge/buffered_calls.h>
+#include <edge/caller_server.h>
+#include <entry/entry_process.h>
+#include <serving/registration_book.h>
+#include <telemetry/event_log.h>
+#include <telemetry/metrics.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::entry {
+
+/** The process on an entry VM: connects callers, decisions, backend servers, store and peers. */
+class gateway_node final : public edge::caller_handler,
+                           public serving::fleet_listener,
+                           public flow_host,
+                           public peers_host {
+public:
+    gateway_node(const entry_settings& settings, const serving::request_codec& codec,
+                 const serving::catalogue_reader& reader, const fleet_source_maker& make_source);
+    ~gateway_node() override;
+
+    /** Serves until the end of a graceful shutdown. */
+    void run();
+
+    void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
+    void on_bad_request(int status) override;
+
+    void on_catalogue(serving::service_catalogue catalogue, const std::string& text) override;
+    void on_adapter_version(const std::string& weights, std::uint64_t version) override;
+    void on_registrations(const std::vector<serving::backend_server>& servers) override;
+    void on_registration(const serving::backend_server& server) override;
+    void on_deregistration(const std::string& id) override;
+    void on_contact(bool reachable) override;
+    void on_bad_record(const std::string& key, const std::string& reason) override;
+
+    time_point now() const override { return clock_.now(); }
+    edge::upstream_pool& pool() override { return pool_; }
+    const serving::request_codec& codec() const override { return codec_; }
+    serving::dispatcher& dispatcher() override { return dispatcher_; }
+    void attempt_ended(serving::ticket request, serving::attempt_outcome outcome) override;
+    void finished(serving::ticket request, int status) override;
+
+    duration store_age() const override;
+    const std::string& catalogue_text() const override { return catalogue_text_; }
+    void on_peer_catalogue(const std::string& text) override;
+    void effects_due() override { carry_out_effects(); }
+    event_log& log() override { return log_; }
+
+    bool is_ready() const;
+    std::string metrics_text();
+
+private:
+    class operator_pages;
+    friend class operator_pages;
+
+    void carry_out_effects();
+    void carry_out(const serving::end_request& effect);
+    void carry_out(const serving::send_attempt& effect);
+    void carry_out(const serving::wait_for_weights& effect);
+    void caller_left(serving::ticket request);
+    void sweep();
+    void tick();
+    void on_signal(int signal);
+    void begin_shutdown();
+    void apply(const serving::backend_server& server);
+    void remove(const std::string& id, const char* reason);
+
+    entry_settings settings_;
+    const serving::request_codec& codec_;
+    const serving::catalogue_reader& reader_;
+    monotonic_clock clock_;
+    boost::asio::io_context loop_;
+    stdout_sink sink_;
+    event_log log_;
+    metrics metrics_;
+    edge::upstream_pool pool_;
+    serving::dispatcher dispatcher_;
+    serving::registration_book registrations_;
+    std::map<serving::ticket, std::unique_ptr<request_flow>> flows_;
+    std::vector<std::unique_ptr<request_flow>> finished_;
+    edge::caller_server callers_;
+    std::unique_ptr<operator_pages> operators_;
+    gateway_peers peers_;
+    std::unique_ptr<fleet_source> source_;
+    boost::asio::steady_timer timer_;
+    boost::asio::signal_set signals_;
+    std::string catalogue_text_;
+    time_point last_store_answer_;
+    bool has_store_answer_ = false;
+    bool is_store_reachable_ = false;
+    bool has_registrations_ = false;
+    bool is_stopping_ = false;
+    time_point stop_began_;
+};
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/gateway_peers.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <adapters/adapter_keeper.h>
+#include <edge/buffered_calls.h>
+#include <edge/caller_server.h>
+#include <edge/upstream_pool.h>
+#include <peering/peer_socket.h>
+#include <serving/dispatcher.h>
+#include <telemetry/event_log.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::entry {
+
+/** What the peers need of their gateway. Must outlive them. */
+class peers_host {
+public:
+    peers_host() = default;
+    peers_host(const peers_host&) = delete;
+    peers_host& operator=(const peers_host&) = delete;
+    virtual ~peers_host() = default;
+
+    virtual duration store_age() const = 0;
+    /** Stored form of the newest catalogue; empty when none is known. */
+    virtual const std::string& catalogue_text() const = 0;
+    virtual void on_peer_catalogue(const std::string& text) = 0;
+    /** The dispatcher was told something that may have effects. */
+    virtual void effects_due() = 0;
+    virtual event_log& log() = 0;
+};
+
+/** Times of gateway_peers. */
+struct gateway_peers_settings {
+    duration demand_delay{5}; /**< Changes within it are told to an engine's agent at once. */
+    duration demand_heartbeat{400};
+    duration report_interval{100}; /**< To peers; longer where there are many. */
+    duration peer_expiry{10'000};  /**< A peer not heard for so long isn't told any more. */
+    duration fetch_delay{200};     /**< Time for the own watch to bring a newer catalogue first. */
+    duration fetch_timeout{800};
+    std::size_t full_pace_peers = 8; /**< Up to so many are told at each interval. */
+    std::size_t max_marks = 64;      /**< Crash marks in one report. */
+
+    friend bool operator==(const gateway_peers_settings&, const gateway_peers_settings&) = default;
+};
+
+/**
+ * A gateway's messages with the agents beside engines and with the other gateways: demand and
+ * engine state, use of client accounts, crash marks, newer catalogues. Not thread safe.
+ */
+class gateway_peers final : public edge::caller_handler {
+public:
+    gateway_peers(boost::asio::io_context& loop, const clock& clock, edge::upstream_pool& pool,
+                  serving::dispatcher& dispatcher, peers_host& host,
+                  const serving::network_address& own, std::uint64_t life,
+                  std::vector<std::string> seeds, gateway_peers_settings settings);
+
+    void start();
+
+    /** What this gateway wants of an engine has changed. */
+    void demand_changed();
+
+    /** A request for the newest catalogue from a peer. */
+    void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
+    void on_bad_request(int status) override { static_cast<void>(status); }
+
+private:
+    struct peer {
+        time_point heard;
+        bool is_seed = false;
+    };
+    struct sent_demand {
+        adapters::engine_demand demand;
+        time_point at;
+    };
+
+    void on_message(const peering::peer_message& message);
+    void take(const std::string& sender, std::uint64_t life, const peering::gateway_report& report);
+    void take(const peering::engine_report& report);
+    void learn(const std::vector<std::string>& addresses);
+    void send_demands();
+    void send_demand(const serving::backend_view& view, adapters::engine_demand demand);
+    void send_reports();
+    void schedule_demands(duration after);
+    void schedule_reports();
+    void fetch_catalogue(const std::string& from, std::uint64_t version);
+    std::vector<std::string> live_peers() const;
+
+    boost::asio::io_context& loop_;
+    const clock& clock_;
+    edge::buffered_calls calls_;
+    serving::dispatcher& dispatcher_;
+    peers_host& host_;
+    gateway_peers_settings settings_;
+    serving::network_address own_;
+    peering::peer_socket socket_;
+    edge::caller_server server_;
+    boost::asio::steady_timer demand_timer_;
+    boost::asio::steady_timer report_timer_;
+    bool is_demand_soon_ = false;
+    std::map<std::string, peer> peers_;
+    std::map<std::string, sent_demand> sent_;
+    bool is_fetching_ = false;
+};
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/operator_pages.cpp
@@ -0,0 +1,25 @@
+#include "operator_pages.h"
+
+#include <string_view>
+
+namespace camphorgrade::entry {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_unavailable = 503;
+constexpr std::string_view metrics_path = "/metrics";
+
+} // namespace
+
+void gateway_node::operator_pages::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
+    if (exchange->request().target == metrics_path) {
+        exchange->answer({status_ok, {{"Content-Type", "text/plain; version=0.0.4"}}},
+                         node_.metrics_text());
+        return;
+    }
+    // Whatever path a load balancer asks, the answer is whether this process takes new work.
+    exchange->answer({node_.is_ready() ? status_ok : status_unavailable, {}}, {});
+}
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/operator_pages.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "gateway_node.h"
+
+namespace camphorgrade::entry {
+
+/** Readiness and metrics, for the platform and for operators. */
+class gateway_node::operator_pages final : public edge::caller_handler {
+public:
+    operator_pages(boost::asio::io_context& loop, const clock& clock, gateway_node& node)
+        : node_(node), server_(loop, clock, *this) {}
+
+    void listen(const boost::asio::ip::tcp::endpoint& address) { server_.listen(address); }
+
+    void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
+    void on_bad_request(int status) override { node_.on_bad_request(status); }
+
+private:
+    gateway_node& node_;
+    edge::caller_server server_;
+};
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/request_flow.cpp
@@ -0,0 +1,191 @@
+#include "request_flow.h"
+
+#include "refusal_answer.h"
+
+#include <edge/header_rules.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorgrade::entry {
+
+namespace {
+
+constexpr int status_ok = 200;
+constexpr int status_redirect = 300;
+constexpr int status_misdirected = 421;
+
+bool is_success(int status) {
+    return status >= status_ok && status < status_redirect;
+}
+
+} // namespace
+
+request_flow::request_flow(flow_host& host, serving::ticket request,
+                           std::shared_ptr<edge::caller_exchange> exchange,
+                           std::string correlation_id)
+    : host_(host), request_(request), exchange_(std::move(exchange)),
+      correlation_id_(std::move(correlation_id)) {}
+
+void request_flow::attempt(const serving::send_attempt& how) {
+    const auto& caller = exchange_->request();
+    serving::attempt_profile profile;
+    profile.backend_id = how.backend_id;
+    profile.left = std::max(duration{1}, host_.dispatcher().deadline_of(request_) - host_.now());
+    profile.account = host_.dispatcher().account_of(request_);
+    profile.urgency = how.urgency;
+    profile.weights_version = how.expected_version;
+    if (has_begun_) {
+        profile.resume_after = events_.last_id();
+        events_.drop_rest();
+    }
+    edge::upstream_request request;
+    request.method = caller.method;
+    request.target = caller.target;
+    request.headers = host_.codec().encode(caller.headers, profile);
+    request.body = caller.body;
+    request.correlation_header = host_.codec().correlation_header();
+    request.correlation_id = correlation_id_;
+    head_ = {};
+    has_first_answer_ = false;
+    handling_ = handling::discard;
+    const edge::upstream_address to{
+        {boost::asio::ip::make_address(how.address.ip), how.address.port}, how.backend_id};
+    call_ = host_.pool().start(to, request, *this);
+}
+
+bool request_flow::is_stream_answer() const {
+    const auto type = find_header(head_.headers, "Content-Type").value_or("");
+    return type.find("text/event-stream") != std::string::npos;
+}
+
+void request_flow::on_head(const http_head& head, const edge::upstream_framing& framing) {
+    head_ = head;
+    framing_ = framing;
+    answer_ = host_.codec().decode_answer(head);
+    if (answer_.has_not_run) {
+        handling_ = handling::discard;
+        return;
+    }
+    const bool is_usable = answer_.is_sealed && !answer_.is_encoded;
+    if (is_success(head.status) && !is_usable) {
+        call_.reset();
+        attempt_failed(serving::attempt_outcome::broken);
+        return;
+    }
+    handling_ = is_success(head.status) && is_stream_answer() ? handling::stream : handling::buffer;
+    has_buffered_ = false;
+    buffered_.clear();
+    if (has_begun_ && handling_ != handling::stream) {
+        handling_ = handling::discard; // the stream can't go on with this
+    }
+}
+
+void request_flow::note_first_answer() {
+    if (!has_first_answer_) {
+        has_first_answer_ = true;
+        host_.dispatcher().on_first_answer(request_, host_.now());
+    }
+}
+
+void request_flow::on_body(std::string_view bytes) {
+    if (handling_ == handling::discard) {
+        return;
+    }
+    note_first_answer();
+    if (handling_ == handling::buffer) {
+        buffered_.append(bytes);
+        return;
+    }
+    const auto* route = host_.dispatcher().route_of(request_);
+    if (route != nullptr && route->may_repeat()) {
+        pass_on(events_.take(bytes));
+    } else {
+        pass_on(bytes);
+    }
+}
+
+void request_flow::begin_stream() {
+    const auto* route = host_.dispatcher().route_of(request_);
+    const bool may_resume = route != nullptr && route->may_repeat();
+    const bool keeps_length = framing_.has_length && !may_resume;
+    has_begun_ = true;
+    exchange_->begin({head_.status, edge::end_to_end(head_.headers)},
+                     keeps_length ? std::optional(framing_.length) : std::nullopt);
+}
+
+void request_flow::pass_on(std::string_view bytes) {
+    if (bytes.empty()) {
+        return;
+    }
+    if (!has_begun_) {
+        begin_stream();
+    }
+    exchange_->write(bytes);
+}
+
+void request_flow::on_end() {
+    call_.reset();
+    if (answer_.has_not_run) {
+        attempt_failed(head_.status == status_misdirected ? serving::attempt_outcome::wrong_weights
+                                                          : serving::attempt_outcome::refused);
+        return;
+    }
+    note_first_answer();
+    if (handling_ == handling::stream) {
+        pass_on(events_.rest());
+        if (!has_begun_) {
+            begin_stream();
+        }
+        exchange_->finish();
+        host_.attempt_ended(request_, serving::attempt_outcome::whole);
+        host_.finished(request_, head_.status);
+        return;
+    }
+    if (handling_ == handling::discard) {
+        attempt_failed(serving::attempt_outcome::broken);
+        return;
+    }
+    if (!is_success(head_.status)) {
+        has_buffered_ = true;
+        attempt_failed(serving::attempt_outcome::own_error);
+        return;
+    }
+    answer_buffered();
+    host_.attempt_ended(request_, serving::attempt_outcome::whole);
+    host_.finished(request_, head_.status);
+}
+
+void request_flow::answer_buffered() {
+    exchange_->answer({head_.status, edge::end_to_end(head_.headers)}, buffered_);
+}
+
+void request_flow::on_failure(edge::upstream_failure why) {
+    call_.reset();
+    attempt_failed(why == edge::upstream_failure::not_connected
+                       ? serving::attempt_outcome::unreachable
+                       : serving::attempt_outcome::broken);
+}
+
+void request_flow::attempt_failed(serving::attempt_outcome outcome) {
+    host_.attempt_ended(request_, outcome);
+}
+
+void request_flow::end(const serving::end_request& how) {
+    call_.reset();
+    if (has_begun_) {
+        exchange_->abort();
+        host_.finished(request_, 0);
+        return;
+    }
+    if (has_buffered_ && how.reason == serving::end_reason::broken) {
+        answer_buffered();
+        host_.finished(request_, head_.status);
+        return;
+    }
+    const auto refusal = make_refusal(how);
+    exchange_->answer(refusal.head, refusal.body);
+    host_.finished(request_, refusal.head.status);
+}
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/request_flow.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "event_stream.h"
+
+#include <edge/caller_exchange.h>
+#include <edge/upstream_pool.h>
+#include <serving/dispatcher.h>
+#include <serving/request_codec.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace camphorgrade::entry {
+
+/** What a flow needs of the process that it runs in. Must outlive the flow. */
+class flow_host {
+public:
+    flow_host() = default;
+    flow_host(const flow_host&) = delete;
+    flow_host& operator=(const flow_host&) = delete;
+    virtual ~flow_host() = default;
+
+    virtual time_point now() const = 0;
+    virtual edge::upstream_pool& pool() = 0;
+    virtual const serving::request_codec& codec() const = 0;
+    virtual serving::dispatcher& dispatcher() = 0;
+
+    /** An attempt ended; the dispatcher decides, then flow_host has its effects carried out. */
+    virtual void attempt_ended(serving::ticket request, serving::attempt_outcome outcome) = 0;
+
+    /** The request is answered, aborted or left; the flow may be destroyed soon, not at once. */
+    virtual void finished(serving::ticket request, int status) = 0;
+};
+
+/**
+ * Carries one request to backend servers and the answer back to its caller.
+ *
+ * An answer that isn't a stream is passed on when it is whole. Of a stream, events are passed on
+ * as they arrive; one that may be resumed is passed on by whole events, so that another backend
+ * server can go on after the last of them.
+ */
+class request_flow final : public edge::upstream_sink {
+public:
+    request_flow(flow_host& host, serving::ticket request,
+                 std::shared_ptr<edge::caller_exchange> exchange, std::string correlation_id);
+
+    /** Sends the request. */
+    void attempt(const serving::send_attempt& how);
+
+    /** Ends the request with an answer of the system's own, or with what a server answered. */
+    void end(const serving::end_request& how);
+
+    void on_head(const http_head& head, const edge::upstream_framing& framing) override;
+    void on_body(std::string_view bytes) override;
+    void on_end() override;
+    void on_failure(edge::upstream_failure why) override;
+
+    const std::string& correlation_id() const noexcept { return correlation_id_; }
+    const edge::caller_exchange& exchange() const noexcept { return *exchange_; }
+    bool has_begun() const noexcept { return has_begun_; }
+
+    /** The caller left: gives up the work behind it. */
+    void give_up() { call_.reset(); }
+
+private:
+    enum class handling : std::uint8_t { discard, buffer, stream };
+
+    void note_first_answer();
+    void pass_on(std::string_view bytes);
+    void begin_stream();
+    void attempt_failed(serving::attempt_outcome outcome);
+    void answer_buffered();
+    bool is_stream_answer() const;
+
+    flow_host& host_;
+    serving::ticket request_;
+    std::shared_ptr<edge::caller_exchange> exchange_; // shared with the caller's connection
+    std::string correlation_id_;
+    std::unique_ptr<edge::upstream_call> call_;
+    http_head head_;
+    edge::upstream_framing framing_;
+    serving::answer_profile answer_;
+    handling handling_ = handling::discard;
+    bool has_first_answer_ = false;
+    std::string buffered_;
+    bool has_buffered_ = false; /**< A server's whole error answer, to pass on if no other comes. */
+    bool has_begun_ = false;
+    event_stream events_;
+};
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/peering/src/peer_messages.cpp
@@ -0,0 +1,180 @@
+#include <peering/peer_messages.h>
+
+#include <wire/peering.pb.h>
+
+namespace camphorgrade::peering {
+
+namespace {
+
+void write(const adapters::engine_demand& demand, wire::engine_demand& out) {
+    out.set_backend_id(demand.backend_id);
+    for (const auto& each : demand.wants) {
+        auto& want = *out.add_wants();
+        want.set_weights(each.weights.name);
+        want.set_version(each.weights.version);
+        want.set_waiting(each.waiting);
+        want.set_in_use(each.in_use);
+        want.set_oldest_wait_ms(static_cast<std::uint32_t>(each.oldest_wait.count()));
+        want.set_urgency(each.urgency);
+    }
+    out.set_queued_prompt_tokens(demand.queued_prompt_tokens);
+    out.set_adapter_places(demand.shape.adapter_places);
+    out.set_weights_mb(demand.shape.weights_mb);
+    for (const auto& each : demand.shape.models) {
+        auto& model = *out.add_models();
+        model.set_name(each.name);
+        model.set_weights_mb(each.weights_mb);
+        model.set_adapter_mb(each.adapter_mb);
+    }
+}
+
+adapters::engine_demand read(const wire::engine_demand& in) {
+    adapters::engine_demand demand;
+    demand.backend_id = in.backend_id();
+    for (const auto& each : in.wants()) {
+        demand.wants.push_back({{each.weights(), each.version()},
+                                each.waiting(),
+                                each.in_use(),
+                                duration{each.oldest_wait_ms()},
+                                each.urgency()});
+    }
+    demand.queued_prompt_tokens = in.queued_prompt_tokens();
+    demand.shape.adapter_places = in.adapter_places();
+    demand.shape.weights_mb = in.weights_mb();
+    for (const auto& each : in.models()) {
+        demand.shape.models.push_back({each.name(), each.weights_mb(), each.adapter_mb(), {}});
+    }
+    return demand;
+}
+
+void write(const engine_report& report, wire::engine_report& out) {
+    const auto& state = report.state;
+    out.set_backend_id(report.backend_id);
+    out.set_born(state.born);
+    for (const auto& each : state.models) {
+        auto& model = *out.add_models();
+        model.set_name(each.name);
+        model.set_version(each.version);
+    }
+    for (const auto& each : state.adapters) {
+        auto& adapter = *out.add_adapters();
+        adapter.set_name(each.weights.name);
+        adapter.set_version(each.weights.version);
+        adapter.set_is_loading(each.is_loading);
+        adapter.set_in_use(each.in_use);
+    }
+    out.set_evictable(state.evictable);
+    out.set_waiting(state.waiting);
+    out.set_running(state.running);
+    out.set_kv_used(state.kv_used);
+    out.set_kv_total(state.kv_total);
+    out.set_queued_prompt_tokens(state.queued_prompt_tokens);
+    for (const auto& each : report.gateways) {
+        out.add_gateways(each);
+    }
+}
+
+engine_report read(const wire::engine_report& in) {
+    engine_report report;
+    report.backend_id = in.backend_id();
+    auto& state = report.state;
+    state.born = in.born();
+    for (const auto& each : in.models()) {
+        state.models.push_back({each.name(), each.version()});
+    }
+    for (const auto& each : in.adapters()) {
+        state.adapters.push_back({{each.name(), each.version()}, each.is_loading(), each.in_use()});
+    }
+    state.evictable = in.evictable();
+    state.waiting = in.waiting();
+    state.running = in.running();
+    state.kv_used = in.kv_used();
+    state.kv_total = in.kv_total();
+    state.queued_prompt_tokens = in.queued_prompt_tokens();
+    report.gateways.assign(in.gateways().begin(), in.gateways().end());
+    return report;
+}
+
+void write(const gateway_report& report, wire::gateway_report& out) {
+    for (const auto& [account, admitted] : report.usage) {
+        auto& count = *out.add_usage();
+        count.set_account(account);
+        count.set_admitted(admitted);
+    }
+    for (const auto& each : report.crashes) {
+        auto& mark = *out.add_crashes();
+        mark.set_content(each.content);
+        mark.set_backend_id(each.backend_id);
+        mark.set_born(each.born);
+    }
+    for (const auto& each : report.gateways) {
+        out.add_gateways(each);
+    }
+    out.set_catalogue_version(report.catalogue_version);
+    out.set_store_age_ms(static_cast<std::uint64_t>(report.store_age.count()));
+    for (const auto& [weights, version] : report.versions) {
+        auto& named = *out.add_versions();
+        named.set_weights(weights);
+        named.set_version(version);
+    }
+}
+
+gateway_report read(const wire::gateway_report& in) {
+    gateway_report report;
+    for (const auto& each : in.usage()) {
+        report.usage[each.account()] = each.admitted();
+    }
+    for (const auto& each : in.crashes()) {
+        report.crashes.push_back({each.content(), each.backend_id(), each.born()});
+    }
+    report.gateways.assign(in.gateways().begin(), in.gateways().end());
+    report.catalogue_version = in.catalogue_version();
+    report.store_age = duration{static_cast<duration::rep>(in.store_age_ms())};
+    for (const auto& each : in.versions()) {
+        report.versions[each.weights()] = each.version();
+    }
+    return report;
+}
+
+struct body_writer {
+    wire::datagram& out;
+
+    void operator()(const adapters::engine_demand& demand) { write(demand, *out.mutable_demand()); }
+    void operator()(const engine_report& report) { write(report, *out.mutable_engine()); }
+    void operator()(const gateway_report& report) { write(report, *out.mutable_gateway()); }
+};
+
+} // namespace
+
+std::string encode(const peer_message& message) {
+    wire::datagram out;
+    out.set_sender(message.sender);
+    out.set_life(message.life);
+    out.set_sequence(message.sequence);
+    std::visit(body_writer{out}, message.body);
+    return out.SerializeAsString();
+}
+
+std::optional<peer_message> decode(std::string_view bytes) {
+    wire::datagram in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    peer_message message{in.sender(), in.life(), in.sequence(), {}};
+    switch (in.body_case()) {
+    case wire::datagram::kDemand:
+        message.body = read(in.demand());
+        return message;
+    case wire::datagram::kEngine:
+        message.body = read(in.engine());
+        return message;
+    case wire::datagram::kGateway:
+        message.body = read(in.gateway());
+        return message;
+    case wire::datagram::BODY_NOT_SET:
+        break;
+    }
+    return std::nullopt;
+}
+
+} // namespace camphorgrade::peering
--- /dev/null
+++ b/libs/serving/include/serving/account_limiter.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <serving/service_catalogue.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace camphorgrade::serving {
+
+/** What one gateway has admitted so far in its life, by client account. Counts only grow. */
+using account_usage = std::map<std::string, std::uint64_t>;
+
+/** Times of an account_limiter. */
+struct account_limiter_settings {
+    duration peer_silence{1'500}; /**< From here on a peer is assumed to use its equal share. */
+    duration peer_expiry{20'000}; /**< From here on a silent peer is taken for gone. */
+
+    friend bool operator==(const account_limiter_settings&,
+                           const account_limiter_settings&) = default;
+};
+
+/**
+ * Keeps each client account within its rate and burst, counted over all gateways.
+ *
+ * Each gateway has the whole bucket and takes from it what it admits and what its peers report to
+ * have admitted, so the limit is overrun by no more than what is admitted within one report
+ * interval. A peer that can't be heard is assumed to use an equal share of the rate, so gateways
+ * that are cut off from each other stay within the rate together.
+ * Deterministic. Not thread safe.
+ *
+ * @code
+ * account_limiter limiter({});
+ * limiter.set_catalogue(catalogue, now);
+ * if (const auto wait = limiter.charge("studio", 1200, now)) { refuse_until(*wait); }
+ * @endcode
+ */
+class account_limiter {
+public:
+    explicit account_limiter(account_limiter_settings settings);
+
+    /** Accounts that are new start with a full bucket; changed rates apply from now on. */
+    void set_catalogue(const service_catalogue& catalogue, time_point now);
+
+    /** Takes `cost` from the account, or says after how long there will be enough. */
+    std::optional<duration> charge(const std::string& account, double cost, time_point now);
+
+    /** Gives back what a request that didn't run was charged. */
+    void credit(const std::string& account, double cost);
+
+    /** A peer's counts; `life` tells its processes apart. */
+    void on_peer_usage(const std::string& peer, std::uint64_t life, const account_usage& usage,
+                       time_point now);
+
+    /** What this gateway has admitted. */
+    const account_usage& own_usage() const noexcept { return own_; }
+
+    /** Gateways that share the limits, this one included. */
+    std::size_t gateways() const noexcept { return peers_.size() + 1; }
+
+    /** Peers heard within `peer_silence`. */
+    std::size_t audible_peers(time_point now) const;
+
+private:
+    struct bucket {
+        double level = 0;
+        double rate_per_s = 0;
+        double burst = 0;
+        time_point refilled;
+    };
+    struct peer {
+        std::uint64_t life = 0;
+        account_usage usage;
+        time_point heard;
+    };
+
+    double usable_share(time_point now) const;
+    void refill(bucket& of, time_point now) const;
+    void forget_expired(time_point now);
+
+    account_limiter_settings settings_;
+    std::map<std::string, bucket> buckets_;
+    std::map<std::string, peer> peers_;
+    account_usage own_;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/include/serving/backend_board.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <serving/backend_server.h>
+#include <serving/prompt_cache.h>
+#include <serving/request_profile.h>
+#include <serving/service_catalogue.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::serving {
+
+/** What this gateway has open at one backend server for one adapter. */
+struct adapter_demand {
+    std::uint32_t waiting = 0; /**< Requests that wait for the adapter to be loaded. */
+    std::uint32_t in_use = 0;  /**< Requests that were sent and aren't finished. */
+
+    friend bool operator==(const adapter_demand&, const adapter_demand&) = default;
+};
+
+/** What a gateway knows of one backend server, and what it has open there. */
+struct backend_view {
+    backend_server server;
+    std::optional<engine_state> engine; /**< From the agent beside it; empty before its first. */
+    time_point engine_heard;
+    std::uint32_t in_flight = 0;
+    std::uint64_t queued_prompt_tokens = 0; /**< Of own requests without a first event. */
+    std::map<held_weights, adapter_demand> demand;
+    std::set<std::string> seen_adapters; /**< Held before by this process; they load faster. */
+    prompt_cache prompts;
+    std::uint32_t failures = 0; /**< In a row. */
+    time_point avoid_until;
+    double failure_share = 0; /**< Moving average over the answers of this server. */
+    double slowness = 1;      /**< Moving average of measured over expected time. */
+};
+
+/** Times by which a board judges backend servers. */
+struct backend_board_settings {
+    duration engine_silence{1'500}; /**< Reports older than this are no longer relied on. */
+    duration first_avoidance{300};  /**< After a failure to connect; doubles with each further. */
+    duration longest_avoidance{3'000};
+
+    friend bool operator==(const backend_board_settings&, const backend_board_settings&) = default;
+};
+
+/**
+ * All backend servers that a gateway knows, by id. Deterministic. Not thread safe.
+ */
+class backend_board {
+public:
+    explicit backend_board(backend_board_settings settings);
+
+    /** A registration that is new or has changed. */
+    void put(const backend_server& server);
+
+    /** The server left or its registration is gone: it gets nothing new. */
+    void remove(const std::string& id);
+
+    /** A report of the agent beside a server; older ones are ignored. */
+    void on_engine_state(const std::string& id, engine_state state, time_point now);
+
+    backend_view* find(const std::string& id);
+    const backend_view* find(const std::string& id) const;
+
+    /** The server at an address that takes new work; null when none does. */
+    backend_view* find_at(const network_address& address);
+
+    /** Servers of the service that are registered and not leaving. */
+    std::vector<backend_view*> of_service(const std::string& service);
+
+    std::map<std::string, backend_view>& all() noexcept { return views_; }
+    const std::map<std::string, backend_view>& all() const noexcept { return views_; }
+
+    /** The server could not be reached, or its connection broke. */
+    void on_failure(const std::string& id, time_point now);
+
+    /** The server answered; `failed` tells whether with an error of its own. */
+    void on_answer(const std::string& id, bool failed);
+
+    /** Whether the agent's reports about the engine are recent. */
+    bool has_fresh_engine(const backend_view& view, time_point now) const;
+
+    /** Adapters and models held, as far as known: from the agent, else from the registration. */
+    bool holds(const backend_view& view, const std::string& weights, std::uint64_t version,
+               time_point now) const;
+
+private:
+    backend_board_settings settings_;
+    std::map<std::string, backend_view> views_;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/include/serving/backend_server.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <kernel/clock.h>
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/** @file What is known of backend servers: their registrations and the state of engines. */
+namespace camphorgrade::serving {
+
+/** An IPv4 address and port. */
+struct network_address {
+    std::string ip;
+    std::uint16_t port = 0;
+
+    friend bool operator==(const network_address&, const network_address&) = default;
+    friend auto operator<=>(const network_address&, const network_address&) = default;
+};
+
+/** A base model or "model/adapter", and the version of its weights. */
+struct held_weights {
+    std::string name;
+    std::uint64_t version = 0;
+
+    friend bool operator==(const held_weights&, const held_weights&) = default;
+    friend auto operator<=>(const held_weights&, const held_weights&) = default;
+};
+
+/** A backend server as it registered itself. A value type. */
+struct backend_server {
+    std::string id;
+    std::string service;
+    network_address address;
+    std::string data_centre;
+    std::uint32_t slots = 1;
+    bool is_draining = false;
+    std::uint64_t born = 0; /**< When this process started, Unix milliseconds. */
+    std::vector<held_weights> held;
+
+    friend bool operator==(const backend_server&, const backend_server&) = default;
+};
+
+/** How an adapter stands on an engine. */
+struct adapter_place {
+    held_weights weights;
+    bool is_loading = false;
+    std::uint32_t in_use = 0; /**< Requests that gateways have sent there and not finished. */
+
+    friend bool operator==(const adapter_place&, const adapter_place&) = default;
+};
+
+/** An engine as the agent beside it last saw it. A value type. */
+struct engine_state {
+    std::uint64_t sequence = 0;   /**< Of the agent's reports; larger is newer. */
+    std::uint64_t agent_life = 0; /**< Start of the agent; larger is a later process. */
+    std::uint64_t born = 0;       /**< Start of the engine, Unix milliseconds. */
+    std::vector<held_weights> models;
+    std::vector<adapter_place> adapters;
+    std::uint32_t evictable = 0; /**< Places that are free or whose adapter nobody uses. */
+    std::uint32_t waiting = 0;
+    std::uint32_t running = 0;
+    std::uint64_t kv_used = 0;
+    std::uint64_t kv_total = 0;
+    std::uint64_t queued_prompt_tokens = 0; /**< Of requests sent that gave no event yet. */
+
+    friend bool operator==(const engine_state&, const engine_state&) = default;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/include/serving/fleet_source.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <serving/backend_server.h>
+#include <serving/service_catalogue.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::serving {
+
+/** Hears what the store holds of the fleet. */
+class fleet_listener {
+public:
+    fleet_listener() = default;
+    fleet_listener(const fleet_listener&) = delete;
+    fleet_listener& operator=(const fleet_listener&) = delete;
+    virtual ~fleet_listener() = default;
+
+    /** A catalogue, possibly one that is known already; `text` is its stored form. */
+    virtual void on_catalogue(service_catalogue catalogue, const std::string& text) = 0;
+    virtual void on_adapter_version(const std::string& weights, std::uint64_t version) = 0;
+    /** All registrations as of now; those that aren't among them are gone. */
+    virtual void on_registrations(const std::vector<backend_server>& servers) = 0;
+    virtual void on_registration(const backend_server& server) = 0;
+    virtual void on_deregistration(const std::string& id) = 0;
+    /** Contact with the store was lost or regained, or proved to last. */
+    virtual void on_contact(bool reachable) = 0;
+    /** A record that can't be used, with the reason; it is passed over. */
+    virtual void on_bad_record(const std::string& key, const std::string& reason) = 0;
+};
+
+/** Reads the stored form of a catalogue that a peer relayed. Thread safe. */
+class catalogue_reader {
+public:
+    catalogue_reader() = default;
+    catalogue_reader(const catalogue_reader&) = delete;
+    catalogue_reader& operator=(const catalogue_reader&) = delete;
+    virtual ~catalogue_reader() = default;
+
+    virtual std::optional<service_catalogue> read(const std::string& text) const = 0;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/include/serving/placement.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <serving/backend_board.h>
+#include <serving/request_profile.h>
+
+#include <cstdint>
+#include <set>
+#include <string>
+#include <variant>
+
+namespace camphorgrade::serving {
+
+/** Speeds and penalties by which a placement is estimated. */
+struct placement_settings {
+    double prefill_tokens_per_ms = 30;  /**< Of one engine, with some room below its best. */
+    duration cold_load{250};            /**< An adapter from the weight store, few under way. */
+    duration warm_load{40};             /**< An adapter that the engine held before. */
+    std::uint32_t full_speed_loads = 8; /**< Fleet-wide; beyond it each takes longer. */
+    duration place_wait{500};           /**< Until an adapter in use frees its place. */
+    duration other_centre{15};          /**< What bytes between data centres are worth. */
+    duration rank_step{15};       /**< Keeps an adapter near its home engine, where it was held. */
+    duration full_batch{1'000};   /**< Until an engine without a free batch slot or memory. */
+    duration plain_work{50};      /**< Of a plain service's request, before any is measured. */
+    double usable_memory = 0.92;  /**< Of an engine's token memory, before requests preempt. */
+    double failure_penalty = 2.0; /**< Objectives that a server failing all requests costs. */
+
+    friend bool operator==(const placement_settings&, const placement_settings&) = default;
+};
+
+/** What is to be placed. */
+struct placement_request {
+    std::string service;
+    std::string weights; /**< Empty for a plain service. */
+    std::string base_model;
+    std::uint64_t version = 0; /**< Least version of the weights. */
+    std::uint64_t prompt_tokens = 0;
+    std::uint64_t output_tokens = 0;
+    std::vector<prompt_part> prompt_parts;
+    duration objective{};
+    std::set<std::string> excluded; /**< Servers that were tried. */
+};
+
+/** Where a request goes. A value type. */
+struct placement {
+    std::string backend_id;
+    bool is_ready = false;   /**< The weights are there: send now. Else wait for them. */
+    duration first_answer{}; /**< Estimate. */
+
+    friend bool operator==(const placement&, const placement&) = default;
+};
+
+/** Why a request can't be placed. */
+enum class no_placement : std::uint8_t { no_backend_server };
+
+/**
+ * Chooses the backend server with the least estimated time to the first answer: waiting prompts,
+ * the prompt's own unread part, loading the adapter, a full batch. An adapter that is nowhere goes
+ * to the engines that rendezvous hashing ranks first for it, because they have likely held it.
+ * Deterministic. Not thread safe.
+ */
+class placement_chooser {
+public:
+    placement_chooser(placement_settings settings, std::string own_data_centre);
+
+    std::variant<placement, no_placement> choose(backend_board& board,
+                                                 const placement_request& request, time_point now);
+
+private:
+    struct estimate {
+        backend_view* view = nullptr;
+        bool is_ready = false;
+        duration first_answer{};
+        duration cost{}; /**< First answer and what else speaks against the server. */
+    };
+
+    estimate judge_engine(backend_board& board, backend_view& view,
+                          const placement_request& request, duration load_cold, std::size_t servers,
+                          time_point now) const;
+    estimate judge_plain(backend_view& view, const placement_request& request) const;
+    duration load_wait(const backend_view& view, const placement_request& request,
+                       duration load_cold) const;
+    duration common_penalty(const backend_view& view, const placement_request& request) const;
+
+    placement_settings settings_;
+    std::string own_data_centre_;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/include/serving/registration_book.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <serving/backend_server.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::serving {
+
+/** Times of a registration_book. */
+struct registration_book_settings {
+    duration outage{1'200};      /**< Without an answer for so long, registrations may have lapsed
+                                      only because their servers could not renew them. */
+    duration return_time{2'200}; /**< Live servers register again within this after an outage. */
+
+    friend bool operator==(const registration_book_settings&,
+                           const registration_book_settings&) = default;
+};
+
+/**
+ * Decides which registrations of backend servers count. One that vanishes while the store answers
+ * is gone at once. One that vanished around an outage of the store counts until its server has had
+ * the time to register again. Deterministic. Not thread safe.
+ */
+class registration_book {
+public:
+    explicit registration_book(registration_book_settings settings);
+
+    /** The store answered, or failed to. */
+    void on_contact(bool reachable, time_point now);
+
+    /** All registrations as read; returns the ids that are gone now. */
+    std::vector<std::string> on_all(const std::vector<backend_server>& servers, time_point now);
+
+    void on_registration(const std::string& id);
+
+    /** Returns whether the server is gone now. */
+    bool on_deregistration(const std::string& id, time_point now);
+
+    /** Ids whose time to register again has passed. */
+    std::vector<std::string> expire(time_point now);
+
+private:
+    bool is_in_doubt(time_point now) const;
+    time_point due(time_point now) const;
+
+    registration_book_settings settings_;
+    std::set<std::string> known_;
+    std::map<std::string, time_point> missing_;
+    time_point last_answer_;
+    time_point returned_;
+    bool was_out_ = false;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/include/serving/request_codec.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <kernel/http_types.h>
+#include <serving/request_profile.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+
+namespace camphorgrade::serving {
+
+/** What a gateway adds to a request for one attempt. */
+struct attempt_profile {
+    std::string backend_id; /**< Any other process refuses the request. */
+    duration left{};        /**< Until the request's deadline. */
+    std::string account;    /**< Empty on public routes. */
+    int urgency = 0;
+    std::uint64_t weights_version = 0;         /**< 0: any. */
+    std::optional<std::uint64_t> resume_after; /**< The stream goes on after this event. */
+
+    friend bool operator==(const attempt_profile&, const attempt_profile&) = default;
+};
+
+/** What a backend server's answer says of itself. */
+struct answer_profile {
+    bool is_sealed = false;   /**< It is the backend server's own answer to a request it took. */
+    bool has_not_run = false; /**< The backend server states that it did not run the request. */
+    bool is_encoded = false;  /**< Its body isn't what the backend server made. */
+
+    friend bool operator==(const answer_profile&, const answer_profile&) = default;
+};
+
+/** Translates requests and answers between their headers and what they say. Thread safe. */
+class request_codec {
+public:
+    request_codec() = default;
+    request_codec(const request_codec&) = delete;
+    request_codec& operator=(const request_codec&) = delete;
+    virtual ~request_codec() = default;
+
+    /** Reads a caller's request; what is missing or unreadable is left empty. */
+    virtual request_profile decode(const std::string& target,
+                                   const http_headers& headers) const = 0;
+
+    /** Headers to send to a backend server: the caller's, less those that are the system's to set,
+     * plus those of the attempt. */
+    virtual http_headers encode(const http_headers& from_caller,
+                                const attempt_profile& attempt) const = 0;
+
+    virtual answer_profile decode_answer(const http_head& head) const = 0;
+
+    /** Header by which an answer names the request that it belongs to. */
+    virtual std::string correlation_header() const = 0;
+};
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/src/account_limiter.cpp
@@ -0,0 +1,114 @@
+#include <serving/account_limiter.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace camphorgrade::serving {
+
+namespace {
+
+constexpr double ms_per_s = 1'000.0;
+// A peer's first report after its start may hold what older processes of ours already counted.
+constexpr double deepest_debt_in_bursts = 1.0;
+
+} // namespace
+
+account_limiter::account_limiter(account_limiter_settings settings) : settings_(settings) {}
+
+void account_limiter::set_catalogue(const service_catalogue& catalogue, time_point now) {
+    std::map<std::string, bucket> next;
+    for (const auto& each : catalogue.accounts) {
+        if (each.rate_per_s <= 0) {
+            continue;
+        }
+        const auto found = buckets_.find(each.name);
+        bucket kept{each.burst, each.rate_per_s, each.burst, now};
+        if (found != buckets_.end()) {
+            refill(found->second, now);
+            kept.level = std::min(found->second.level, each.burst);
+        }
+        next.emplace(each.name, kept);
+    }
+    buckets_ = std::move(next);
+}
+
+double account_limiter::usable_share(time_point now) const {
+    const auto silent = peers_.size() - audible_peers(now);
+    return 1.0 - static_cast<double>(silent) / static_cast<double>(gateways());
+}
+
+std::size_t account_limiter::audible_peers(time_point now) const {
+    return static_cast<std::size_t>(
+        std::count_if(peers_.begin(), peers_.end(), [&](const auto& each) {
+            return now - each.second.heard < settings_.peer_silence;
+        }));
+}
+
+void account_limiter::refill(bucket& of, time_point now) const {
+    const auto passed = static_cast<double>((now - of.refilled).count()) / ms_per_s;
+    of.level = std::min(of.burst, of.level + passed * of.rate_per_s * usable_share(now));
+    of.refilled = now;
+}
+
+void account_limiter::forget_expired(time_point now) {
+    std::erase_if(
+        peers_, [&](const auto& each) { return now - each.second.heard >= settings_.peer_expiry; });
+}
+
+std::optional<duration> account_limiter::charge(const std::string& account, double cost,
+                                                time_point now) {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) {
+        return std::nullopt;
+    }
+    forget_expired(now);
+    auto& charged = found->second;
+    refill(charged, now);
+    // A request larger than the burst passes when the bucket is full, or it never could.
+    const double needed = std::min(cost, charged.burst);
+    if (charged.level < needed) {
+        const double rate = std::max(charged.rate_per_s * usable_share(now), 1.0);
+        return duration{
+            static_cast<duration::rep>(std::ceil((needed - charged.level) / rate * ms_per_s))};
+    }
+    charged.level -= cost;
+    own_[account] += static_cast<std::uint64_t>(cost);
+    return std::nullopt;
+}
+
+void account_limiter::credit(const std::string& account, double cost) {
+    const auto found = buckets_.find(account);
+    if (found == buckets_.end()) {
+        return;
+    }
+    auto& credited = found->second;
+    credited.level = std::min(credited.burst, credited.level + cost);
+}
+
+void account_limiter::on_peer_usage(const std::string& peer_name, std::uint64_t life,
+                                    const account_usage& usage, time_point now) {
+    auto& known = peers_[peer_name];
+    if (life < known.life) {
+        return;
+    }
+    const bool is_first = known.life == 0;
+    if (life > known.life) {
+        known.life = life;
+        known.usage.clear();
+    }
+    known.heard = now;
+    for (const auto& [account, count] : usage) {
+        auto& seen = known.usage[account];
+        const auto added = count > seen ? count - seen : 0;
+        seen = std::max(seen, count);
+        const auto found = buckets_.find(account);
+        if (found == buckets_.end() || is_first) {
+            continue;
+        }
+        refill(found->second, now);
+        found->second.level = std::max(found->second.level - static_cast<double>(added),
+                                       -deepest_debt_in_bursts * found->second.burst);
+    }
+}
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/src/backend_board.cpp
@@ -0,0 +1,142 @@
+#include <serving/backend_board.h>
+
+#include <algorithm>
+
+namespace camphorgrade::serving {
+
+namespace {
+
+// Weight of the newest answer in a moving average: about the last ten answers count.
+constexpr double average_weight = 0.1;
+constexpr std::uint32_t most_doublings = 5;
+
+bool holds_at_least(const std::vector<held_weights>& held, const std::string& name,
+                    std::uint64_t version) {
+    return std::any_of(held.begin(), held.end(), [&](const held_weights& each) {
+        return each.name == name && each.version >= version;
+    });
+}
+
+} // namespace
+
+backend_board::backend_board(backend_board_settings settings) : settings_(settings) {}
+
+void backend_board::put(const backend_server& server) {
+    auto& view = views_[server.id];
+    const bool is_new_process =
+        view.server.born != server.born || view.server.address != server.address;
+    if (is_new_process) {
+        view.engine.reset();
+        view.prompts.clear();
+        view.seen_adapters.clear();
+        view.failures = 0;
+        view.avoid_until = {};
+        view.failure_share = 0;
+        view.slowness = 1;
+    }
+    view.server = server;
+}
+
+void backend_board::remove(const std::string& id) {
+    const auto found = views_.find(id);
+    if (found == views_.end()) {
+        return;
+    }
+    if (found->second.in_flight == 0 && found->second.demand.empty()) {
+        views_.erase(found);
+    } else {
+        found->second.server.is_draining = true;
+    }
+}
+
+void backend_board::on_engine_state(const std::string& id, engine_state state, time_point now) {
+    auto* view = find(id);
+    if (view == nullptr) {
+        return;
+    }
+    const auto& old = view->engine;
+    const bool is_older =
+        old && (state.agent_life < old->agent_life ||
+                (state.agent_life == old->agent_life && state.sequence <= old->sequence));
+    if (is_older) {
+        return;
+    }
+    if (old && old->born != state.born) {
+        view->prompts.clear();
+        view->seen_adapters.clear();
+    }
+    for (const auto& each : state.adapters) {
+        view->seen_adapters.insert(each.weights.name);
+    }
+    view->engine = std::move(state);
+    view->engine_heard = now;
+}
+
+backend_view* backend_board::find(const std::string& id) {
+    const auto found = views_.find(id);
+    return found == views_.end() ? nullptr : &found->second;
+}
+
+const backend_view* backend_board::find(const std::string& id) const {
+    const auto found = views_.find(id);
+    return found == views_.end() ? nullptr : &found->second;
+}
+
+backend_view* backend_board::find_at(const network_address& address) {
+    const auto found = std::find_if(views_.begin(), views_.end(), [&](const auto& each) {
+        return each.second.server.address == address && !each.second.server.is_draining;
+    });
+    return found == views_.end() ? nullptr : &found->second;
+}
+
+std::vector<backend_view*> backend_board::of_service(const std::string& service) {
+    std::vector<backend_view*> out;
+    for (auto& [id, view] : views_) {
+        if (view.server.service == service && !view.server.is_draining) {
+            out.push_back(&view);
+        }
+    }
+    return out;
+}
+
+void backend_board::on_failure(const std::string& id, time_point now) {
+    auto* view = find(id);
+    if (view == nullptr) {
+        return;
+    }
+    const auto doublings = std::min(view->failures, most_doublings);
+    ++view->failures;
+    view->avoid_until = now + std::min(settings_.longest_avoidance,
+                                       duration{settings_.first_avoidance.count() << doublings});
+    view->failure_share += average_weight * (1 - view->failure_share);
+}
+
+void backend_board::on_answer(const std::string& id, bool failed) {
+    auto* view = find(id);
+    if (view == nullptr) {
+        return;
+    }
+    view->failures = 0;
+    view->avoid_until = {};
+    view->failure_share += average_weight * ((failed ? 1.0 : 0.0) - view->failure_share);
+}
+
+bool backend_board::has_fresh_engine(const backend_view& view, time_point now) const {
+    return view.engine && now - view.engine_heard < settings_.engine_silence;
+}
+
+bool backend_board::holds(const backend_view& view, const std::string& weights,
+                          std::uint64_t version, time_point now) const {
+    if (!has_fresh_engine(view, now)) {
+        return holds_at_least(view.server.held, weights, version);
+    }
+    if (holds_at_least(view.engine->models, weights, version)) {
+        return true;
+    }
+    const auto& adapters = view.engine->adapters;
+    return std::any_of(adapters.begin(), adapters.end(), [&](const adapter_place& each) {
+        return !each.is_loading && each.weights.name == weights && each.weights.version >= version;
+    });
+}
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/src/dispatcher.cpp
@@ -0,0 +1,452 @@
+#include <serving/dispatcher.h>
+
+#include <kernel/check.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorgrade::serving {
+
+namespace {
+
+// Urgency has ten steps: an account's priority goes first, the route's decides within it.
+constexpr int steps_per_account_priority = 3;
+constexpr int least_urgent = 9;
+// Time that a caller without a deadline of its own gets beyond a route that states none.
+constexpr duration default_timeout{30'000};
+
+int urgency_of(const route& on, const client_account* account) {
+    const int by_account = account != nullptr ? account->priority.value_or(0) : 0;
+    const int by_route = std::clamp(on.priority, 0, steps_per_account_priority - 1);
+    return std::clamp(by_account * steps_per_account_priority + by_route, 0, least_urgent);
+}
+
+double cost_of(const request_profile& profile, const client_account& account) {
+    if (!account.counts_tokens) {
+        return 1;
+    }
+    return profile.states_tokens
+               ? static_cast<double>(profile.prompt_tokens + profile.max_output_tokens)
+               : account.plain_cost;
+}
+
+} // namespace
+
+dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
+                       std::uint64_t seed)
+    : settings_(settings), random_(seed), board_({}), limiter_({}), retries_(settings.retries),
+      crashes_({}), chooser_(settings.placing, std::move(own_data_centre)) {}
+
+void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
+    if (catalogue_ && catalogue.version <= catalogue_->catalogue().version) {
+        return;
+    }
+    limiter_.set_catalogue(catalogue, now);
+    catalogue_ = std::make_shared<const catalogue_index>(std::move(catalogue));
+}
+
+void dispatcher::set_adapter_version(const std::string& weights, std::uint64_t version) {
+    auto& known = versions_[weights];
+    known = std::max(known, version);
+}
+
+ticket dispatcher::arrive(request_profile profile, std::uint64_t content, time_point now) {
+    const auto id = next_++;
+    auto& added = requests_[id];
+    added.profile = std::move(profile);
+    added.content = content;
+    added.catalogue = catalogue_;
+    added.arrived = now;
+    duration wait{};
+    if (const auto reason = check(added, wait, now)) {
+        end(id, added, *reason, wait);
+        return id;
+    }
+    retries_.on_request(added.service, now);
+    place(id, added, now);
+    return id;
+}
+
+std::optional<end_reason> dispatcher::identify(request& of) const {
+    if (!of.catalogue) {
+        return end_reason::no_catalogue;
+    }
+    of.on_route = of.catalogue->find_route(of.profile.host, of.profile.path);
+    if (of.on_route == nullptr) {
+        return end_reason::no_route;
+    }
+    const client_account* account =
+        of.profile.key ? of.catalogue->find_account(*of.profile.key) : nullptr;
+    const bool needs_key = !of.on_route->is_public && !of.catalogue->catalogue().accounts.empty();
+    if (needs_key && account == nullptr) {
+        return end_reason::unknown_key;
+    }
+    of.urgency = urgency_of(*of.on_route, account);
+    if (account != nullptr) {
+        of.account = account->name;
+        of.cost = cost_of(of.profile, *account);
+    }
+    return std::nullopt;
+}
+
+std::optional<end_reason> dispatcher::check(request& of, duration& retry_after, time_point now) {
+    if (const auto reason = identify(of)) {
+        return reason;
+    }
+    const auto longest =
+        of.on_route->timeout > duration::zero() ? of.on_route->timeout : default_timeout;
+    of.deadline = now + std::min(of.profile.deadline.value_or(longest), longest);
+    if (crashes_.is_quarantined(of.content, now)) {
+        return end_reason::quarantined;
+    }
+    of.service = pick_service(*of.on_route);
+    if (const auto wait = limiter_.charge(of.account, of.cost, now)) {
+        of.cost = 0;
+        retry_after =
+            std::clamp(*wait, settings_.shortest_retry_after, settings_.longest_retry_after);
+        return end_reason::over_rate;
+    }
+    return std::nullopt;
+}
+
+std::string dispatcher::pick_service(const route& from) {
+    std::uint64_t total = 0;
+    for (const auto& each : from.services) {
+        total += each.weight;
+    }
+    if (total == 0) {
+        return {};
+    }
+    auto drawn = random_.below(total);
+    for (const auto& each : from.services) {
+        if (drawn < each.weight) {
+            return each.service;
+        }
+        drawn -= each.weight;
+    }
+    return from.services.back().service;
+}
+
+duration dispatcher::patience(const request& of) const {
+    const auto& on = *of.on_route;
+    return std::max({settings_.shortest_patience,
+                     on.latency_objective * settings_.patience_objectives,
+                     on.longest_pause * settings_.patience_pauses});
+}
+
+duration dispatcher::retry_after(duration estimate) {
+    // Spread, so that callers that were refused together don't come back together.
+    const double spread = 0.75 + 0.5 * random_.unit();
+    const auto wanted =
+        duration{static_cast<duration::rep>(static_cast<double>(estimate.count()) * spread)};
+    return std::clamp(wanted, settings_.shortest_retry_after, settings_.longest_retry_after);
+}
+
+void dispatcher::place(ticket id, request& of, time_point now) {
+    placement_request wanted;
+    wanted.service = of.service;
+    wanted.base_model = of.profile.model;
+    wanted.weights = of.profile.weights_name();
+    const auto version = versions_.find(wanted.weights);
+    of.version = version == versions_.end() ? 0 : version->second;
+    wanted.version = of.version;
+    wanted.prompt_tokens = of.profile.prompt_tokens;
+    wanted.output_tokens = of.profile.max_output_tokens;
+    wanted.prompt_parts = of.profile.prompt_parts;
+    wanted.objective = of.on_route->latency_objective;
+    wanted.excluded = of.excluded;
+    const auto chosen = chooser_.choose(board_, wanted, now);
+    const auto* to = std::get_if<placement>(&chosen);
+    if (to == nullptr) {
+        end(id, of, of.refusals > 0 ? end_reason::refused : end_reason::no_backend,
+            retry_after(settings_.place_again));
+        return;
+    }
+    const auto usable =
+        std::min(duration{static_cast<duration::rep>(
+                     static_cast<double>((of.deadline - now).count()) * settings_.usable_time)},
+                 patience(of) - (now - of.arrived));
+    if (to->first_answer > usable) {
+        end(id, of, end_reason::no_capacity, retry_after(to->first_answer - usable));
+        return;
+    }
+    if (to->is_ready) {
+        send(id, of, *to);
+    } else {
+        wait(id, of, *to, now);
+    }
+}
+
+void dispatcher::send(ticket id, request& of, const placement& to) {
+    auto* view = board_.find(to.backend_id);
+    CAMPHOR_INVARIANT(view != nullptr);
+    of.at = phase::sent;
+    of.has_first_answer = false;
+    of.backend_id = to.backend_id;
+    of.waits_for = {of.profile.weights_name(), of.version};
+    ++of.attempts;
+    ++view->in_flight;
+    view->queued_prompt_tokens += of.profile.prompt_tokens;
+    if (!of.profile.model.empty()) {
+        ++view->demand[of.waits_for].in_use;
+        view->prompts.remember(of.waits_for.name, of.profile.prompt_parts);
+    }
+    send_attempt effect;
+    effect.request = id;
+    effect.backend_id = to.backend_id;
+    effect.address = view->server.address;
+    effect.expected_version = of.profile.adapter.empty() ? 0 : of.version;
+    effect.urgency = of.urgency;
+    effect.number = of.attempts;
+    effects_.emplace_back(std::move(effect));
+}
+
+void dispatcher::wait(ticket id, request& of, const placement& to, time_point now) {
+    auto* view = board_.find(to.backend_id);
+    CAMPHOR_INVARIANT(view != nullptr);
+    of.at = phase::waiting;
+    of.placed = now;
+    of.backend_id = to.backend_id;
+    of.waits_for = {of.profile.weights_name(), of.version};
+    ++view->demand[of.waits_for].waiting;
+    effects_.emplace_back(wait_for_weights{id, to.backend_id, to.first_answer});
+}
+
+void dispatcher::leave_backend(request& of) {
+    auto* view = board_.find(of.backend_id);
+    if (view == nullptr || (of.at != phase::waiting && of.at != phase::sent)) {
+        return;
+    }
+    auto found = view->demand.find(of.waits_for);
+    if (of.at == phase::sent) {
+        --view->in_flight;
+        if (!of.has_first_answer) {
+            view->queued_prompt_tokens -= of.profile.prompt_tokens;
+        }
+        if (found != view->demand.end()) {
+            --found->second.in_use;
+        }
+    } else if (found != view->demand.end()) {
+        --found->second.waiting;
+    }
+    if (found != view->demand.end() && found->second == adapter_demand{}) {
+        view->demand.erase(found);
+    }
+    of.at = phase::placing;
+}
+
+void dispatcher::end(ticket id, request& of, end_reason reason, duration retry_after) {
+    leave_backend(of);
+    of.at = phase::ended;
+    if (!of.may_have_run && has_not_run(reason) && of.cost > 0) {
+        limiter_.credit(of.account, of.cost);
+        of.cost = 0;
+    }
+    effects_.emplace_back(end_request{id, reason, retry_after});
+}
+
+void dispatcher::on_first_answer(ticket id, time_point now) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end() || found->second.at != phase::sent ||
+        found->second.has_first_answer) {
+        return;
+    }
+    static_cast<void>(now);
+    found->second.has_first_answer = true;
+    if (auto* view = board_.find(found->second.backend_id)) {
+        view->queued_prompt_tokens -= found->second.profile.prompt_tokens;
+    }
+}
+
+void dispatcher::on_attempt_ended(ticket id, attempt_outcome outcome, time_point now) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end() || found->second.at != phase::sent) {
+        return;
+    }
+    auto& of = found->second;
+    const auto backend = of.backend_id;
+    const auto* view = board_.find(backend);
+    if (outcome == attempt_outcome::broken && view != nullptr) {
+        crashes_.add({of.content, backend, view->server.born}, now);
+    }
+    leave_backend(of);
+    const bool could_not_use =
+        outcome == attempt_outcome::unreachable || outcome == attempt_outcome::broken;
+    if (could_not_use) {
+        board_.on_failure(backend, now);
+    } else {
+        board_.on_answer(backend, outcome == attempt_outcome::own_error ||
+                                      outcome == attempt_outcome::refused);
+    }
+    if (outcome == attempt_outcome::whole) {
+        of.at = phase::ended;
+        return;
+    }
+    try_again(id, of, outcome, now);
+}
+
+void dispatcher::try_again(ticket id, request& of, attempt_outcome outcome, time_point now) {
+    const bool has_run =
+        outcome == attempt_outcome::broken || outcome == attempt_outcome::own_error;
+    of.may_have_run = of.may_have_run || has_run;
+    of.refusals += has_run ? 0 : 1;
+    of.attempts -= has_run || of.attempts == 0 ? 0 : 1;
+    const auto reason = of.may_have_run ? end_reason::broken : end_reason::refused;
+    if (outcome != attempt_outcome::wrong_weights) {
+        of.excluded.insert(of.backend_id);
+    }
+    const bool may_run_again = !of.may_have_run || of.on_route->may_repeat();
+    const bool has_tries = of.attempts < std::max<std::uint32_t>(of.on_route->max_attempts, 1) &&
+                           of.refusals <= settings_.max_refusals;
+    if (!may_run_again || !has_tries || now >= of.deadline ||
+        crashes_.is_quarantined(of.content, now) ||
+        !retries_.try_repeat(of.service, limiter_.gateways(), now)) {
+        end(id, of, reason, retry_after(settings_.place_again));
+        return;
+    }
+    place(id, of, now);
+}
+
+void dispatcher::release(ticket id) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end()) {
+        return;
+    }
+    leave_backend(found->second);
+    requests_.erase(found);
+}
+
+void dispatcher::on_engine_state(const std::string& backend_id, engine_state state,
+                                 time_point now) {
+    board_.on_engine_state(backend_id, std::move(state), now);
+    const auto* view = board_.find(backend_id);
+    if (view == nullptr) {
+        return;
+    }
+    for (auto& [id, each] : requests_) {
+        if (each.at != phase::waiting || each.backend_id != backend_id ||
+            !board_.holds(*view, each.waits_for.name, each.waits_for.version, now)) {
+            continue;
+        }
+        leave_backend(each);
+        send(id, each, {backend_id, true, {}});
+    }
+}
+
+void dispatcher::tick(time_point now) {
+    for (auto& [id, each] : requests_) {
+        if (each.at != phase::waiting && each.at != phase::sent) {
+            continue;
+        }
+        if (now >= each.deadline) {
+            const bool was_sent = each.at == phase::sent || each.may_have_run;
+            end(id, each, was_sent ? end_reason::timed_out_sent : end_reason::timed_out,
+                settings_.shortest_retry_after);
+        } else if (each.at == phase::waiting && now - each.placed >= settings_.place_again) {
+            leave_backend(each);
+            place(id, each, now);
+        }
+    }
+}
+
+std::vector<dispatch_effect> dispatcher::take_effects() {
+    return std::exchange(effects_, {});
+}
+
+std::map<std::string, std::vector<open_work>> dispatcher::open_by_backend(time_point now) const {
+    std::map<std::string, std::vector<open_work>> out;
+    for (const auto& [id, each] : requests_) {
+        const bool is_open = each.at == phase::waiting || each.at == phase::sent;
+        if (!is_open || each.profile.model.empty()) {
+            continue;
+        }
+        auto& works = out[each.backend_id];
+        auto found = std::find_if(works.begin(), works.end(), [&](const open_work& work) {
+            return work.weights == each.waits_for;
+        });
+        if (found == works.end()) {
+            found = works.insert(works.end(), {each.waits_for, 0, 0, {}, each.urgency});
+        }
+        found->urgency = std::min(found->urgency, each.urgency);
+        if (each.at == phase::waiting) {
+            ++found->waiting;
+            found->oldest_wait = std::max(found->oldest_wait, now - each.arrived);
+        } else {
+            ++found->in_use;
+        }
+    }
+    return out;
+}
+
+std::string dispatcher::account_of(ticket id) const {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? std::string{} : found->second.account;
+}
+
+const route* dispatcher::route_of(ticket id) const {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? nullptr : found->second.on_route;
+}
+
+time_point dispatcher::deadline_of(ticket id) const {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? time_point{} : found->second.deadline;
+}
+
+std::size_t dispatcher::waiting_requests() const {
+    return static_cast<std::size_t>(
+        std::count_if(requests_.begin(), requests_.end(),
+                      [](const auto& each) { return each.second.at == phase::waiting; }));
+}
+
+std::string_view to_string(end_reason reason) noexcept {
+    switch (reason) {
+    case end_reason::no_catalogue:
+        return "no_catalogue";
+    case end_reason::no_route:
+        return "no_route";
+    case end_reason::unknown_key:
+        return "unknown_key";
+    case end_reason::over_rate:
+        return "over_rate";
+    case end_reason::quarantined:
+        return "quarantined";
+    case end_reason::no_backend:
+        return "no_backend";
+    case end_reason::no_capacity:
+        return "no_capacity";
+    case end_reason::refused:
+        return "refused";
+    case end_reason::timed_out:
+        return "timed_out";
+    case end_reason::timed_out_sent:
+        return "timed_out_sent";
+    case end_reason::broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(attempt_outcome outcome) noexcept {
+    switch (outcome) {
+    case attempt_outcome::whole:
+        return "whole";
+    case attempt_outcome::own_error:
+        return "own_error";
+    case attempt_outcome::refused:
+        return "refused";
+    case attempt_outcome::wrong_weights:
+        return "wrong_weights";
+    case attempt_outcome::unreachable:
+        return "unreachable";
+    case attempt_outcome::broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+bool has_not_run(end_reason reason) noexcept {
+    return reason != end_reason::timed_out_sent && reason != end_reason::broken;
+}
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/src/placement.cpp
@@ -0,0 +1,166 @@
+#include <serving/placement.h>
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <string_view>
+
+namespace camphorgrade::serving {
+
+namespace {
+
+constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2^64
+
+duration from_ms(double ms) {
+    return duration{static_cast<duration::rep>(std::llround(ms))};
+}
+
+/** Rank of a server for an adapter, about uniform in [0, servers). */
+double rendezvous_rank(std::string_view weights, std::string_view server, std::size_t servers) {
+    std::uint64_t hash = std::hash<std::string_view>{}(weights);
+    hash ^= std::hash<std::string_view>{}(server)*0x9e3779b97f4a7c15ULL;
+    hash ^= hash >> 32U;
+    hash *= 0xd6e8feb86659fd93ULL;
+    hash ^= hash >> 32U;
+    return static_cast<double>(hash) / hash_range * static_cast<double>(servers);
+}
+
+std::uint32_t unmet_demand(const backend_view& view) {
+    std::uint32_t unmet = 0;
+    for (const auto& [weights, open] : view.demand) {
+        const auto& places = view.engine->adapters;
+        const bool is_placed =
+            std::any_of(places.begin(), places.end(), [&](const adapter_place& each) {
+                return each.weights.name == weights.name && each.weights.version >= weights.version;
+            });
+        unmet += open.waiting > 0 && !is_placed ? 1 : 0;
+    }
+    return unmet;
+}
+
+std::uint32_t loads_under_way(const backend_board& board) {
+    std::uint32_t loads = 0;
+    for (const auto& [id, view] : board.all()) {
+        if (!view.engine) {
+            continue;
+        }
+        for (const auto& each : view.engine->adapters) {
+            loads += each.is_loading ? 1 : 0;
+        }
+    }
+    return loads;
+}
+
+} // namespace
+
+placement_chooser::placement_chooser(placement_settings settings, std::string own_data_centre)
+    : settings_(settings), own_data_centre_(std::move(own_data_centre)) {}
+
+std::variant<placement, no_placement>
+placement_chooser::choose(backend_board& board, const placement_request& request, time_point now) {
+    auto candidates = board.of_service(request.service);
+    std::erase_if(candidates, [&](const backend_view* each) {
+        return request.excluded.count(each->server.id) != 0;
+    });
+    const auto servers = candidates.size();
+    const bool any_reachable =
+        std::any_of(candidates.begin(), candidates.end(),
+                    [&](const backend_view* each) { return each->avoid_until <= now; });
+    const double loads = loads_under_way(board);
+    const auto load_cold =
+        from_ms(static_cast<double>(settings_.cold_load.count()) *
+                std::max(1.0, (loads + 1) / static_cast<double>(settings_.full_speed_loads)));
+    estimate best;
+    for (auto* each : candidates) {
+        if (any_reachable && each->avoid_until > now) {
+            continue;
+        }
+        const auto judged = request.base_model.empty()
+                                ? judge_plain(*each, request)
+                                : judge_engine(board, *each, request, load_cold, servers, now);
+        if (judged.view != nullptr && (best.view == nullptr || judged.cost < best.cost)) {
+            best = judged;
+        }
+    }
+    if (best.view == nullptr) {
+        return no_placement::no_backend_server;
+    }
+    return placement{best.view->server.id, best.is_ready, best.first_answer};
+}
+
+duration placement_chooser::common_penalty(const backend_view& view,
+                                           const placement_request& request) const {
+    auto penalty = from_ms(view.failure_share * settings_.failure_penalty *
+                           static_cast<double>(request.objective.count()));
+    if (view.server.data_centre != own_data_centre_) {
+        penalty += settings_.other_centre;
+    }
+    return penalty;
+}
+
+placement_chooser::estimate placement_chooser::judge_plain(backend_view& view,
+                                                           const placement_request& request) const {
+    const double rounds = static_cast<double>(view.in_flight + 1) /
+                          static_cast<double>(std::max<std::uint32_t>(view.server.slots, 1));
+    const auto work = from_ms(static_cast<double>(settings_.plain_work.count()) * view.slowness *
+                              std::max(1.0, rounds));
+    // Below a full house, the less loaded of two alike servers is still the better one.
+    const auto load = from_ms(rounds * static_cast<double>(settings_.plain_work.count()));
+    return {&view, true, work, work + load + common_penalty(view, request)};
+}
+
+duration placement_chooser::load_wait(const backend_view& view, const placement_request& request,
+                                      duration load_cold) const {
+    const auto& places = view.engine->adapters;
+    const bool is_coming =
+        std::any_of(places.begin(), places.end(), [&](const adapter_place& each) {
+            return each.weights.name == request.weights && each.weights.version >= request.version;
+        });
+    if (is_coming) {
+        return load_cold / 2;
+    }
+    const auto load =
+        view.seen_adapters.count(request.weights) != 0 ? settings_.warm_load : load_cold;
+    const auto unmet = unmet_demand(view);
+    if (unmet < view.engine->evictable) {
+        return load + load * unmet / 2;
+    }
+    const auto ahead = unmet - view.engine->evictable + 1;
+    return load + settings_.place_wait * ahead;
+}
+
+placement_chooser::estimate placement_chooser::judge_engine(backend_board& board,
+                                                            backend_view& view,
+                                                            const placement_request& request,
+                                                            duration load_cold, std::size_t servers,
+                                                            time_point now) const {
+    const bool is_ready = board.holds(view, request.weights, request.version, now);
+    const bool is_fresh = board.has_fresh_engine(view, now);
+    if (!is_ready && (!is_fresh || !board.holds(view, request.base_model, 0, now))) {
+        return {};
+    }
+    const auto cached = view.prompts.known_tokens(request.weights, request.prompt_parts);
+    const auto unread = request.prompt_tokens > cached ? request.prompt_tokens - cached : 0;
+    const auto reported = is_fresh ? view.engine->queued_prompt_tokens : 0;
+    const auto queued = std::max(reported, view.queued_prompt_tokens);
+    auto first = from_ms(static_cast<double>(queued + unread) * view.slowness /
+                         settings_.prefill_tokens_per_ms);
+    auto cost = common_penalty(view, request);
+    if (!is_ready) {
+        first += load_wait(view, request, load_cold);
+        const auto rank = rendezvous_rank(request.weights, view.server.id, servers);
+        cost += from_ms(rank * static_cast<double>(settings_.rank_step.count()));
+    }
+    if (is_fresh) {
+        const auto& engine = *view.engine;
+        const auto room = settings_.usable_memory * static_cast<double>(engine.kv_total);
+        const auto needed = engine.kv_used + unread + request.output_tokens;
+        const bool is_full = engine.waiting > 0 && engine.running >= view.server.slots;
+        if (is_full || (engine.kv_total > 0 && static_cast<double>(needed) > room)) {
+            first += settings_.full_batch;
+        }
+    }
+    return {&view, is_ready, first, first + cost};
+}
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/src/registration_book.cpp
@@ -0,0 +1,78 @@
+#include <serving/registration_book.h>
+
+#include <algorithm>
+
+namespace camphorgrade::serving {
+
+registration_book::registration_book(registration_book_settings settings) : settings_(settings) {}
+
+void registration_book::on_contact(bool reachable, time_point now) {
+    if (!reachable) {
+        return;
+    }
+    const bool was_silent = last_answer_ != time_point{} && now - last_answer_ > settings_.outage;
+    if (was_silent) {
+        was_out_ = true;
+        returned_ = now;
+    }
+    last_answer_ = now;
+}
+
+bool registration_book::is_in_doubt(time_point now) const {
+    const bool is_out = last_answer_ == time_point{} || now - last_answer_ > settings_.outage;
+    return is_out || (was_out_ && now - returned_ < settings_.return_time);
+}
+
+time_point registration_book::due(time_point now) const {
+    return std::max(now, returned_ + settings_.return_time);
+}
+
+std::vector<std::string> registration_book::on_all(const std::vector<backend_server>& servers,
+                                                   time_point now) {
+    std::set<std::string> present;
+    for (const auto& each : servers) {
+        present.insert(each.id);
+        missing_.erase(each.id);
+    }
+    std::vector<std::string> gone;
+    for (const auto& id : known_) {
+        if (present.count(id) == 0 && on_deregistration(id, now)) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        known_.erase(id);
+    }
+    known_.insert(present.begin(), present.end());
+    return gone;
+}
+
+void registration_book::on_registration(const std::string& id) {
+    known_.insert(id);
+    missing_.erase(id);
+}
+
+bool registration_book::on_deregistration(const std::string& id, time_point now) {
+    if (is_in_doubt(now)) {
+        missing_.try_emplace(id, due(now));
+        return false;
+    }
+    missing_.erase(id);
+    return true;
+}
+
+std::vector<std::string> registration_book::expire(time_point now) {
+    std::vector<std::string> gone;
+    for (const auto& [id, when] : missing_) {
+        if (when <= now) {
+            gone.push_back(id);
+        }
+    }
+    for (const auto& id : gone) {
+        missing_.erase(id);
+        known_.erase(id);
+    }
+    return gone;
+}
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/telemetry/src/event_log.cpp
@@ -0,0 +1,162 @@
+#include <telemetry/event_log.h>
+
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <utility>
+
+namespace camphorgrade {
+
+namespace {
+
+constexpr std::int64_t ms_per_s = 1'000;
+constexpr unsigned char first_printable = 0x20;
+
+void append_quoted(std::string& out, std::string_view value) {
+    out += '"';
+    for (const char c : value) {
+        const auto byte = static_cast<unsigned char>(c);
+        if (c == '"' || c == '\\') {
+            out += '\\';
+            out += c;
+        } else if (byte < first_printable) {
+            std::array<char, 8> escaped{};
+            std::snprintf(escaped.data(), escaped.size(), "\\u%04x", byte);
+            out += escaped.data();
+        } else {
+            out += c;
+        }
+    }
+    out += '"';
+}
+
+} // namespace
+
+stdout_sink::stdout_sink() {
+    const int flags = ::fcntl(STDOUT_FILENO, F_GETFL);
+    if (flags >= 0) {
+        static_cast<void>(::fcntl(STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK));
+    }
+}
+
+std::size_t stdout_sink::write(std::string_view bytes) {
+    const auto written = ::write(STDOUT_FILENO, bytes.data(), bytes.size());
+    return written > 0 ? static_cast<std::size_t>(written) : 0;
+}
+
+event_log::event_log(std::string node, const clock& clock, line_sink& sink,
+                     event_log_settings settings)
+    : node_(std::move(node)), clock_(clock), sink_(sink), settings_(settings) {}
+
+log_line event_log::line(std::string_view event) {
+    begin_second();
+    return admit(event) ? log_line{this, opening(event)} : log_line{nullptr, {}};
+}
+
+std::string event_log::opening(std::string_view event) const {
+    const auto wall = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    std::string out = "{\"time_ms\":" + std::to_string(wall.count()) + ",\"node\":";
+    append_quoted(out, node_);
+    out += ",\"event\":";
+    append_quoted(out, event);
+    return out;
+}
+
+bool event_log::admit(std::string_view event) {
+    auto found = kinds_.find(event);
+    if (found == kinds_.end()) {
+        found = kinds_.emplace(std::string(event), kind_count{}).first;
+    }
+    auto& count = found->second;
+    if (count.written >= settings_.lines_per_kind) {
+        ++count.left_out;
+        return false;
+    }
+    ++count.written;
+    return true;
+}
+
+void event_log::begin_second() {
+    const auto second = clock_.now().time_since_epoch().count() / ms_per_s;
+    if (second == second_) {
+        return;
+    }
+    second_ = second;
+    for (auto& [event, count] : kinds_) {
+        if (count.left_out > 0) {
+            auto line = opening("lines_left_out");
+            line += ",\"of\":";
+            append_quoted(line, event);
+            line += ",\"count\":" + std::to_string(count.left_out) + "}";
+            append(std::move(line));
+        }
+        count = {};
+    }
+}
+
+void event_log::append(std::string line) {
+    if (buffer_.size() + line.size() > settings_.max_buffer_bytes) {
+        ++dropped_;
+        return;
+    }
+    buffer_ += line;
+    buffer_ += '\n';
+}
+
+void event_log::flush() {
+    if (buffer_.empty()) {
+        return;
+    }
+    if (dropped_ > 0 && buffer_.size() < settings_.max_buffer_bytes / 2) {
+        auto line = opening("lines_dropped");
+        line += ",\"count\":" + std::to_string(std::exchange(dropped_, 0)) + "}";
+        append(std::move(line));
+    }
+    buffer_.erase(0, sink_.write(buffer_));
+}
+
+log_line::log_line(event_log* log, std::string opening) : log_(log), text_(std::move(opening)) {}
+
+log_line::log_line(log_line&& other) noexcept
+    : log_(std::exchange(other.log_, nullptr)), text_(std::move(other.text_)) {}
+
+log_line::~log_line() {
+    if (log_ != nullptr) {
+        text_ += '}';
+        log_->append(std::move(text_));
+    }
+}
+
+log_line& log_line::text(std::string_view field, std::string_view value) {
+    if (log_ != nullptr) {
+        text_ += ',';
+        append_quoted(text_, field);
+        text_ += ':';
+        append_quoted(text_, value);
+    }
+    return *this;
+}
+
+log_line& log_line::number(std::string_view field, std::int64_t value) {
+    if (log_ != nullptr) {
+        text_ += ',';
+        append_quoted(text_, field);
+        text_ += ':' + std::to_string(value);
+    }
+    return *this;
+}
+
+log_line& log_line::flag(std::string_view field, bool value) {
+    if (log_ != nullptr) {
+        text_ += ',';
+        append_quoted(text_, field);
+        text_ += value ? ":true" : ":false";
+    }
+    return *this;
+}
+
+} // namespace camphorgrade
