--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -1,6 +1,7 @@
 #include "gateway_node.h"
 
 #include "operator_pages.h"
+#include "refusal_answer.h"
 
 #include <boost/asio/post.hpp>
 
@@ -13,8 +14,9 @@
 namespace {
 
 constexpr duration tick_interval{50};
-// Time for the platform's load balancer to see that this process is leaving.
-constexpr duration rotation_time{3'200};
+// Time for the platform's load balancer to see that this process is leaving. What comes later is
+// refused, because it might not be finished before the process must be gone.
+constexpr duration rotation_time{2'600};
 // Left of the shutdown's grace for the last bytes and the exit itself.
 constexpr duration exit_margin{400};
 
@@ -97,6 +99,9 @@
     log_.flush();
     if (is_stopping_) {
         const auto passed = at - stop_began_;
+        if (passed >= rotation_time) {
+            callers_.stop_accepting();
+        }
         const bool is_empty = callers_.open_exchanges() == 0 && passed >= rotation_time;
         if (is_empty || passed >= settings_.shutdown_grace - exit_margin) {
             loop_.stop();
@@ -112,6 +117,10 @@
 }
 
 void gateway_node::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
+    if (is_stopping_ && now() - stop_began_ >= rotation_time) {
+        refuse_late(*exchange);
+        return;
+    }
     const auto& request = exchange->request();
     auto profile = codec_.decode(request.target, request.headers);
     const auto content = serving::crash_register::fingerprint(profile.key.value_or(""),
@@ -125,6 +134,15 @@
     carry_out_effects();
 }
 
+void gateway_node::refuse_late(edge::caller_exchange& exchange) {
+    const auto& request = exchange.request();
+    log_.line("request_ended")
+        .text("request", codec_.decode(request.target, request.headers).id)
+        .text("reason", to_string(serving::end_reason::shutting_down));
+    const auto refusal = make_refusal({0, serving::end_reason::shutting_down, duration{100}});
+    exchange.answer(refusal.head, refusal.body);
+}
+
 void gateway_node::on_bad_request(int status) {
     log_.line("request_malformed").number("status", status);
     metrics_.count("camphor_malformed_requests_total", {{"status", std::to_string(status)}});
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -70,6 +70,7 @@
     void carry_out(const serving::send_attempt& effect);
     void carry_out(const serving::wait_for_weights& effect);
     void caller_left(serving::ticket request);
+    void refuse_late(edge::caller_exchange& exchange);
     void sweep();
     void tick();
     void on_signal(int signal);
--- a/libs/kernel/src/clock.cpp
+++ b/libs/kernel/src/clock.cpp
@@ -2,6 +2,8 @@
 
 #include <kernel/check.h>
 
+#include <ctime>
+
 namespace camphorgrade {
 
 void manual_clock::advance_to(time_point to) {
@@ -10,8 +12,11 @@
 }
 
 time_point monotonic_clock::now() const {
-    const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-    return time_point{std::chrono::duration_cast<duration>(since_boot)};
+    // Counts the time in which the VM was suspended too: deadlines and leases pass meanwhile.
+    timespec since_boot{};
+    CAMPHOR_INVARIANT(::clock_gettime(CLOCK_BOOTTIME, &since_boot) == 0);
+    return time_point{std::chrono::duration_cast<duration>(
+        std::chrono::seconds{since_boot.tv_sec} + std::chrono::nanoseconds{since_boot.tv_nsec})};
 }
 
 } // namespace camphorgrade
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -35,6 +35,7 @@
     refused,        /**< Backend servers refused it, and no further try is allowed. */
     timed_out,      /**< Its time ran out before it was sent. */
     timed_out_sent, /**< Its time ran out at a backend server: it may have run. */
+    shutting_down,  /**< This process stops; others take the request. */
     broken          /**< A backend server's answer broke off or was wrong: it may have run. */
 };
 
@@ -111,6 +112,7 @@
     std::uint32_t max_refusals = 3;    /**< Backend servers that may refuse one request. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
+    account_limiter_settings limits;
     retry_allowance_settings retries;
     placement_settings placing;
 
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -17,6 +17,8 @@
     duration cold_load{250};            /**< An adapter from the weight store, few under way. */
     duration warm_load{40};             /**< An adapter that the engine held before. */
     std::uint32_t full_speed_loads = 8; /**< Fleet-wide; beyond it each takes longer. */
+    duration store_fetch{400};    /**< What fetching an adapter once more from the weight store, which
+                                       all engines share, is worth beside the wait for it. */
     duration place_wait{500};           /**< Until an adapter in use frees its place. */
     duration other_centre{15};          /**< What bytes between data centres are worth. */
     duration rank_step{15};       /**< Keeps an adapter near its home engine, where it was held. */
@@ -80,6 +82,7 @@
     estimate judge_plain(backend_view& view, const placement_request& request) const;
     duration load_wait(const backend_view& view, const placement_request& request,
                        duration load_cold) const;
+    bool is_fetched(const backend_view& view, const placement_request& request) const;
     duration common_penalty(const backend_view& view, const placement_request& request) const;
 
     placement_settings settings_;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -34,7 +34,7 @@
 
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
-    : settings_(settings), random_(seed), board_({}), limiter_({}), retries_(settings.retries),
+    : settings_(settings), random_(seed), board_({}), limiter_(settings.limits), retries_(settings.retries),
       crashes_({}), chooser_(settings.placing, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -421,6 +421,8 @@
         return "timed_out";
     case end_reason::timed_out_sent:
         return "timed_out_sent";
+    case end_reason::shutting_down:
+        return "shutting_down";
     case end_reason::broken:
         return "broken";
     }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -120,7 +120,7 @@
         return load_cold / 2;
     }
     const auto load =
-        view.seen_adapters.count(request.weights) != 0 ? settings_.warm_load : load_cold;
+        is_fetched(view, request) ? settings_.warm_load : load_cold;
     const auto unmet = unmet_demand(view);
     if (unmet < view.engine->evictable) {
         return load + load * unmet / 2;
@@ -129,6 +129,11 @@
     return load + settings_.place_wait * ahead;
 }
 
+bool placement_chooser::is_fetched(const backend_view& view,
+                                   const placement_request& request) const {
+    return view.seen_adapters.count(request.weights) != 0;
+}
+
 placement_chooser::estimate placement_chooser::judge_engine(backend_board& board,
                                                             backend_view& view,
                                                             const placement_request& request,
@@ -150,6 +155,7 @@
         first += load_wait(view, request, load_cold);
         const auto rank = rendezvous_rank(request.weights, view.server.id, servers);
         cost += from_ms(rank * static_cast<double>(settings_.rank_step.count()));
+        cost += is_fetched(view, request) ? duration::zero() : settings_.store_fetch;
     }
     if (is_fresh) {
         const auto& engine = *view.engine;
