--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -24,7 +24,7 @@
     }
     out.shutdown_grace = from.shutdown_grace;
     out.life = process_life();
-    out.dispatch.limits.window = from.account_window;
+    out.dispatch.limits.is_restart = !from.is_first_start;
     out.dispatch.retries.ratio = from.retry_ratio;
     out.dispatch.retries.slack = from.retry_slack;
     out.dispatch.retries.window = from.retry_window;
--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -117,6 +117,9 @@
     /** Whether something is loading or wanted, so that news matter soon. */
     bool is_active() const;
 
+    /** Adapters and models that gateways use or wait for. */
+    std::size_t wanted() const noexcept { return wanted_.size(); }
+
     /** Gateways heard lately. */
     std::vector<std::string> gateways(time_point now) const;
 
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr int status_ok = 200;
+constexpr duration state_log_interval{1'000};
 
 /** Whether gateways decide otherwise on `b` than on `a`; load figures alone can wait. */
 bool differs_in_adapters(const serving::engine_state& a, const serving::engine_state& b) {
@@ -157,6 +158,29 @@
     });
 }
 
+void agent_node::log_state(const serving::engine_state& state) {
+    const auto now = clock_.now();
+    if (now - state_logged_ < state_log_interval) {
+        return;
+    }
+    state_logged_ = now;
+    std::int64_t loading = 0;
+    for (const auto& each : state.adapters) {
+        loading += each.is_loading ? 1 : 0;
+    }
+    log_.line("engine_state")
+        .text("backend_server", backend_id_)
+        .number("adapters", static_cast<std::int64_t>(state.adapters.size()) - loading)
+        .number("loading", loading)
+        .number("evictable", state.evictable)
+        .number("wanted", static_cast<std::int64_t>(keeper_.wanted()))
+        .number("waiting", state.waiting)
+        .number("running", state.running)
+        .number("kv_used", static_cast<std::int64_t>(state.kv_used))
+        .number("kv_total", static_cast<std::int64_t>(state.kv_total))
+        .number("queued_prompt_tokens", static_cast<std::int64_t>(state.queued_prompt_tokens));
+}
+
 void agent_node::report() {
     if (!keeper_.has_snapshot() || backend_id_.empty() || !is_engine_reachable_) {
         return;
@@ -166,6 +190,7 @@
     out.state = keeper_.state();
     out.gateways = keeper_.gateways(clock_.now());
     reported_ = out.state;
+    log_state(out.state);
     for (const auto& each : out.gateways) {
         socket_.send(each, out);
     }
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -37,6 +37,7 @@
     void report_soon();
     void schedule_report(duration after);
     void report();
+    void log_state(const serving::engine_state& state);
     void wait_for_signal();
 
     agent_settings settings_;
@@ -59,6 +60,7 @@
     bool is_report_soon_ = false;
     bool is_engine_reachable_ = false;
     std::optional<serving::engine_state> reported_;
+    time_point state_logged_;
 };
 
 } // namespace camphorgrade::engine_agent
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -215,6 +215,7 @@
     log_.line("request_ended")
         .text("request", found->second->correlation_id())
         .text("reason", to_string(effect.reason))
+        .text("account", dispatcher_.account_of(effect.request))
         .number("retry_after_ms", effect.retry_after.count())
         .number("open_requests", static_cast<std::int64_t>(flows_.size()))
         .number("store_age_ms", store_age().count());
@@ -260,6 +261,12 @@
     limits.header_timeout = catalogue.bounds.header_timeout;
     limits.idle_timeout = catalogue.bounds.idle_timeout;
     callers_.set_limits(limits);
+    for (const auto& each : catalogue.accounts) {
+        log_.line("account_limit")
+            .text("account", each.name)
+            .number("rate_per_s", static_cast<std::int64_t>(each.rate_per_s))
+            .number("burst", static_cast<std::int64_t>(each.burst));
+    }
     log_.line("catalogue_in_force")
         .number("version", static_cast<std::int64_t>(version))
         .number("routes", static_cast<std::int64_t>(catalogue.routes.size()));
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -4,7 +4,6 @@
 #include <serving/service_catalogue.h>
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -16,7 +15,9 @@
 
 /** Times of an account_limiter. */
 struct account_limiter_settings {
-    duration window{8'000};       /**< The span in which rate and burst are counted. */
+    bool is_restart = false;     /**< What an earlier process admitted isn't known: only a part of
+                                      each burst is there at the start. */
+    double burst_after_restart = 0.25;
     duration peer_silence{1'500}; /**< From here on a peer is assumed to use its equal share. */
     duration peer_expiry{20'000}; /**< From here on a silent peer is taken for gone. */
 
@@ -25,11 +26,11 @@
 };
 
 /**
- * Keeps each client account within its rate and burst, counted over all gateways: in any span of
- * the window's length it gets at most rate x window + burst.
+ * Keeps each client account within its rate and burst, counted over all gateways.
  *
- * Each gateway counts what it admits and what its peers report to have admitted, so the limit is
- * overrun by no more than what is admitted within one report interval. A peer that can't be heard is assumed to use an equal share of the rate, so gateways
+ * Each gateway has the whole token bucket and takes from it what it admits and what its peers
+ * report to have admitted, so the limit is overrun by no more than what is admitted within one
+ * report interval. A peer that can't be heard is assumed to use an equal share of the rate, so gateways
  * that are cut off from each other stay within the rate together.
  * Deterministic. Not thread safe.
  *
@@ -43,7 +44,7 @@
 public:
     explicit account_limiter(account_limiter_settings settings);
 
-    /** Accounts that are new have used nothing; changed rates apply from now on. */
+    /** Accounts that are new start with a full bucket; changed rates apply from now on. */
     void set_catalogue(const service_catalogue& catalogue, time_point now);
 
     /** Takes `cost` from the account, or says after how long there will be enough. */
@@ -66,13 +67,11 @@
     std::size_t audible_peers(time_point now) const;
 
 private:
-    /** Use within the window, by equal spans of it; the newest last. */
-    struct account {
+    struct bucket {
+        double level = 0;
         double rate_per_s = 0;
         double burst = 0;
-        std::deque<double> spans;
-        double sum = 0;
-        std::int64_t newest_span = 0;
+        time_point refilled;
     };
     struct peer {
         std::uint64_t life = 0;
@@ -81,15 +80,12 @@
     };
 
     double usable_share(time_point now) const;
-    std::int64_t span_of(time_point now) const;
-    void expire(account& of, time_point now) const;
-    void use(account& of, double amount, time_point now) const;
-    double limit(const account& of, time_point now) const;
-    duration until_free(const account& of, double needed, time_point now) const;
+    void refill(bucket& of, time_point now) const;
     void forget_expired(time_point now);
 
     account_limiter_settings settings_;
-    std::map<std::string, account> accounts_;
+    bool has_catalogue_ = false;
+    std::map<std::string, bucket> buckets_;
     std::map<std::string, peer> peers_;
     account_usage own_;
 };
--- a/libs/serving/src/account_limiter.cpp
+++ b/libs/serving/src/account_limiter.cpp
@@ -8,33 +8,30 @@
 namespace {
 
 constexpr double ms_per_s = 1'000.0;
-// Spans that the window is counted in; it is held too long by at most one of them.
-constexpr std::int64_t spans_per_window = 32;
+// What peers admitted beyond the level is owed, but no more than this many bursts of it.
+constexpr double deepest_debt_in_bursts = 1.0;
 
 } // namespace
 
 account_limiter::account_limiter(account_limiter_settings settings) : settings_(settings) {}
 
-std::int64_t account_limiter::span_of(time_point now) const {
-    const auto length = std::max<duration::rep>(1, settings_.window.count() / spans_per_window);
-    return now.time_since_epoch().count() / length;
-}
-
 void account_limiter::set_catalogue(const service_catalogue& catalogue, time_point now) {
-    std::map<std::string, account> next;
+    const bool starts_low = settings_.is_restart && !has_catalogue_;
+    std::map<std::string, bucket> next;
     for (const auto& each : catalogue.accounts) {
         if (each.rate_per_s <= 0) {
             continue;
         }
-        auto& kept = next[each.name];
-        if (const auto found = accounts_.find(each.name); found != accounts_.end()) {
-            kept = std::move(found->second);
+        const double part = starts_low ? settings_.burst_after_restart : 1.0;
+        bucket kept{each.burst * part, each.rate_per_s, each.burst, now};
+        if (const auto found = buckets_.find(each.name); found != buckets_.end()) {
+            refill(found->second, now);
+            kept.level = std::min(found->second.level, each.burst);
         }
-        kept.rate_per_s = each.rate_per_s;
-        kept.burst = each.burst;
-        expire(kept, now);
+        next.emplace(each.name, kept);
     }
-    accounts_ = std::move(next);
+    buckets_ = std::move(next);
+    has_catalogue_ = true;
 }
 
 std::size_t account_limiter::audible_peers(time_point now) const {
@@ -49,43 +46,10 @@
     return 1.0 - static_cast<double>(silent) / static_cast<double>(gateways());
 }
 
-double account_limiter::limit(const account& of, time_point now) const {
-    const double window_s = static_cast<double>(settings_.window.count()) / ms_per_s;
-    return (of.rate_per_s * window_s + of.burst) * usable_share(now);
-}
-
-void account_limiter::expire(account& of, time_point now) const {
-    const auto newest = span_of(now);
-    const auto passed = std::min(newest - of.newest_span, spans_per_window + 1);
-    for (std::int64_t i = 0; i < passed; ++i) {
-        of.spans.push_back(0);
-    }
-    of.newest_span = newest;
-    while (of.spans.size() > static_cast<std::size_t>(spans_per_window) + 1) {
-        of.sum -= of.spans.front();
-        of.spans.pop_front();
-    }
-}
-
-void account_limiter::use(account& of, double amount, time_point now) const {
-    expire(of, now);
-    of.spans.back() += amount;
-    of.sum += amount;
-}
-
-duration account_limiter::until_free(const account& of, double needed, time_point now) const {
-    const auto length = std::max<duration::rep>(1, settings_.window.count() / spans_per_window);
-    const auto into_span = now.time_since_epoch().count() % length;
-    double freed = 0;
-    duration::rep spans = 0;
-    for (const double each : of.spans) {
-        ++spans;
-        freed += each;
-        if (freed >= needed) {
-            break;
-        }
-    }
-    return duration{spans * length - into_span};
+void account_limiter::refill(bucket& of, time_point now) const {
+    const auto passed = static_cast<double>((now - of.refilled).count()) / ms_per_s;
+    of.level = std::min(of.burst, of.level + passed * of.rate_per_s * usable_share(now));
+    of.refilled = now;
 }
 
 void account_limiter::forget_expired(time_point now) {
@@ -96,32 +60,30 @@
 
 std::optional<duration> account_limiter::charge(const std::string& name, double cost,
                                                 time_point now) {
-    const auto found = accounts_.find(name);
-    if (found == accounts_.end()) {
+    const auto found = buckets_.find(name);
+    if (found == buckets_.end()) {
         return std::nullopt;
     }
     forget_expired(now);
     auto& charged = found->second;
-    expire(charged, now);
-    const double over = charged.sum + cost - limit(charged, now);
-    // A request larger than the limit passes when nothing else was used, or it never could.
-    if (over > 0 && charged.sum > 0) {
-        return until_free(charged, std::min(over, charged.sum), now);
+    refill(charged, now);
+    // A request larger than the burst passes when the bucket is full, or it never could.
+    const double needed = std::min(cost, charged.burst);
+    if (charged.level < needed) {
+        const double rate = std::max(charged.rate_per_s * usable_share(now), 1.0);
+        return duration{
+            static_cast<duration::rep>(std::ceil((needed - charged.level) / rate * ms_per_s))};
     }
-    use(charged, cost, now);
+    charged.level -= cost;
     own_[name] += static_cast<std::uint64_t>(cost);
     return std::nullopt;
 }
 
 void account_limiter::credit(const std::string& name, double cost) {
-    const auto found = accounts_.find(name);
-    if (found == accounts_.end() || found->second.spans.empty()) {
-        return;
+    const auto found = buckets_.find(name);
+    if (found != buckets_.end()) {
+        found->second.level = std::min(found->second.burst, found->second.level + cost);
     }
-    auto& credited = found->second;
-    const double amount = std::min(cost, credited.spans.back());
-    credited.spans.back() -= amount;
-    credited.sum -= amount;
 }
 
 void account_limiter::on_peer_usage(const std::string& peer_name, std::uint64_t life,
@@ -140,10 +102,14 @@
         auto& seen = known.usage[account_name];
         const auto added = count > seen ? count - seen : 0;
         seen = std::max(seen, count);
-        const auto found = accounts_.find(account_name);
-        if (found != accounts_.end() && !is_first) {
-            use(found->second, static_cast<double>(added), now);
+        const auto found = buckets_.find(account_name);
+        if (found == buckets_.end() || is_first) {
+            continue;
         }
+        auto& shared = found->second;
+        refill(shared, now);
+        shared.level = std::max(shared.level - static_cast<double>(added),
+                                -deepest_debt_in_bursts * shared.burst);
     }
 }
 
