--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -69,6 +69,8 @@
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
     duration refused_pause{200};     /**< After an order that was refused or not answered. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
+    duration replace_pause{1'000};   /**< A replacement waits for runs on the old version; so long it
+                                          isn't ordered again. */
 
     friend bool operator==(const adapter_keeper_settings&,
                            const adapter_keeper_settings&) = default;
@@ -142,7 +144,8 @@
     std::size_t places_taken() const;
     std::size_t evictable() const;
     std::optional<engine_order> model_order(time_point now);
-    std::optional<engine_order> adapter_order();
+    std::optional<engine_order> adapter_order(time_point now);
+    bool is_replacing(const serving::held_weights& weights, time_point now) const;
     std::optional<serving::held_weights> victim() const;
     engine_order make(order_kind kind, const serving::held_weights& weights) const;
 
@@ -151,6 +154,7 @@
     std::optional<engine_snapshot> snapshot_;
     serving::engine_shape shape_;
     std::map<serving::held_weights, total> wanted_;
+    std::map<serving::held_weights, time_point> replacing_; /**< Until when each isn't ordered. */
     std::map<std::string, time_point> used_; /**< When each adapter was last wanted. */
     std::uint64_t queued_prompt_tokens_ = 0;
     bool is_order_open_ = false;
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -65,6 +65,7 @@
     if (snapshot_ && snapshot_->born != snapshot.born) {
         paused_until_ = now;
         model_paused_until_ = now;
+        replacing_.clear();
         used_.clear();
     }
     needs_snapshot_ = false;
@@ -132,7 +133,7 @@
     recount(now);
     auto order = model_order(now);
     if (!order) {
-        order = adapter_order();
+        order = adapter_order(now);
     }
     is_order_open_ = order.has_value();
     return order;
@@ -152,7 +153,7 @@
     return make(order_kind::load, {fits->name, 0});
 }
 
-std::optional<engine_order> adapter_keeper::adapter_order() {
+std::optional<engine_order> adapter_keeper::adapter_order(time_point now) {
     if (snapshot_->loading.size() >= settings_.max_loading) {
         return std::nullopt;
     }
@@ -162,7 +163,8 @@
         const bool needs_load = demand.waiting > 0 && is_adapter(weights.name) &&
                                 weights.version >= newest_wanted(weights.name) &&
                                 names(snapshot_->models, model_of(weights.name)) &&
-                                !is_held(weights) && !is_loading(weights.name);
+                                !is_held(weights) && !is_loading(weights.name) &&
+                                !is_replacing(weights, now);
         if (needs_load && (best == nullptr || std::tie(demand.urgency, demand.since) <
                                                   std::tie(best->urgency, best->since))) {
             chosen = &weights;
@@ -173,6 +175,9 @@
         return std::nullopt;
     }
     const bool replaces = names(snapshot_->adapters, chosen->name);
+    if (replaces) {
+        replacing_[*chosen] = now + settings_.replace_pause;
+    }
     if (replaces || places_taken() < shape_.adapter_places) {
         return make(order_kind::load, *chosen);
     }
@@ -182,6 +187,11 @@
     return std::nullopt;
 }
 
+bool adapter_keeper::is_replacing(const held_weights& weights, time_point now) const {
+    const auto found = replacing_.find(weights);
+    return found != replacing_.end() && now < found->second;
+}
+
 std::optional<held_weights> adapter_keeper::victim() const {
     const held_weights* oldest = nullptr;
     time_point oldest_use = time_point::max();
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -66,6 +66,9 @@
                           [&](const auto& each) { return each.name == order.weights.name; });
         } else if (order.weights.name == "m") {
             has_model = true;
+        } else if (is_resident(order.weights.name)) {
+            // A replacement waits for the runs on the old version, and isn't listed meanwhile.
+            replacing.insert({order.weights.name, std::max<std::uint64_t>(order.weights.version, 1)});
         } else {
             loading.insert({order.weights.name, std::max<std::uint64_t>(order.weights.version, 1)});
         }
@@ -74,6 +77,11 @@
     }
 
     void finish_loads() {
+        for (const auto& each : replacing) {
+            std::erase_if(resident, [&](const auto& other) { return other.name == each.name; });
+            resident.insert(each);
+        }
+        replacing.clear();
         for (const auto& each : loading) {
             std::erase_if(resident, [&](const auto& other) { return other.name == each.name; });
             resident.insert(each);
@@ -81,7 +89,13 @@
         loading.clear();
     }
 
+    bool is_resident(const std::string& name) const {
+        return std::any_of(resident.begin(), resident.end(),
+                           [&](const auto& each) { return each.name == name; });
+    }
+
     void restart() {
+        replacing.clear();
         resident.clear();
         loading.clear();
         has_model = false;
@@ -107,6 +121,7 @@
     bool has_model = true;
     std::set<serving::held_weights> resident;
     std::set<serving::held_weights> loading;
+    std::set<serving::held_weights> replacing;
     std::size_t most_held = 0;
 };
 
@@ -203,6 +218,14 @@
     CHECK(orders[0].weights == serving::held_weights{"m/a1", 2});
 }
 
+TEST_CASE("a replacement that waits for runs doesn't hold up other loads") {
+    fixture with;
+    with.engine.resident = {{"m/a1", 1}, {"m/a2", 1}};
+    with.see(0);
+    with.want("g1", {waits_for("m/a1", 1, 900, 2), waits_for("m/a9", 5)}, 0);
+    CHECK(loads_of(with.settle(0)) == std::vector<std::string>{"m/a1", "m/a9"});
+}
+
 TEST_CASE("an engine that came back empty gets its base model first") {
     fixture with;
     with.engine.restart();
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -19,6 +19,7 @@
     std::uint32_t full_speed_loads = 8; /**< Fleet-wide; beyond it each takes longer. */
     duration store_fetch{400};  /**< What fetching an adapter once more from the weight store, which
                                      all engines share, is worth beside the wait for it. */
+    duration replace_wait{1'500}; /**< Until the runs on an older version of an adapter end. */
     duration place_wait{500};   /**< Until an adapter in use frees its place. */
     duration other_centre{15};  /**< What bytes between data centres are worth. */
     duration rank_step{15};     /**< Keeps an adapter near its home engine, where it was held. */
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -120,6 +120,13 @@
     if (is_coming) {
         return load_cold / 2;
     }
+    const bool is_older_in_use =
+        std::any_of(places.begin(), places.end(), [&](const adapter_place& each) {
+            return each.weights.name == request.weights && each.in_use > 0;
+        });
+    if (is_older_in_use) {
+        return load_cold + settings_.replace_wait;
+    }
     const auto load = is_fetched(view, request) ? settings_.warm_load : load_cold;
     const auto unmet = unmet_demand(view);
     if (unmet < view.engine->evictable) {
