Use engines that came back: agents learn their new id from gateways

A demand now names the process it is meant for by its start time, and those for another are ignored.

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -27,6 +27,7 @@
 /** All that one gateway wants of this engine. A value type. */
 struct engine_demand {
     std::string backend_id;
+    std::uint64_t backend_born = 0; /**< The process that it is meant for; 0: any. */
     std::vector<adapter_want> wants;
     std::uint64_t queued_prompt_tokens = 0;
     serving::engine_shape shape;
@@ -36,7 +37,6 @@
 
 /** An engine's own report. A value type. */
 struct engine_snapshot {
-    std::string backend_id;
     std::uint64_t born = 0;
     std::uint64_t order_sequence = 0; /**< Orders that the engine has accepted in its life. */
     bool is_busy = false;             /**< An order on a base model is being carried out. */
@@ -69,8 +69,8 @@
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
     duration refused_pause{200};     /**< After an order that was refused or not answered. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
-    duration replace_pause{1'000};   /**< A replacement waits for runs on the old version; so long it
-                                          isn't ordered again. */
+    duration replace_pause{1'000}; /**< A replacement waits for runs on the old version; so long it
+                                        isn't ordered again. */
 
     friend bool operator==(const adapter_keeper_settings&,
                            const adapter_keeper_settings&) = default;
@@ -96,6 +96,7 @@
 public:
     explicit adapter_keeper(adapter_keeper_settings settings);
 
+    /** A demand that is meant for another process of the engine is ignored. */
     void on_demand(const std::string& gateway, engine_demand demand, time_point now);
     /** Counts the results of orders; tells which of them a snapshot that is asked for now shows. */
     std::uint64_t results_seen() const noexcept { return results_seen_; }
@@ -110,6 +111,9 @@
     /** What gateways are told. Precondition: a snapshot was seen. */
     serving::engine_state state() const;
 
+    /** Id of the engine's process, as gateways know it; empty while none has told it. */
+    const std::string& backend_id() const noexcept { return backend_id_; }
+
     /** Whether a snapshot has to be seen before the next order. */
     bool needs_snapshot() const noexcept { return needs_snapshot_; }
 
@@ -153,6 +157,7 @@
     std::map<std::string, gateway_view> gateways_;
     std::optional<engine_snapshot> snapshot_;
     serving::engine_shape shape_;
+    std::string backend_id_;
     std::map<serving::held_weights, total> wanted_;
     std::map<serving::held_weights, time_point> replacing_; /**< Until when each isn't ordered. */
     std::map<std::string, time_point> used_; /**< When each adapter was last wanted. */
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -30,6 +30,12 @@
 adapter_keeper::adapter_keeper(adapter_keeper_settings settings) : settings_(settings) {}
 
 void adapter_keeper::on_demand(const std::string& gateway, engine_demand demand, time_point now) {
+    const bool is_for_other =
+        snapshot_ && demand.backend_born != 0 && demand.backend_born != snapshot_->born;
+    if (is_for_other) {
+        return;
+    }
+    backend_id_ = demand.backend_id;
     if (demand.shape.adapter_places > 0 || !demand.shape.models.empty()) {
         shape_ = demand.shape;
     }
@@ -67,6 +73,8 @@
         model_paused_until_ = now;
         replacing_.clear();
         used_.clear();
+        gateways_.clear();
+        backend_id_.clear();
     }
     needs_snapshot_ = false;
     snapshot_ = std::move(snapshot);
@@ -127,7 +135,8 @@
 }
 
 std::optional<engine_order> adapter_keeper::next_order(time_point now) {
-    if (!snapshot_ || is_order_open_ || needs_snapshot_ || now < paused_until_) {
+    const bool is_known = snapshot_ && !needs_snapshot_ && !backend_id_.empty();
+    if (!is_known || is_order_open_ || now < paused_until_) {
         return std::nullopt;
     }
     recount(now);
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -44,7 +44,6 @@
 public:
     engine_snapshot snapshot() const {
         engine_snapshot out;
-        out.backend_id = "e1";
         out.born = born;
         out.order_sequence = sequence;
         if (has_model) {
@@ -68,7 +67,8 @@
             has_model = true;
         } else if (is_resident(order.weights.name)) {
             // A replacement waits for the runs on the old version, and isn't listed meanwhile.
-            replacing.insert({order.weights.name, std::max<std::uint64_t>(order.weights.version, 1)});
+            replacing.insert(
+                {order.weights.name, std::max<std::uint64_t>(order.weights.version, 1)});
         } else {
             loading.insert({order.weights.name, std::max<std::uint64_t>(order.weights.version, 1)});
         }
@@ -238,6 +238,24 @@
     CHECK(orders[1].weights.name == "m/a1");
 }
 
+TEST_CASE("a demand for an earlier process of the engine neither counts nor names it") {
+    fixture with;
+    with.engine.restart();
+    with.see(0);
+    auto old = demand_of({waits_for("m/a1")});
+    old.backend_born = with.engine.born - 1;
+    with.keeper.on_demand("g1", old, at_ms(0));
+    CHECK(with.keeper.backend_id().empty());
+    CHECK_FALSE(with.keeper.next_order(at_ms(0)).has_value());
+    auto current = demand_of({});
+    current.backend_id = "e2";
+    current.backend_born = with.engine.born;
+    with.keeper.on_demand("g1", current, at_ms(1));
+    with.keeper.on_demand("g1", old, at_ms(2));
+    CHECK(with.keeper.backend_id() == "e2");
+    CHECK(with.settle(2).size() == 1);
+}
+
 TEST_CASE("after an order without an answer the engine is looked at before the next") {
     fixture with;
     with.want("g1", {waits_for("m/a1")}, 0);
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -65,9 +65,6 @@
     if (demand == nullptr) {
         return;
     }
-    if (backend_id_.empty()) {
-        backend_id_ = demand->backend_id;
-    }
     keeper_.on_demand(message.sender, *demand, clock_.now());
     give_orders();
     report_soon();
@@ -91,12 +88,9 @@
     if (is_reachable != is_engine_reachable_) {
         is_engine_reachable_ = is_reachable;
         log_.line(is_reachable ? "engine_regained" : "engine_lost")
-            .text("backend_server", backend_id_);
+            .text("backend_server", keeper_.backend_id());
     }
     if (snapshot) {
-        if (!snapshot->backend_id.empty()) {
-            backend_id_ = snapshot->backend_id;
-        }
         keeper_.on_snapshot(std::move(*snapshot), results_seen, clock_.now());
         give_orders();
         report_soon();
@@ -107,22 +101,24 @@
 
 void agent_node::give_orders() {
     const auto order = keeper_.next_order(clock_.now());
-    if (!order || backend_id_.empty()) {
+    if (!order) {
         return;
     }
-    engine_->order(*order, backend_id_, [this, given = *order](adapters::order_result result) {
-        log_.line("order_given")
-            .text("kind", given.kind == adapters::order_kind::load ? "load" : "unload")
-            .text("weights", given.weights.name)
-            .number("version", static_cast<std::int64_t>(given.weights.version))
-            .number("expected_sequence", static_cast<std::int64_t>(given.expected_sequence))
-            .text("result", to_string(result));
-        metrics_.count("camphor_engine_orders_total", {{"result", std::string(to_string(result))}});
-        keeper_.on_order_result(given, result, clock_.now());
-        if (!is_looking_) {
-            look();
-        }
-    });
+    engine_->order(
+        *order, keeper_.backend_id(), [this, given = *order](adapters::order_result result) {
+            log_.line("order_given")
+                .text("kind", given.kind == adapters::order_kind::load ? "load" : "unload")
+                .text("weights", given.weights.name)
+                .number("version", static_cast<std::int64_t>(given.weights.version))
+                .number("expected_sequence", static_cast<std::int64_t>(given.expected_sequence))
+                .text("result", to_string(result));
+            metrics_.count("camphor_engine_orders_total",
+                           {{"result", std::string(to_string(result))}});
+            keeper_.on_order_result(given, result, clock_.now());
+            if (!is_looking_) {
+                look();
+            }
+        });
 }
 
 void agent_node::schedule_look(duration after) {
@@ -169,7 +165,7 @@
         loading += each.is_loading ? 1 : 0;
     }
     log_.line("engine_state")
-        .text("backend_server", backend_id_)
+        .text("backend_server", keeper_.backend_id())
         .number("adapters", static_cast<std::int64_t>(state.adapters.size()) - loading)
         .number("loading", loading)
         .number("evictable", state.evictable)
@@ -182,11 +178,11 @@
 }
 
 void agent_node::report() {
-    if (!keeper_.has_snapshot() || backend_id_.empty() || !is_engine_reachable_) {
+    if (!keeper_.has_snapshot() || keeper_.backend_id().empty() || !is_engine_reachable_) {
         return;
     }
     peering::engine_report out;
-    out.backend_id = backend_id_;
+    out.backend_id = keeper_.backend_id();
     out.state = keeper_.state();
     out.gateways = keeper_.gateways(clock_.now());
     reported_ = out.state;
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -55,7 +55,6 @@
     boost::asio::steady_timer look_timer_;
     boost::asio::steady_timer report_timer_;
     boost::asio::signal_set signals_;
-    std::string backend_id_;
     bool is_looking_ = false;
     bool is_report_soon_ = false;
     bool is_engine_reachable_ = false;
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -167,6 +167,7 @@
         }
         adapters::engine_demand demand;
         demand.backend_id = id;
+        demand.backend_born = view.server.born;
         demand.queued_prompt_tokens = view.queued_prompt_tokens;
         demand.shape = *service->engine;
         const auto found = open.find(id);
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -8,6 +8,7 @@
 
 void write(const adapters::engine_demand& demand, wire::engine_demand& out) {
     out.set_backend_id(demand.backend_id);
+    out.set_backend_born(demand.backend_born);
     for (const auto& each : demand.wants) {
         auto& want = *out.add_wants();
         want.set_weights(each.weights.name);
@@ -31,6 +32,7 @@
 adapters::engine_demand read(const wire::engine_demand& in) {
     adapters::engine_demand demand;
     demand.backend_id = in.backend_id();
+    demand.backend_born = in.backend_born();
     for (const auto& each : in.wants()) {
         demand.wants.push_back({{each.weights(), each.version()},
                                 each.waiting(),
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -17,6 +17,7 @@
 peer_message demand_message() {
     adapters::engine_demand demand;
     demand.backend_id = "e1";
+    demand.backend_born = 77;
     demand.wants = {{{"m/a1", 3}, 2, 1, duration{120}, 4}};
     demand.queued_prompt_tokens = 9'000;
     demand.shape.adapter_places = 7;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -17,14 +17,14 @@
     duration cold_load{250};            /**< An adapter from the weight store, few under way. */
     duration warm_load{40};             /**< An adapter that the engine held before. */
     std::uint32_t full_speed_loads = 8; /**< Fleet-wide; beyond it each takes longer. */
-    duration store_fetch{400};  /**< What fetching an adapter once more from the weight store, which
-                                     all engines share, is worth beside the wait for it. */
+    duration store_fetch{400}; /**< What fetching an adapter once more from the weight store, which
+                                    all engines share, is worth beside the wait for it. */
     duration replace_wait{1'500}; /**< Until the runs on an older version of an adapter end. */
-    duration place_wait{500};   /**< Until an adapter in use frees its place. */
-    duration other_centre{15};  /**< What bytes between data centres are worth. */
-    duration rank_step{15};     /**< Keeps an adapter near its home engine, where it was held. */
-    duration full_batch{1'000}; /**< Until an engine without a free batch slot or memory. */
-    duration plain_work{50};    /**< Of a plain service's request, before any is measured. */
+    duration place_wait{500};     /**< Until an adapter in use frees its place. */
+    duration other_centre{15};    /**< What bytes between data centres are worth. */
+    duration rank_step{15};       /**< Keeps an adapter near its home engine, where it was held. */
+    duration full_batch{1'000};   /**< Until an engine without a free batch slot or memory. */
+    duration plain_work{50};      /**< Of a plain service's request, before any is measured. */
     double usable_memory = 0.92;  /**< Of an engine's token memory, before requests preempt. */
     double failure_penalty = 2.0; /**< Objectives that a server failing all requests costs. */
 
