--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -126,6 +126,9 @@
     /** Adapters and models that gateways use or wait for. */
     std::size_t wanted() const noexcept { return wanted_.size(); }
 
+    /** Gateways that wait for an adapter. */
+    std::vector<std::string> waiting_gateways() const;
+
     /** Gateways heard lately. */
     std::vector<std::string> gateways(time_point now) const;
 
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -261,6 +261,18 @@
     return is_waited_for || !snapshot_->loading.empty() || snapshot_->models.empty();
 }
 
+std::vector<std::string> adapter_keeper::waiting_gateways() const {
+    std::vector<std::string> out;
+    for (const auto& [name, view] : gateways_) {
+        const auto& wants = view.demand.wants;
+        if (std::any_of(wants.begin(), wants.end(),
+                        [](const adapter_want& each) { return each.waiting > 0; })) {
+            out.push_back(name);
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> adapter_keeper::gateways(time_point now) const {
     std::vector<std::string> out;
     for (const auto& [name, view] : gateways_) {
--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -22,6 +22,7 @@
     duration active_poll{15};       /**< While an adapter is loading or waited for. */
     duration heartbeat{400};        /**< Reports to gateways, at least. */
     duration report_delay{4};       /**< Changes within it are told together. */
+    duration report_interval{120};  /**< Changes are told to gateways that don't wait for any. */
 
     friend bool operator==(const agent_settings&, const agent_settings&) = default;
 };
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -150,7 +150,7 @@
         is_report_soon_ = false;
         report();
         log_.flush();
-        schedule_report(settings_.heartbeat);
+        schedule_report(is_owed_ ? settings_.report_interval : settings_.heartbeat);
     });
 }
 
@@ -185,11 +185,16 @@
     out.backend_id = keeper_.backend_id();
     out.state = keeper_.state();
     out.gateways = keeper_.gateways(clock_.now());
+    const auto now = clock_.now();
+    const bool is_for_all = now - told_all_at_ >= settings_.report_interval;
+    is_owed_ = !is_for_all;
+    if (is_for_all) {
+        told_all_at_ = now;
+    }
     reported_ = out.state;
     log_state(out.state);
-    for (const auto& each : out.gateways) {
-        socket_.send(each, out);
-    }
+    const auto to = is_for_all ? out.gateways : keeper_.waiting_gateways();
+    socket_.send(to, std::move(out));
 }
 
 int run_agent(const agent_settings& settings, const engine_port_maker& make_engine) {
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -193,7 +193,7 @@
         return;
     }
     last = {std::move(comparable), now};
-    socket_.send(view.server.address.ip + ':' + std::to_string(own_.port), std::move(demand));
+    socket_.send({view.server.address.ip + ':' + std::to_string(own_.port)}, std::move(demand));
 }
 
 void gateway_peers::schedule_reports() {
@@ -209,17 +209,30 @@
 }
 
 void gateway_peers::send_reports() {
-    peering::gateway_report report;
-    report.usage = dispatcher_.limiter().own_usage();
-    report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
-    report.gateways = live_peers();
+    const auto now = clock_.now();
+    const bool is_full = now - full_report_at_ >= settings_.full_report_interval;
+    const auto& usage = dispatcher_.limiter().own_usage();
     const auto* known = dispatcher_.catalogue();
+    peering::gateway_report report;
     report.catalogue_version = known == nullptr ? 0 : known->catalogue().version;
+    const bool is_news =
+        usage != reported_usage_ || report.catalogue_version != reported_catalogue_;
+    if (!is_full && !is_news && now - report_at_ < settings_.report_heartbeat) {
+        return;
+    }
+    const auto peers = live_peers();
+    report.usage = usage;
     report.store_age = host_.store_age();
-    report.versions = dispatcher_.versions();
-    for (const auto& each : report.gateways) {
-        socket_.send(each, report);
+    if (is_full) {
+        full_report_at_ = now;
+        report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
+        report.gateways = peers;
+        report.versions = dispatcher_.versions();
     }
+    report_at_ = now;
+    reported_usage_ = usage;
+    reported_catalogue_ = report.catalogue_version;
+    socket_.send(peers, std::move(report));
 }
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -40,12 +40,14 @@
 struct gateway_peers_settings {
     duration demand_delay{5}; /**< Changes within it are told to an engine's agent at once. */
     duration demand_heartbeat{400};
-    duration report_interval{100}; /**< To peers; longer where there are many. */
-    duration peer_expiry{10'000};  /**< A peer not heard for so long isn't told any more. */
-    duration fetch_delay{200};     /**< Time for the own watch to bring a newer catalogue first. */
+    duration report_interval{100};      /**< To peers, of news; longer where there are many. */
+    duration report_heartbeat{300};     /**< To peers, without news. */
+    duration full_report_interval{900}; /**< With what changes seldom. */
+    duration peer_expiry{10'000};       /**< A peer not heard for so long isn't told any more. */
+    duration fetch_delay{200}; /**< Time for the own watch to bring a newer catalogue first. */
     duration fetch_timeout{800};
-    std::size_t full_pace_peers = 8; /**< Up to so many are told at each interval. */
-    std::size_t max_marks = 64;      /**< Crash marks in one report. */
+    std::size_t full_pace_peers = 40; /**< Up to so many are told at each interval. */
+    std::size_t max_marks = 64;       /**< Crash marks in one report. */
 
     friend bool operator==(const gateway_peers_settings&, const gateway_peers_settings&) = default;
 };
@@ -107,6 +109,10 @@
     std::map<std::string, peer> peers_;
     std::map<std::string, sent_demand> sent_;
     bool is_fetching_ = false;
+    time_point report_at_;
+    time_point full_report_at_;
+    serving::account_usage reported_usage_;
+    std::uint64_t reported_catalogue_ = 0;
 };
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -74,7 +74,6 @@
         return;
     }
     handling_ = is_success(head.status) && is_stream_answer() ? handling::stream : handling::buffer;
-    has_buffered_ = false;
     buffered_.clear();
     if (has_begun_ && handling_ != handling::stream) {
         handling_ = handling::discard; // the stream can't go on with this
@@ -147,19 +146,15 @@
         return;
     }
     if (!is_success(head_.status)) {
-        has_buffered_ = true;
+        error_ = server_error{{head_.status, edge::end_to_end(head_.headers)}, buffered_};
         attempt_failed(serving::attempt_outcome::own_error);
         return;
     }
-    answer_buffered();
+    exchange_->answer({head_.status, edge::end_to_end(head_.headers)}, buffered_);
     host_.attempt_ended(request_, serving::attempt_outcome::whole);
     host_.finished(request_, head_.status);
 }
 
-void request_flow::answer_buffered() {
-    exchange_->answer({head_.status, edge::end_to_end(head_.headers)}, buffered_);
-}
-
 void request_flow::on_failure(edge::upstream_failure why) {
     call_.reset();
     attempt_failed(why == edge::upstream_failure::not_connected
@@ -178,9 +173,9 @@
         host_.finished(request_, 0);
         return;
     }
-    if (has_buffered_ && how.reason == serving::end_reason::broken) {
-        answer_buffered();
-        host_.finished(request_, head_.status);
+    if (error_ && !has_not_run(how.reason)) {
+        exchange_->answer(error_->head, error_->body);
+        host_.finished(request_, error_->head.status);
         return;
     }
     const auto refusal = make_refusal(how);
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -66,11 +66,16 @@
 private:
     enum class handling : std::uint8_t { discard, buffer, stream };
 
+    /** A backend server's whole answer that tells of an error of its own. */
+    struct server_error {
+        http_head head;
+        std::string body;
+    };
+
     void note_first_answer();
     void pass_on(std::string_view bytes);
     void begin_stream();
     void attempt_failed(serving::attempt_outcome outcome);
-    void answer_buffered();
     bool is_stream_answer() const;
 
     flow_host& host_;
@@ -84,7 +89,7 @@
     handling handling_ = handling::discard;
     bool has_first_answer_ = false;
     std::string buffered_;
-    bool has_buffered_ = false; /**< A server's whole error answer, to pass on if no other comes. */
+    std::optional<server_error> error_; /**< To pass on if no better answer comes. */
     bool has_begun_ = false;
     event_stream events_;
 };
--- a/libs/peering/include/peering/peer_socket.h
+++ b/libs/peering/include/peering/peer_socket.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace camphorgrade::peering {
 
@@ -35,8 +36,8 @@
     /** Own address, "ip:port". */
     const std::string& own_address() const noexcept { return own_; }
 
-    /** Sends to "ip:port"; an address that is none, or a full buffer, drops the message. */
-    void send(const std::string& to, peer_body body);
+    /** Sends to each "ip:port"; an address that is none, or a full buffer, drops the message. */
+    void send(const std::vector<std::string>& to, peer_body body);
 
 private:
     static constexpr std::size_t max_datagram_bytes = 65'536;
--- a/libs/peering/src/peer_socket.cpp
+++ b/libs/peering/src/peer_socket.cpp
@@ -39,14 +39,17 @@
     receive();
 }
 
-void peer_socket::send(const std::string& to, peer_body body) {
-    const auto endpoint = parse(to);
-    if (!endpoint) {
+void peer_socket::send(const std::vector<std::string>& to, peer_body body) {
+    if (to.empty()) {
         return;
     }
     const auto bytes = encode({own_, life_, ++sequence_, std::move(body)});
-    boost::system::error_code ignored; // a lost report is replaced by the next
-    socket_.send_to(boost::asio::buffer(bytes), *endpoint, 0, ignored);
+    for (const auto& each : to) {
+        if (const auto endpoint = parse(each)) {
+            boost::system::error_code ignored; // a lost report is replaced by the next
+            socket_.send_to(boost::asio::buffer(bytes), *endpoint, 0, ignored);
+        }
+    }
 }
 
 void peer_socket::receive() {
--- a/libs/serving/include/serving/registration_book.h
+++ b/libs/serving/include/serving/registration_book.h
@@ -13,8 +13,8 @@
 
 /** Times of a registration_book. */
 struct registration_book_settings {
-    duration outage{1'200};      /**< Without an answer for so long, registrations may have lapsed
-                                      only because their servers could not renew them. */
+    duration outage{1'200}; /**< With failed calls and no answer for so long, registrations may have
+                                 lapsed only because their servers could not renew them. */
     duration return_time{2'200}; /**< Live servers register again within this after an outage. */
 
     friend bool operator==(const registration_book_settings&,
@@ -45,12 +45,14 @@
     std::vector<std::string> expire(time_point now);
 
 private:
+    bool is_out(time_point now) const;
     bool is_in_doubt(time_point now) const;
     time_point due(time_point now) const;
 
     registration_book_settings settings_;
     std::set<std::string> known_;
     std::map<std::string, time_point> missing_;
+    bool has_failed_ = false; /**< A call failed since the last answer. */
     std::optional<time_point> last_answer_;
     std::optional<time_point> returned_; /**< When the last outage ended. */
 };
--- a/libs/serving/src/registration_book.cpp
+++ b/libs/serving/src/registration_book.cpp
@@ -8,17 +8,22 @@
 
 void registration_book::on_contact(bool reachable, time_point now) {
     if (!reachable) {
+        has_failed_ = true;
         return;
     }
-    if (last_answer_ && now - *last_answer_ > settings_.outage) {
+    if (last_answer_ && is_out(now)) {
         returned_ = now;
     }
+    has_failed_ = false;
     last_answer_ = now;
 }
 
+bool registration_book::is_out(time_point now) const {
+    return !last_answer_ || (has_failed_ && now - *last_answer_ > settings_.outage);
+}
+
 bool registration_book::is_in_doubt(time_point now) const {
-    const bool is_out = !last_answer_ || now - *last_answer_ > settings_.outage;
-    return is_out || (returned_ && now - *returned_ < settings_.return_time);
+    return is_out(now) || (returned_ && now - *returned_ < settings_.return_time);
 }
 
 time_point registration_book::due(time_point now) const {
--- a/libs/serving/tests/test_fleet_knowledge.cpp
+++ b/libs/serving/tests/test_fleet_knowledge.cpp
@@ -32,6 +32,14 @@
     CHECK(book.expire(at_ms(9'000)).empty());
 }
 
+TEST_CASE("answers that come seldom are no outage") {
+    registration_book book({});
+    book.on_contact(true, at_ms(0));
+    book.on_all({server_of("desk-1", "desk")}, at_ms(0));
+    book.on_contact(true, at_ms(2'500));
+    CHECK(book.on_deregistration("desk-1", at_ms(2'500)));
+}
+
 TEST_CASE("repeats stay within the fleet's bound, shared among gateways") {
     retry_allowance allowance({0.2, 50, duration{10'000}, 1.0});
     for (int i = 0; i < 100; ++i) {
