Believe an engine that says it doesn't hold an adapter

Change: a refusal for missing weights removes them from what is known of that server, and the request goes elsewhere (test_dispatcher).

--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -82,6 +82,9 @@
     /** The server answered; `failed` tells whether with an error of its own. */
     void on_answer(const std::string& id, bool failed);
 
+    /** The server said that it doesn't hold these weights in this version. */
+    void on_missing(const std::string& id, const held_weights& weights);
+
     /** Whether the agent's reports about the engine are recent. */
     bool has_fresh_engine(const backend_view& view, time_point now) const;
 
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -121,6 +121,19 @@
     view->failure_share += average_weight * ((failed ? 1.0 : 0.0) - view->failure_share);
 }
 
+void backend_board::on_missing(const std::string& id, const held_weights& weights) {
+    auto* view = find(id);
+    if (view == nullptr) {
+        return;
+    }
+    const auto is_it = [&](const held_weights& each) { return each.name == weights.name; };
+    std::erase_if(view->server.held, is_it);
+    if (view->engine) {
+        std::erase_if(view->engine->adapters,
+                      [&](const adapter_place& each) { return is_it(each.weights); });
+    }
+}
+
 bool backend_board::has_fresh_engine(const backend_view& view, time_point now) const {
     return view.engine && now - view.engine_heard < settings_.engine_silence;
 }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -274,6 +274,9 @@
         crashes_.add({of.content, backend, view->server.born}, now);
     }
     leave_backend(of);
+    if (outcome == attempt_outcome::wrong_weights) {
+        board_.on_missing(backend, of.waits_for);
+    }
     const bool could_not_use =
         outcome == attempt_outcome::unreachable || outcome == attempt_outcome::broken;
     if (could_not_use) {
@@ -296,9 +299,7 @@
     of.refusals += has_run ? 0 : 1;
     of.attempts -= has_run || of.attempts == 0 ? 0 : 1;
     const auto reason = has_run ? end_reason::broken : end_reason::refused;
-    if (outcome != attempt_outcome::wrong_weights) {
-        of.excluded.insert(of.backend_id);
-    }
+    of.excluded.insert(of.backend_id);
     const bool may_run_again = !of.may_have_run || of.on_route->may_repeat();
     const bool has_tries = of.attempts < std::max<std::uint32_t>(of.on_route->max_attempts, 1) &&
                            of.refusals <= settings_.max_refusals;
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -116,6 +116,23 @@
     }
 }
 
+TEST_CASE("after an engine restarted empty, its old registration misleads one request only once") {
+    dispatcher_fixture with;
+    for (const auto* id : {"engine-1", "engine-2"}) {
+        auto registered = server_of(id, "llm");
+        registered.held.push_back({"m/a1", 1});
+        with.decisions.board().put(registered);
+    }
+    const auto id = with.arrive(profile_of("/plan/x", "a1"), 5'000);
+    const auto first = with.only<send_attempt>()->backend_id;
+    with.ended(id, attempt_outcome::wrong_weights, 5'005);
+    REQUIRE(with.only<send_attempt>() != nullptr);
+    CHECK(with.only<send_attempt>()->backend_id != first);
+    with.arrive(profile_of("/plan/x", "a1"), 5'010);
+    REQUIRE(with.only<send_attempt>() != nullptr);
+    CHECK(with.only<send_attempt>()->backend_id != first);
+}
+
 TEST_CASE("once a request may have run, no later refusal says that it has not") {
     dispatcher_fixture with;
     const auto id = with.arrive(profile_of("/read/x"), 0);
