Place by the backlog of all gateways and the speed of each server

Dead engines were found by each gateway alone.

Change: agents tell a changed backlog and a dead engine at once; what was sent since a report is added; each first answer corrects a server's speed; a server that leaves a request without a first answer for two seconds is avoided. Each has a test that replays the load (test_dispatcher, "load: ...").

--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -1,5 +1,6 @@
 #include "agent_node.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -10,10 +11,19 @@
 constexpr int status_ok = 200;
 constexpr duration state_log_interval{1'000};
 
+// About a tenth of a second of an engine's reading.
+constexpr std::uint64_t telling_prompt_tokens = 3'000;
+
+/** Whether the engine's backlog of prompts changed so much that placements would differ. */
+bool differs_in_backlog(const serving::engine_state& a, const serving::engine_state& b) {
+    const auto [less, more] = std::minmax(a.queued_prompt_tokens, b.queued_prompt_tokens);
+    return more - less >= telling_prompt_tokens;
+}
+
 /** Whether gateways decide otherwise on `b` than on `a`; load figures alone can wait. */
 bool differs_in_adapters(const serving::engine_state& a, const serving::engine_state& b) {
     return a.born != b.born || a.models != b.models || a.adapters != b.adapters ||
-           a.evictable != b.evictable;
+           a.evictable != b.evictable || a.is_reachable != b.is_reachable;
 }
 
 } // namespace
@@ -93,8 +103,8 @@
     if (snapshot) {
         keeper_.on_snapshot(std::move(*snapshot), results_seen, clock_.now());
         give_orders();
-        report_soon();
     }
+    report_soon();
     const bool is_urgent = is_reachable && keeper_.is_active();
     schedule_look(is_urgent ? settings_.active_poll : settings_.idle_poll);
 }
@@ -134,8 +144,9 @@
     if (!keeper_.has_snapshot() || is_report_soon_) {
         return;
     }
-    const auto state = keeper_.state();
-    if (!reported_ || differs_in_adapters(*reported_, state)) {
+    const auto state = present_state();
+    if (!reported_ || differs_in_adapters(*reported_, state) ||
+        differs_in_backlog(*reported_, state)) {
         is_report_soon_ = true;
         schedule_report(settings_.report_delay);
     }
@@ -177,13 +188,19 @@
         .number("queued_prompt_tokens", static_cast<std::int64_t>(state.queued_prompt_tokens));
 }
 
+serving::engine_state agent_node::present_state() const {
+    auto state = keeper_.state();
+    state.is_reachable = is_engine_reachable_;
+    return state;
+}
+
 void agent_node::report() {
-    if (!keeper_.has_snapshot() || keeper_.backend_id().empty() || !is_engine_reachable_) {
+    if (!keeper_.has_snapshot() || keeper_.backend_id().empty()) {
         return;
     }
     peering::engine_report out;
     out.backend_id = keeper_.backend_id();
-    out.state = keeper_.state();
+    out.state = present_state();
     out.gateways = keeper_.gateways(clock_.now());
     const auto now = clock_.now();
     const bool is_for_all = now - told_all_at_ >= settings_.report_interval;
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -37,6 +37,7 @@
     void report_soon();
     void schedule_report(duration after);
     void report();
+    serving::engine_state present_state() const;
     void log_state(const serving::engine_state& state);
     void wait_for_signal();
 
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -181,10 +181,11 @@
     log_.line("request_finished")
         .text("request", found->second->correlation_id())
         .number("status", status)
+        .number("first_answer_ms", found->second->first_answer().count())
         .number("took_ms", took.count());
     metrics_.observe("camphor_request_ms", {{"status", std::to_string(status)}},
                      static_cast<double>(took.count()));
-    dispatcher_.release(request);
+    dispatcher_.release(request, now());
     peers_.demand_changed();
     finished_.push_back(std::move(found->second));
     flows_.erase(found);
@@ -233,6 +234,8 @@
         .text("request", found->second->correlation_id())
         .text("backend_server", effect.backend_id)
         .number("attempt", effect.number)
+        .number("waited_ms", effect.waited.count())
+        .number("prompt_tokens", static_cast<std::int64_t>(effect.prompt_tokens))
         .number("urgency", effect.urgency)
         .number("weights_version", static_cast<std::int64_t>(effect.expected_version));
     found->second->attempt(effect);
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -83,6 +83,7 @@
 void request_flow::note_first_answer() {
     if (!has_first_answer_) {
         has_first_answer_ = true;
+        first_answer_ = host_.now() - exchange_->request().received;
         host_.dispatcher().on_first_answer(request_, host_.now());
     }
 }
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -60,6 +60,9 @@
     const edge::caller_exchange& exchange() const noexcept { return *exchange_; }
     bool has_begun() const noexcept { return has_begun_; }
 
+    /** From the request to the first bytes of a body; -1 while there are none. */
+    duration first_answer() const noexcept { return first_answer_; }
+
     /** The caller left: gives up the work behind it. */
     void give_up() { call_.reset(); }
 
@@ -88,6 +91,7 @@
     serving::answer_profile answer_;
     handling handling_ = handling::discard;
     bool has_first_answer_ = false;
+    duration first_answer_{-1};
     std::string buffered_;
     std::optional<server_error> error_; /**< To pass on if no better answer comes. */
     bool has_begun_ = false;
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -71,6 +71,7 @@
     out.set_kv_used(state.kv_used);
     out.set_kv_total(state.kv_total);
     out.set_queued_prompt_tokens(state.queued_prompt_tokens);
+    out.set_is_unreachable(!state.is_reachable);
     for (const auto& each : report.gateways) {
         out.add_gateways(each);
     }
@@ -93,6 +94,7 @@
     state.kv_used = in.kv_used();
     state.kv_total = in.kv_total();
     state.queued_prompt_tokens = in.queued_prompt_tokens();
+    state.is_reachable = !in.is_unreachable();
     report.gateways.assign(in.gateways().begin(), in.gateways().end());
     return report;
 }
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -38,6 +38,7 @@
     report.state.kv_used = 41'000;
     report.state.kv_total = 90'000;
     report.state.queued_prompt_tokens = 12;
+    report.state.is_reachable = false;
     report.gateways = {"10.0.0.1:7600"};
     return {"10.0.0.2:7600", 6, 1, report};
 }
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -29,7 +29,8 @@
     std::optional<engine_state> engine; /**< From the agent beside it; empty before its first. */
     time_point engine_heard;
     std::uint32_t in_flight = 0;
-    std::uint64_t queued_prompt_tokens = 0; /**< Of own requests without a first event. */
+    std::uint64_t queued_prompt_tokens = 0; /**< To be read for own requests without an event. */
+    std::uint64_t queued_at_report = 0;     /**< The same when the engine's last report came. */
     std::map<held_weights, adapter_demand> demand;
     std::set<std::string> seen_adapters; /**< Held before by this process; they load faster. */
     prompt_cache prompts;
@@ -79,6 +80,12 @@
     /** The server could not be reached, or its connection broke. */
     void on_failure(const std::string& id, time_point now);
 
+    /** A first answer took `measured` where `expected` would be usual. */
+    void on_speed(const std::string& id, duration measured, duration expected);
+
+    /** Prompt tokens that the engine has yet to read, of all gateways, as far as known. */
+    std::uint64_t queued_prompt_tokens(const backend_view& view, time_point now) const;
+
     /** The server answered; `failed` tells whether with an error of its own. */
     void on_answer(const std::string& id, bool failed);
 
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -65,7 +65,8 @@
     std::uint32_t running = 0;
     std::uint64_t kv_used = 0;
     std::uint64_t kv_total = 0;
-    std::uint64_t queued_prompt_tokens = 0; /**< Of requests sent that gave no event yet. */
+    std::uint64_t queued_prompt_tokens = 0; /**< To be read for requests that gave no event yet. */
+    bool is_reachable = true;               /**< The agent gets answers from the engine. */
 
     friend bool operator==(const engine_state&, const engine_state&) = default;
 };
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -62,7 +62,8 @@
     std::uint64_t expected_version = 0; /**< Of the adapter's weights; 0: any. */
     int urgency = 0;                    /**< 0 is the most urgent. */
     std::uint32_t number = 1;           /**< Counts the attempts of this request. */
-    bool is_weights_ready = true;
+    duration waited{};                  /**< Since the request arrived. */
+    std::uint64_t prompt_tokens = 0;
 
     friend bool operator==(const send_attempt&, const send_attempt&) = default;
 };
@@ -108,8 +109,9 @@
     duration shortest_patience{2'000}; /**< Callers leave after a silence of this length, ... */
     int patience_objectives = 4;       /**< ... this many objectives, ... */
     int patience_pauses = 8;           /**< ... or this many pauses, whichever is longest. */
-    duration place_again{350};         /**< A request that waits longer is placed anew. */
-    std::uint32_t max_refusals = 3;    /**< Backend servers that may refuse one request. */
+    duration silent{2'000}; /**< Without a first answer for so long, a server counts as failed. */
+    duration place_again{350};      /**< A request that waits longer is placed anew. */
+    std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
     account_limiter_settings limits;
@@ -148,7 +150,7 @@
     void on_attempt_ended(ticket id, attempt_outcome outcome, time_point now);
 
     /** The caller left, or the answer was passed on: forgets the request. */
-    void release(ticket id);
+    void release(ticket id, time_point now);
 
     /** Sends what waited for weights that are there now. */
     void on_engine_state(const std::string& backend_id, engine_state state, time_point now);
@@ -187,6 +189,9 @@
         time_point arrived;
         time_point deadline;
         time_point placed;
+        time_point sent;
+        std::uint64_t unread_tokens = 0;
+        duration expected{}; /**< From sending to the first answer, at usual speed. */
         std::uint32_t attempts = 0;
         std::uint32_t refusals = 0;
         bool may_have_run = false;
@@ -201,10 +206,12 @@
     std::optional<end_reason> identify(request& of) const;
     std::string pick_service(const route& from);
     void place(ticket id, request& of, time_point now);
-    void send(ticket id, request& of, const placement& to);
+    void send(ticket id, request& of, const placement& to, time_point now);
     void wait(ticket id, request& of, const placement& to, time_point now);
     void end(ticket id, request& of, end_reason reason, duration retry_after = {});
     void leave_backend(request& of);
+    void note_silence(const request& of, time_point now);
+    duration expected_answer(const request& of, const backend_view& view, time_point now) const;
     void try_again(ticket id, request& of, attempt_outcome outcome, time_point now);
     duration patience(const request& of) const;
     duration retry_after(duration estimate);
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -47,8 +47,9 @@
 /** Where a request goes. A value type. */
 struct placement {
     std::string backend_id;
-    bool is_ready = false;   /**< The weights are there: send now. Else wait for them. */
-    duration first_answer{}; /**< Estimate. */
+    bool is_ready = false;           /**< The weights are there: send now. Else wait for them. */
+    duration first_answer{};         /**< Estimate. */
+    std::uint64_t unread_tokens = 0; /**< Of the prompt, that the engine has to read. */
 
     friend bool operator==(const placement&, const placement&) = default;
 };
@@ -75,6 +76,7 @@
         bool is_ready = false;
         duration first_answer{};
         duration cost{}; /**< First answer and what else speaks against the server. */
+        std::uint64_t unread = 0;
     };
 
     estimate judge_engine(backend_board& board, backend_view& view,
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -9,6 +9,11 @@
 // Weight of the newest answer in a moving average: about the last ten answers count.
 constexpr double average_weight = 0.1;
 constexpr std::uint32_t most_doublings = 5;
+// One measurement says no more than this of a server's speed, and the average stays within these.
+constexpr double least_slowness = 0.7;
+constexpr double most_slowness = 8;
+// Shorter times are mostly delays of the network.
+constexpr duration shortest_expected{15};
 
 bool holds_at_least(const std::vector<held_weights>& held, const std::string& name,
                     std::uint64_t version) {
@@ -70,6 +75,7 @@
     }
     view->engine = std::move(state);
     view->engine_heard = now;
+    view->queued_at_report = view->queued_prompt_tokens;
 }
 
 backend_view* backend_board::find(const std::string& id) {
@@ -111,6 +117,28 @@
     view->failure_share += average_weight * (1 - view->failure_share);
 }
 
+void backend_board::on_speed(const std::string& id, duration measured, duration expected) {
+    auto* view = find(id);
+    if (view == nullptr || expected < shortest_expected) {
+        return;
+    }
+    const double ratio =
+        std::clamp(static_cast<double>(measured.count()) / static_cast<double>(expected.count()),
+                   least_slowness, most_slowness);
+    view->slowness += average_weight * (ratio - view->slowness);
+}
+
+std::uint64_t backend_board::queued_prompt_tokens(const backend_view& view, time_point now) const {
+    if (!has_fresh_engine(view, now)) {
+        return view.queued_prompt_tokens;
+    }
+    const auto reported = view.engine->queued_prompt_tokens;
+    const auto sent_since = view.queued_prompt_tokens > view.queued_at_report
+                                ? view.queued_prompt_tokens - view.queued_at_report
+                                : 0;
+    return std::max(reported + sent_since, view.queued_prompt_tokens);
+}
+
 void backend_board::on_answer(const std::string& id, bool failed) {
     auto* view = find(id);
     if (view == nullptr) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -172,22 +172,28 @@
         return;
     }
     if (to->is_ready) {
-        send(id, of, *to);
+        send(id, of, *to, now);
     } else {
         wait(id, of, *to, now);
     }
 }
 
-void dispatcher::send(ticket id, request& of, const placement& to) {
+void dispatcher::send(ticket id, request& of, const placement& to, time_point now) {
     auto* view = board_.find(to.backend_id);
     CAMPHOR_INVARIANT(view != nullptr);
     of.at = phase::sent;
     of.has_first_answer = false;
     of.backend_id = to.backend_id;
     of.waits_for = {of.profile.weights_name(), of.version};
+    of.sent = now;
+    of.unread_tokens =
+        of.profile.prompt_tokens -
+        std::min(of.profile.prompt_tokens,
+                 view->prompts.known_tokens(of.waits_for.name, of.profile.prompt_parts));
+    of.expected = expected_answer(of, *view, now);
     ++of.attempts;
     ++view->in_flight;
-    view->queued_prompt_tokens += of.profile.prompt_tokens;
+    view->queued_prompt_tokens += of.unread_tokens;
     if (!of.profile.model.empty()) {
         ++view->demand[of.waits_for].in_use;
         view->prompts.remember(of.waits_for.name, of.profile.prompt_parts);
@@ -199,9 +205,21 @@
     effect.expected_version = of.profile.adapter.empty() ? 0 : of.version;
     effect.urgency = of.urgency;
     effect.number = of.attempts;
+    effect.waited = now - of.arrived;
+    effect.prompt_tokens = of.profile.prompt_tokens;
     effects_.emplace_back(std::move(effect));
 }
 
+duration dispatcher::expected_answer(const request& of, const backend_view& view,
+                                     time_point now) const {
+    if (of.profile.model.empty()) {
+        return settings_.placing.plain_work;
+    }
+    const auto tokens = board_.queued_prompt_tokens(view, now) + of.unread_tokens;
+    return duration{static_cast<duration::rep>(static_cast<double>(tokens) /
+                                               settings_.placing.prefill_tokens_per_ms)};
+}
+
 void dispatcher::wait(ticket id, request& of, const placement& to, time_point now) {
     auto* view = board_.find(to.backend_id);
     CAMPHOR_INVARIANT(view != nullptr);
@@ -222,7 +240,7 @@
     if (of.at == phase::sent) {
         --view->in_flight;
         if (!of.has_first_answer) {
-            view->queued_prompt_tokens -= of.profile.prompt_tokens;
+            view->queued_prompt_tokens -= of.unread_tokens;
         }
         if (found != view->demand.end()) {
             --found->second.in_use;
@@ -255,10 +273,11 @@
         found->second.has_first_answer) {
         return;
     }
-    static_cast<void>(now);
-    found->second.has_first_answer = true;
-    if (auto* view = board_.find(found->second.backend_id)) {
-        view->queued_prompt_tokens -= found->second.profile.prompt_tokens;
+    auto& of = found->second;
+    of.has_first_answer = true;
+    if (auto* view = board_.find(of.backend_id)) {
+        view->queued_prompt_tokens -= of.unread_tokens;
+        board_.on_speed(of.backend_id, now - of.sent, of.expected);
     }
 }
 
@@ -312,11 +331,12 @@
     place(id, of, now);
 }
 
-void dispatcher::release(ticket id) {
+void dispatcher::release(ticket id, time_point now) {
     const auto found = requests_.find(id);
     if (found == requests_.end()) {
         return;
     }
+    note_silence(found->second, now);
     leave_backend(found->second);
     requests_.erase(found);
 }
@@ -334,7 +354,15 @@
             continue;
         }
         leave_backend(each);
-        send(id, each, {backend_id, true, {}});
+        send(id, each, {backend_id, true, {}}, now);
+    }
+}
+
+void dispatcher::note_silence(const request& of, time_point now) {
+    const bool is_silent =
+        of.at == phase::sent && !of.has_first_answer && now - of.sent >= settings_.silent;
+    if (is_silent) {
+        board_.on_failure(of.backend_id, now);
     }
 }
 
@@ -345,6 +373,7 @@
         }
         if (now >= each.deadline) {
             const bool was_sent = each.at == phase::sent || each.may_have_run;
+            note_silence(each, now);
             end(id, each, was_sent ? end_reason::timed_out_sent : end_reason::timed_out,
                 settings_.shortest_retry_after);
         } else if (each.at == phase::waiting && now - each.placed >= settings_.place_again) {
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -64,16 +64,20 @@
         return request.excluded.count(each->server.id) != 0;
     });
     const auto servers = candidates.size();
+    const auto is_avoided = [&](const backend_view* each) {
+        const bool is_dead = board.has_fresh_engine(*each, now) && !each->engine->is_reachable;
+        return each->avoid_until > now || is_dead;
+    };
     const bool any_reachable =
         std::any_of(candidates.begin(), candidates.end(),
-                    [&](const backend_view* each) { return each->avoid_until <= now; });
+                    [&](const backend_view* each) { return !is_avoided(each); });
     const double loads = loads_under_way(board);
     const auto load_cold =
         from_ms(static_cast<double>(settings_.cold_load.count()) *
                 std::max(1.0, (loads + 1) / static_cast<double>(settings_.full_speed_loads)));
     estimate best;
     for (auto* each : candidates) {
-        if (any_reachable && each->avoid_until > now) {
+        if (any_reachable && is_avoided(each)) {
             continue;
         }
         const auto judged = request.base_model.empty()
@@ -86,7 +90,7 @@
     if (best.view == nullptr) {
         return no_placement::no_backend_server;
     }
-    return placement{best.view->server.id, best.is_ready, best.first_answer};
+    return placement{best.view->server.id, best.is_ready, best.first_answer, best.unread};
 }
 
 duration placement_chooser::common_penalty(const backend_view& view,
@@ -107,7 +111,7 @@
                               std::max(1.0, rounds));
     // Below a full house, the less loaded of two alike servers is still the better one.
     const auto load = from_ms(rounds * static_cast<double>(settings_.plain_work.count()));
-    return {&view, true, work, work + load + common_penalty(view, request)};
+    return {&view, true, work, work + load + common_penalty(view, request), 0};
 }
 
 duration placement_chooser::load_wait(const backend_view& view, const placement_request& request,
@@ -153,8 +157,7 @@
     }
     const auto cached = view.prompts.known_tokens(request.weights, request.prompt_parts);
     const auto unread = request.prompt_tokens > cached ? request.prompt_tokens - cached : 0;
-    const auto reported = is_fresh ? view.engine->queued_prompt_tokens : 0;
-    const auto queued = std::max(reported, view.queued_prompt_tokens);
+    const auto queued = board.queued_prompt_tokens(view, now);
     auto first = from_ms(static_cast<double>(queued + unread) * view.slowness /
                          settings_.prefill_tokens_per_ms);
     auto cost = common_penalty(view, request);
@@ -173,7 +176,7 @@
             first += settings_.full_batch;
         }
     }
-    return {&view, is_ready, first, first + cost};
+    return {&view, is_ready, first, first + cost, unread};
 }
 
 } // namespace camphorgrade::serving
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -2,6 +2,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+
 using namespace camphorgrade;
 using namespace camphorgrade::testing;
 
@@ -214,12 +217,76 @@
     CHECK(end->retry_after > duration::zero());
 }
 
+TEST_CASE("load: many prompts for one popular adapter spread once its engine has a backlog") {
+    dispatcher_fixture with;
+    for (const auto* id : {"engine-1", "engine-2"}) {
+        with.decisions.on_engine_state(id, engine_with({resident("m/a1")}, 2), at_ms(1));
+    }
+    std::map<std::string, int> sent;
+    auto large = profile_of("/plan/x", "a1");
+    large.prompt_tokens = 9'000;
+    for (int i = 0; i < 10; ++i) {
+        with.decisions.limiter().credit("studio", 10'000);
+        with.arrive(large, 2 + i);
+        REQUIRE(with.only<send_attempt>() != nullptr);
+        ++sent[with.only<send_attempt>()->backend_id];
+    }
+    CHECK(sent["engine-1"] == 5);
+    CHECK(sent["engine-2"] == 5);
+}
+
+TEST_CASE("load: what other gateways have queued at an engine counts, and what was sent since") {
+    dispatcher_fixture with;
+    auto busy = engine_with({resident("m/a1")}, 2);
+    busy.queued_prompt_tokens = 15'000;
+    with.decisions.on_engine_state("engine-1", busy, at_ms(1));
+    with.decisions.on_engine_state("engine-2", engine_with({resident("m/a1")}, 2), at_ms(1));
+    auto large = profile_of("/plan/x", "a1");
+    large.prompt_tokens = 9'000;
+    with.arrive(large, 2);
+    CHECK(with.only<send_attempt>()->backend_id == "engine-2");
+    with.arrive(large, 3);
+    CHECK(with.only<send_attempt>()->backend_id == "engine-2");
+    with.arrive(large, 4);
+    CHECK(with.only<send_attempt>()->backend_id == "engine-1");
+}
+
+TEST_CASE("load: an engine that turned slow gets less, one that fell silent gets nothing") {
+    dispatcher_fixture with;
+    for (const auto* id : {"engine-1", "engine-2"}) {
+        with.decisions.on_engine_state(id, engine_with({resident("m/a1")}, 2), at_ms(1));
+    }
+    SECTION("measured by its first answers") {
+        for (int i = 0; i < 40; ++i) {
+            with.decisions.board().on_speed("engine-1", duration{500}, duration{100});
+        }
+    }
+    SECTION("told by its agent") {
+        auto dead = engine_with({resident("m/a1")}, 3);
+        dead.is_reachable = false;
+        with.decisions.on_engine_state("engine-1", dead, at_ms(2));
+    }
+    SECTION("by a request that it left without an answer") {
+        const auto id = with.arrive(profile_of("/plan/x", "a1"), 3);
+        const auto silent = with.only<send_attempt>()->backend_id;
+        with.decisions.release(id, at_ms(2'100));
+        for (const auto* each : {"engine-1", "engine-2"}) {
+            with.decisions.on_engine_state(each, engine_with({resident("m/a1")}, 4), at_ms(2'100));
+        }
+        with.arrive(profile_of("/plan/x", "a1"), 2'101);
+        CHECK(with.only<send_attempt>()->backend_id != silent);
+        return;
+    }
+    with.arrive(profile_of("/plan/x", "a1"), 10);
+    CHECK(with.only<send_attempt>()->backend_id == "engine-2");
+}
+
 TEST_CASE("what a caller leaves behind is given up everywhere") {
     dispatcher_fixture with;
     const auto waiting = with.arrive(profile_of("/plan/x", "a1"), 0);
     const auto sent = with.arrive(profile_of("/book/x"), 0);
-    with.decisions.release(waiting);
-    with.decisions.release(sent);
+    with.decisions.release(waiting, at_ms(1));
+    with.decisions.release(sent, at_ms(1));
     CHECK(with.decisions.open_requests() == 0);
     for (const auto& [id, view] : with.decisions.board().all()) {
         CHECK(view.in_flight == 0);
