--- a/daemons/engine_agent.cpp
+++ b/daemons/engine_agent.cpp
@@ -7,10 +7,11 @@
 
 namespace {
 
-int run(const platform::platform_settings& settings) {
+int run(const platform::platform_settings& settings, std::uint16_t metrics_port) {
     engine_agent::agent_settings agent;
     agent.node_name = settings.node_name;
     agent.peers = {settings.ip, settings.first_port};
+    agent.metrics = {settings.ip, metrics_port};
     agent.life = process_life();
     const edge::upstream_address engine{
         {boost::asio::ip::make_address(settings.backend.ip), settings.backend.port}, {}};
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -46,7 +46,9 @@
     platform::fleet_watcher watcher_;
 };
 
-int run(const platform::platform_settings& settings) {
+int run(const platform::platform_settings& settings, std::uint16_t metrics_port) {
+    auto own = entry_settings_from(settings);
+    own.metrics = {settings.ip, metrics_port};
     const platform::platform_codec codec;
     const auto reader = platform::make_catalogue_reader();
     return entry::run_entry(entry_settings_from(settings), codec, *reader,
--- a/daemons/platform_daemon.cpp
+++ b/daemons/platform_daemon.cpp
@@ -21,7 +21,8 @@
 constexpr const char* default_settings_path = "/etc/camphorgrade/boot.conf";
 
 int run_with(const std::string& program, const std::string& path, bool check_only,
-             int (*run)(const platform::platform_settings&)) {
+             std::uint16_t metrics_port,
+             int (*run)(const platform::platform_settings&, std::uint16_t)) {
     std::ifstream file(path);
     if (!file) {
         std::cerr << program << ": cannot read " << path << '\n';
@@ -37,7 +38,7 @@
         }
         return exit_bad_settings;
     }
-    return check_only ? 0 : run(std::get<platform::platform_settings>(parsed));
+    return check_only ? 0 : run(std::get<platform::platform_settings>(parsed), metrics_port);
 }
 
 } // namespace
@@ -49,12 +50,14 @@
 }
 
 int run_platform_daemon(const std::string& program, int argc, const char* const* argv,
-                        int (*run)(const platform::platform_settings&)) {
+                        int (*run)(const platform::platform_settings&, std::uint16_t)) {
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     options::options_description known(program);
     known.add_options()("help", "show this")("check", "check the settings and exit")(
         "settings", options::value<std::string>()->default_value(default_settings_path),
-        "the platform's settings file");
+        "the platform's settings file")("metrics-port",
+                                        options::value<std::uint16_t>()->default_value(0),
+                                        "where to serve metrics; 0: nowhere");
     try {
         options::variables_map given;
         options::store(options::parse_command_line(argc, argv, known), given);
@@ -64,7 +67,7 @@
             return 0;
         }
         return run_with(program, given["settings"].as<std::string>(), given.count("check") != 0,
-                        run);
+                        given["metrics-port"].as<std::uint16_t>(), run);
     } catch (const options::error& error) {
         std::cerr << program << ": " << error.what() << '\n';
         return exit_bad_settings;
--- a/daemons/platform_daemon.h
+++ b/daemons/platform_daemon.h
@@ -12,9 +12,10 @@
 
 /**
  * The main function of a daemon on the platform: reads the command line and the platform's
- * settings, checks them, and runs. Returns the exit code: 0, or 2 for bad settings.
+ * settings, checks them, and runs; `run` gets the port for metrics, 0 for none. Returns the exit
+ * code: 0, or 2 for bad settings.
  */
 int run_platform_daemon(const std::string& program, int argc, const char* const* argv,
-                        int (*run)(const platform::platform_settings&));
+                        int (*run)(const platform::platform_settings&, std::uint16_t));
 
 } // namespace camphorgrade
--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -16,13 +16,14 @@
 /** Settings of the process beside an engine. A value type. */
 struct agent_settings {
     std::string node_name;
-    serving::network_address peers; /**< Messages of the system's own processes. */
-    std::uint64_t life = 1;         /**< Larger for each later process on this VM. */
-    duration idle_poll{100};        /**< Between looks at an engine where nothing is wanted. */
-    duration active_poll{15};       /**< While an adapter is loading or waited for. */
-    duration heartbeat{400};        /**< Reports to gateways, at least. */
-    duration report_delay{4};       /**< Changes within it are told together. */
-    duration report_interval{120};  /**< Changes are told to gateways that don't wait for any. */
+    serving::network_address peers;   /**< Messages of the system's own processes. */
+    serving::network_address metrics; /**< Port 0: not served. */
+    std::uint64_t life = 1;           /**< Larger for each later process on this VM. */
+    duration idle_poll{100};          /**< Between looks at an engine where nothing is wanted. */
+    duration active_poll{15};         /**< While an adapter is loading or waited for. */
+    duration heartbeat{400};          /**< Reports to gateways, at least. */
+    duration report_delay{4};         /**< Changes within it are told together. */
+    duration report_interval{120};    /**< Changes are told to gateways that don't wait for any. */
 
     friend bool operator==(const agent_settings&, const agent_settings&) = default;
 };
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -41,7 +41,7 @@
     log_.line("process_started")
         .text("role", "engine_agent")
         .number("life", static_cast<std::int64_t>(settings_.life));
-    server_.listen({boost::asio::ip::make_address(settings_.peers.ip), settings_.peers.port});
+    listen_for_metrics();
     wait_for_signal();
     look();
     schedule_report(settings_.heartbeat);
@@ -50,6 +50,19 @@
     log_.flush();
 }
 
+void agent_node::listen_for_metrics() {
+    if (settings_.metrics.port == 0) {
+        return;
+    }
+    try {
+        server_.listen(
+            {boost::asio::ip::make_address(settings_.metrics.ip), settings_.metrics.port});
+    } catch (const boost::system::system_error& error) {
+        // The engine is kept all the same.
+        log_.line("metrics_not_served").text("reason", error.code().message());
+    }
+}
+
 void agent_node::wait_for_signal() {
     signals_.async_wait([this](const boost::system::error_code& error, int signal) {
         if (error) {
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -39,6 +39,7 @@
     void report();
     serving::engine_state present_state() const;
     void log_state(const serving::engine_state& state);
+    void listen_for_metrics();
     void wait_for_signal();
 
     agent_settings settings_;
--- a/libs/entry/include/entry/entry_process.h
+++ b/libs/entry/include/entry/entry_process.h
@@ -23,6 +23,7 @@
     std::string data_centre;
     serving::network_address callers;   /**< Where callers connect. */
     serving::network_address operators; /**< Readiness and metrics. */
+    serving::network_address metrics;   /**< Metrics alone; port 0: nowhere else. */
     serving::network_address peers;     /**< Messages of the system's own processes. */
     std::vector<std::string> seeds;     /**< Peer addresses, "ip:port", that may be stale. */
     duration shutdown_grace{8'000};     /**< From SIGTERM until the process must be gone. */
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -48,6 +48,7 @@
         .text("data_centre", settings_.data_centre)
         .number("life", static_cast<std::int64_t>(settings_.life));
     operators_->listen(endpoint_of(settings_.operators));
+    listen_for_metrics();
     callers_.listen(endpoint_of(settings_.callers));
     peers_.start();
     source_->start();
@@ -62,6 +63,18 @@
     log_.flush();
 }
 
+void gateway_node::listen_for_metrics() {
+    if (settings_.metrics.port == 0) {
+        return;
+    }
+    try {
+        operators_->listen_for_metrics(endpoint_of(settings_.metrics));
+    } catch (const boost::system::system_error& error) {
+        // Requests are served all the same; the operators' address has the metrics too.
+        log_.line("metrics_not_served").text("reason", error.code().message());
+    }
+}
+
 void gateway_node::on_signal(int signal) {
     if (signal == SIGHUP) {
         log_.line("settings_reload").flag("changed", false);
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -73,6 +73,7 @@
     void refuse_late(edge::caller_exchange& exchange);
     void sweep();
     void tick();
+    void listen_for_metrics();
     void on_signal(int signal);
     void begin_shutdown();
     void apply(const serving::backend_server& server);
