--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -73,12 +73,12 @@
 
 TEST_CASE("ambiguous or malformed framing is refused and the connection closed") {
     fixture with;
+    const std::string post = "POST / HTTP/1.1\r\nHost: x\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
     const std::vector<std::string> malformed{
         "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
-        "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: "
-        "chunked\r\n\r\n0\r\n\r\n",
-        "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\nContent-Length: "
-        "3\r\n\r\n0\r\n\r\n",
+        post + "Content-Length: 3\r\n" + chunked + "\r\n0\r\n\r\n",
+        post + chunked + "Content-Length: 3\r\n\r\n0\r\n\r\n",
         "GET / HTTP/1.1\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: x\r\nHost: y\r\n\r\n",
         "GET / HTTP/1.1\r\nHost: x\r\nBad Name: 1\r\n\r\n",
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -112,6 +112,7 @@
     duration silent{2'000}; /**< Without a first answer for so long, a server counts as failed. */
     duration place_again{350};      /**< A request that waits longer is placed anew. */
     std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
+    duration start_time{250};       /**< Until a process that has just started knows enough. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
     account_limiter_settings limits;
--- a/libs/serving/tests/test_account_limiter.cpp
+++ b/libs/serving/tests/test_account_limiter.cpp
@@ -103,7 +103,7 @@
         gateways fleet(count);
         fleet.report(at_ms(0), nobody);
         std::vector<double> by_tenth;
-        for (int tenth = 0; tenth < 160; ++tenth) {
+        for (std::int64_t tenth = 0; tenth < 160; ++tenth) {
             const auto now = at_ms(tenth * 100);
             const auto sent = *rc::gen::container<std::vector<std::size_t>>(
                 8, rc::gen::inRange<std::size_t>(0, count));
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -41,6 +41,7 @@
     const auto effects = empty.take_effects();
     REQUIRE(effects.size() == 1);
     CHECK(std::get<end_request>(effects.front()).reason == end_reason::no_catalogue);
+    CHECK(std::get<end_request>(effects.front()).retry_after > duration::zero());
 }
 
 TEST_CASE("an older catalogue never replaces a newer one") {
