--- /dev/null
+++ b/libs/serving/src/dispatch_names.cpp
@@ -0,0 +1,57 @@
+#include <serving/dispatcher.h>
+
+namespace camphorgrade::serving {
+
+std::string_view to_string(end_reason reason) noexcept {
+    switch (reason) {
+    case end_reason::no_catalogue:
+        return "no_catalogue";
+    case end_reason::no_route:
+        return "no_route";
+    case end_reason::unknown_key:
+        return "unknown_key";
+    case end_reason::over_rate:
+        return "over_rate";
+    case end_reason::quarantined:
+        return "quarantined";
+    case end_reason::no_backend:
+        return "no_backend";
+    case end_reason::no_capacity:
+        return "no_capacity";
+    case end_reason::refused:
+        return "refused";
+    case end_reason::timed_out:
+        return "timed_out";
+    case end_reason::timed_out_sent:
+        return "timed_out_sent";
+    case end_reason::shutting_down:
+        return "shutting_down";
+    case end_reason::broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+std::string_view to_string(attempt_outcome outcome) noexcept {
+    switch (outcome) {
+    case attempt_outcome::whole:
+        return "whole";
+    case attempt_outcome::own_error:
+        return "own_error";
+    case attempt_outcome::refused:
+        return "refused";
+    case attempt_outcome::wrong_weights:
+        return "wrong_weights";
+    case attempt_outcome::unreachable:
+        return "unreachable";
+    case attempt_outcome::broken:
+        return "broken";
+    }
+    return "unknown";
+}
+
+bool has_not_run(end_reason reason) noexcept {
+    return reason != end_reason::timed_out_sent && reason != end_reason::broken;
+}
+
+} // namespace camphorgrade::serving
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -7,31 +7,6 @@
 
 namespace camphorgrade::serving {
 
-namespace {
-
-// Urgency has ten steps: an account's priority goes first, the route's decides within it.
-constexpr int steps_per_account_priority = 3;
-constexpr int least_urgent = 9;
-// Time that a caller without a deadline of its own gets beyond a route that states none.
-constexpr duration default_timeout{30'000};
-
-int urgency_of(const route& on, const client_account* account) {
-    const int by_account = account != nullptr ? account->priority.value_or(0) : 0;
-    const int by_route = std::clamp(on.priority, 0, steps_per_account_priority - 1);
-    return std::clamp(by_account * steps_per_account_priority + by_route, 0, least_urgent);
-}
-
-double cost_of(const request_profile& profile, const client_account& account) {
-    if (!account.counts_tokens) {
-        return 1;
-    }
-    return profile.states_tokens
-               ? static_cast<double>(profile.prompt_tokens + profile.max_output_tokens)
-               : account.plain_cost;
-}
-
-} // namespace
-
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
     : settings_(settings), random_(seed), board_({}), limiter_(settings.limits),
@@ -68,69 +43,6 @@
     return id;
 }
 
-std::optional<end_reason> dispatcher::identify(request& of) const {
-    if (!of.catalogue) {
-        return end_reason::no_catalogue;
-    }
-    of.on_route = of.catalogue->find_route(of.profile.host, of.profile.path);
-    if (of.on_route == nullptr) {
-        return end_reason::no_route;
-    }
-    const client_account* account =
-        of.profile.key ? of.catalogue->find_account(*of.profile.key) : nullptr;
-    const bool needs_key = !of.on_route->is_public && !of.catalogue->catalogue().accounts.empty();
-    if (needs_key && account == nullptr) {
-        return end_reason::unknown_key;
-    }
-    of.urgency = urgency_of(*of.on_route, account);
-    if (account != nullptr) {
-        of.account = account->name;
-        of.cost = cost_of(of.profile, *account);
-    }
-    return std::nullopt;
-}
-
-std::optional<end_reason> dispatcher::check(request& of, duration& retry_after, time_point now) {
-    if (const auto reason = identify(of)) {
-        if (*reason == end_reason::no_catalogue) {
-            retry_after = settings_.start_time;
-        }
-        return reason;
-    }
-    const auto longest =
-        of.on_route->timeout > duration::zero() ? of.on_route->timeout : default_timeout;
-    of.deadline = now + std::min(of.profile.deadline.value_or(longest), longest);
-    if (crashes_.is_quarantined(of.content, now)) {
-        return end_reason::quarantined;
-    }
-    of.service = pick_service(*of.on_route);
-    if (const auto wait = limiter_.charge(of.account, of.cost, now)) {
-        of.cost = 0;
-        retry_after =
-            std::clamp(*wait, settings_.shortest_retry_after, settings_.longest_retry_after);
-        return end_reason::over_rate;
-    }
-    return std::nullopt;
-}
-
-std::string dispatcher::pick_service(const route& from) {
-    std::uint64_t total = 0;
-    for (const auto& each : from.services) {
-        total += each.weight;
-    }
-    if (total == 0) {
-        return {};
-    }
-    auto drawn = random_.below(total);
-    for (const auto& each : from.services) {
-        if (drawn < each.weight) {
-            return each.service;
-        }
-        drawn -= each.weight;
-    }
-    return from.services.back().service;
-}
-
 duration dispatcher::patience(const request& of) const {
     const auto& on = *of.on_route;
     return std::max({settings_.shortest_patience,
@@ -437,56 +349,4 @@
                       [](const auto& each) { return each.second.at == phase::waiting; }));
 }
 
-std::string_view to_string(end_reason reason) noexcept {
-    switch (reason) {
-    case end_reason::no_catalogue:
-        return "no_catalogue";
-    case end_reason::no_route:
-        return "no_route";
-    case end_reason::unknown_key:
-        return "unknown_key";
-    case end_reason::over_rate:
-        return "over_rate";
-    case end_reason::quarantined:
-        return "quarantined";
-    case end_reason::no_backend:
-        return "no_backend";
-    case end_reason::no_capacity:
-        return "no_capacity";
-    case end_reason::refused:
-        return "refused";
-    case end_reason::timed_out:
-        return "timed_out";
-    case end_reason::timed_out_sent:
-        return "timed_out_sent";
-    case end_reason::shutting_down:
-        return "shutting_down";
-    case end_reason::broken:
-        return "broken";
-    }
-    return "unknown";
-}
-
-std::string_view to_string(attempt_outcome outcome) noexcept {
-    switch (outcome) {
-    case attempt_outcome::whole:
-        return "whole";
-    case attempt_outcome::own_error:
-        return "own_error";
-    case attempt_outcome::refused:
-        return "refused";
-    case attempt_outcome::wrong_weights:
-        return "wrong_weights";
-    case attempt_outcome::unreachable:
-        return "unreachable";
-    case attempt_outcome::broken:
-        return "broken";
-    }
-    return "unknown";
-}
-
-bool has_not_run(end_reason reason) noexcept {
-    return reason != end_reason::timed_out_sent && reason != end_reason::broken;
-}
-
 } // namespace camphorgrade::serving
