Serve an entry's metrics on the metrics address

Cause: the settings with the metrics address were made and then left unused; a second copy without it was run. Before: the port of the deploy file refused connections on entry VMs. After: it answers with the counters.

--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -51,7 +51,7 @@
     own.metrics = {settings.ip, metrics_port};
     const platform::platform_codec codec;
     const auto reader = platform::make_catalogue_reader();
-    return entry::run_entry(entry_settings_from(settings), codec, *reader,
+    return entry::run_entry(own, codec, *reader,
                             [&](boost::asio::io_context& loop, edge::upstream_pool& pool,
                                 serving::fleet_listener& listener) {
                                 return std::make_unique<watched_store>(loop, pool, settings,
