Soak the real programs under random faults from outside

Entries and engine agents run as processes of their own on loopback addresses, between callers, backend servers and a store that the soak plays. Links in front of each are delayed, reset, silenced, cut one way or stranded; processes are paused, stopped, killed and restarted by signals; the store is silent, refuses, forgets. Checked: whole and right answers, at most one run, true refusals, unchanged requests, account and key, time handed on, attempts, budget of repeats, rate of accounts, withdrawn keys, places of engines, exits, recovery, metrics.

--- a/tests/path/child_process.cpp
+++ b/tests/path/child_process.cpp
@@ -62,6 +62,10 @@
     return pid;
 }
 
+int exit_code(int status) {
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+}
+
 } // namespace
 
 child_process::child_process(const std::string& program, const std::vector<std::string>& arguments,
@@ -92,7 +96,16 @@
     }
     int status = 0;
     waitpid(std::exchange(pid_, -1), &status, 0);
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    return exit_code(status);
+}
+
+std::optional<int> child_process::try_wait() {
+    int status = 0;
+    if (pid_ <= 0 || waitpid(pid_, &status, WNOHANG) != pid_) {
+        return std::nullopt;
+    }
+    pid_ = -1;
+    return exit_code(status);
 }
 
 int child_process::terminate() {
--- a/tests/path/child_process.h
+++ b/tests/path/child_process.h
@@ -2,6 +2,7 @@
 
 #include <sys/types.h>
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
     /** Waits for its end; the exit code, or minus the signal that ended it. */
     int wait();
 
+    /** As wait(), if it has ended already; nothing while it runs. */
+    std::optional<int> try_wait();
+
     /** Sends SIGTERM and waits. */
     int terminate();
 
--- /dev/null
+++ b/tests/soak/soak_run.cpp
@@ -0,0 +1,480 @@
+#include "soak_run.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+
+namespace camphorgrade::soak {
+
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr duration poll_interval{20};
+constexpr duration start_bound{15'000};
+constexpr duration recovery_bound{12'000};
+constexpr duration measured_after{2'000};
+constexpr duration stop_bound{9'000};
+constexpr double recovered_share = 0.25;
+constexpr double settled_share = 0.95;
+// The promises with a time bound are not judged where the soak itself was held up for longer.
+constexpr duration tolerable_stall{150};
+
+/** A random duration in [shortest, longest). */
+duration between(random_source& random, duration shortest, duration longest) {
+    const auto span = static_cast<std::uint64_t>((longest - shortest).count());
+    return shortest + duration{static_cast<duration::rep>(random.below(span))};
+}
+
+/** Injects random faults, one after the other, that last and overlap. */
+class fault_schedule {
+public:
+    fault_schedule(boost::asio::io_context& loop, const clock& clock, soak_world& world,
+                   std::uint64_t seed, std::vector<std::string>& journal)
+        : loop_(loop), clock_(clock), world_(world), random_(seed), journal_(journal),
+          began_(clock.now()) {}
+
+    void inject() {
+        switch (random_.below(8)) {
+        case 0:
+        case 1:
+            process_fault();
+            break;
+        case 2:
+        case 3:
+            link_fault();
+            break;
+        case 4:
+            store_fault();
+            break;
+        case 5:
+        case 6:
+            backend_fault();
+            break;
+        default:
+            operators_change();
+            break;
+        }
+    }
+
+private:
+    template <typename Things>
+    auto& pick(Things& things) {
+        return things[random_.below(things.size())];
+    }
+
+    void note(const std::string& what) {
+        journal_.push_back(std::to_string((clock_.now() - began_).count()) + " ms " + what);
+    }
+
+    void later(duration after, std::function<void()> then) {
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(loop_); // lives as long as its wait
+        timer->expires_after(after);
+        timer->async_wait([timer, then = std::move(then)](const boost::system::error_code& error) {
+            if (!error) {
+                then();
+            }
+        });
+    }
+
+    void process_fault() {
+        auto all = world_.processes();
+        auto* one = pick(all);
+        const auto now = clock_.now();
+        switch (random_.below(6)) {
+        case 0:
+        case 1:
+            note("pause " + one->log_path());
+            one->pause(now, between(random_, duration{100}, duration{3'500}));
+            break;
+        case 2:
+            note("kill " + one->log_path());
+            one->kill(now, between(random_, duration{50}, duration{1'500}));
+            break;
+        case 3:
+            note("terminate " + one->log_path());
+            one->terminate(now);
+            break;
+        case 4:
+            note("hang up " + one->log_path());
+            one->hang_up(now);
+            break;
+        default:
+            if (random_.below(4) == 0) {
+                note("kill all processes");
+                for (auto* each : all) {
+                    each->kill(now, duration{300});
+                }
+            } else {
+                note("terminate, then kill " + one->log_path());
+                one->terminate(now);
+                later(between(random_, duration{50}, duration{1'000}), [this, one] {
+                    if (one->is_away()) {
+                        one->kill(clock_.now(), duration{200});
+                    }
+                });
+            }
+            break;
+        }
+    }
+
+    void link_fault() {
+        auto all = world_.links();
+        auto* one = pick(all);
+        const auto length = between(random_, duration{200}, duration{3'000});
+        switch (random_.below(5)) {
+        case 0:
+            note("delay a link");
+            one->delay(between(random_, duration{10}, duration{400}));
+            break;
+        case 1:
+            note("silence a link");
+            one->silence(static_cast<direction>(random_.below(3)));
+            break;
+        case 2:
+            note("reset a link");
+            one->reset();
+            return;
+        case 3:
+            note("refuse at a link");
+            one->refuse();
+            break;
+        default: {
+            // Callers' own connections are kept: what a caller never sent can't be answered.
+            auto& site = pick(world_.backends());
+            note("strand connections to " + site.backend->id());
+            site.front->strand();
+            return;
+        }
+        }
+        later(length, [one] { one->heal(); });
+    }
+
+    void store_fault() {
+        auto& store = world_.store();
+        const auto length = between(random_, duration{300}, duration{5'000});
+        switch (random_.below(3)) {
+        case 0:
+            note("the store refuses");
+            store.refuses = true;
+            break;
+        case 1:
+            note("the store is silent");
+            store.is_silent = true;
+            break;
+        default:
+            note("the store forgets its history");
+            store.forget_history();
+            return;
+        }
+        for (auto& each : world_.entries()) {
+            each.store->reset(); // its watches end, and none counts as in touch with it
+        }
+        later(length, [this, &store] {
+            store.refuses = false;
+            store.is_silent = false;
+            for (auto& each : world_.entries()) {
+                each.store->reset();
+            }
+        });
+    }
+
+    void backend_fault() {
+        auto& site = pick(world_.backends());
+        const auto length = between(random_, duration{300}, duration{3'000});
+        switch (random_.below(5)) {
+        case 0:
+            crash(site, length);
+            break;
+        case 1:
+            note("slow " + site.backend->id());
+            site.backend->faults.slowness = 6;
+            break;
+        case 2:
+            note("lost answers of " + site.backend->id());
+            site.backend->faults.lost_answers = 0.3;
+            break;
+        case 3:
+            note("broken answers of " + site.backend->id());
+            site.backend->faults.broken_answers = 0.3;
+            break;
+        default:
+            replace(site);
+            return;
+        }
+        later(length, [&site] { site.backend->faults = {}; });
+    }
+
+    /** It dies without a word, and comes back empty, under its old id or a new one. */
+    void crash(backend_site& site, duration length) {
+        note("crash " + site.backend->id());
+        const bool renames = random_.below(2) == 0;
+        site.front->refuse();
+        if (renames) {
+            world_.remove_registration(site);
+        }
+        site.backend->restart(renames);
+        later(length, [this, &site] {
+            site.front->heal();
+            world_.write_registration(site, "ready");
+        });
+    }
+
+    /** It says that it leaves, serves on for a while, goes, and another one takes its address. */
+    void replace(backend_site& site) {
+        note("replace " + site.backend->id());
+        world_.write_registration(site, "draining");
+        const auto leaving = site.backend->id();
+        later(duration{4'500}, [this, &site, leaving] {
+            if (site.backend->id() != leaving) {
+                return; // it crashed meanwhile
+            }
+            world_.remove_registration(site);
+            site.front->reset();
+            site.backend->restart(true);
+            world_.write_registration(site, "ready");
+        });
+    }
+
+    void operators_change() {
+        auto& keys = world_.callers().keys;
+        switch (random_.below(3)) {
+        case 0: {
+            auto& key = pick(keys);
+            note((key.is_valid ? "withdraw " : "restore ") + key.key);
+            key.is_valid = !key.is_valid;
+            key.changed = clock_.now();
+            world_.write_catalogue();
+            break;
+        }
+        case 1:
+            note("new version of an adapter");
+            world_.bump_adapter_version(static_cast<int>(random_.below(8)));
+            break;
+        default:
+            note("new version of the text");
+            world_.write_catalogue();
+            break;
+        }
+    }
+
+    boost::asio::io_context& loop_;
+    const clock& clock_;
+    soak_world& world_;
+    random_source random_;
+    std::vector<std::string>& journal_;
+    time_point began_;
+};
+
+/** One run from start to check. */
+class soak {
+public:
+    explicit soak(const soak_options& options)
+        : options_(options), record_(bounds()),
+          world_(loop_, clock_, options.seed, options.sizes, record_) {}
+
+    soak_result run() {
+        world_.start();
+        poll_often();
+        if (!advance_until([this] { return all_ready(); }, start_bound)) {
+            record_.violate("is ready soon after its start", "not all entries");
+        }
+        add_callers();
+        inject_faults();
+        recover();
+        check_metrics();
+        stop();
+        record_.check_totals();
+        return result();
+    }
+
+private:
+    static ledger_bounds bounds() {
+        ledger_bounds out;
+        out.max_attempts = max_attempts;
+        out.account_rate = account_rate;
+        out.account_burst = account_burst;
+        return out;
+    }
+
+    void poll_often() {
+        const auto now = clock_.now();
+        if (last_poll_ != time_point{}) {
+            longest_stall_ = std::max(longest_stall_, now - last_poll_ - poll_interval);
+        }
+        last_poll_ = now;
+        world_.poll();
+        poll_timer_.expires_after(poll_interval);
+        poll_timer_.async_wait([this](const boost::system::error_code& error) {
+            if (!error) {
+                poll_often();
+            }
+        });
+    }
+
+    void advance(duration by) { loop_.run_for(by); }
+
+    template <typename Done>
+    bool advance_until(Done is_done, duration longest) {
+        const auto end = clock_.now() + longest;
+        while (!is_done()) {
+            if (clock_.now() >= end) {
+                return false;
+            }
+            advance(poll_interval);
+        }
+        return true;
+    }
+
+    /** A page of a process, read on a connection of its own; empty when it can't be had. */
+    std::string page(const boost::asio::ip::tcp::endpoint& at, const std::string& path,
+                     int& status) {
+        boost::asio::io_context own;
+        boost::beast::tcp_stream stream(own);
+        boost::system::error_code error;
+        status = 0;
+        stream.connect(at, error);
+        if (error) {
+            return {};
+        }
+        http::request<http::string_body> request{http::verb::get, path, 11};
+        request.set(http::field::host, at.address().to_string());
+        boost::beast::flat_buffer buffer;
+        http::response<http::string_body> answer;
+        http::write(stream, request, error);
+        http::read(stream, buffer, answer, error);
+        status = error ? 0 : static_cast<int>(answer.result_int());
+        return error ? std::string{} : answer.body();
+    }
+
+    bool all_ready() {
+        for (std::size_t i = 0; i < world_.entries().size(); ++i) {
+            int status = 0;
+            page(world_.readiness_of(i), "/readiness", status);
+            if (status != 200) {
+                return false;
+            }
+        }
+        return true;
+    }
+
+    void add_callers() {
+        for (int i = 0; i < options_.callers; ++i) {
+            callers_.push_back(std::make_unique<soak_caller>(
+                loop_, clock_, options_.seed * 1'000 + static_cast<std::uint64_t>(i),
+                "r" + std::to_string(i), world_.callers(), record_, late_));
+            callers_.back()->start();
+        }
+        advance(duration{1'000});
+    }
+
+    void inject_faults() {
+        random_source random(options_.seed ^ 0x5eedULL);
+        fault_schedule schedule(loop_, clock_, world_, options_.seed, faults_);
+        const auto end = clock_.now() + options_.length;
+        while (clock_.now() < end) {
+            schedule.inject();
+            advance(between(random, duration{50}, duration{600}));
+        }
+        advance(duration{5'000}); // until each fault has ended by itself
+    }
+
+    void recover() {
+        world_.heal();
+        const auto healed = clock_.now();
+        const auto settled = [this] {
+            const auto now = clock_.now();
+            const auto from = now - duration{1'000};
+            const auto all = record_.answered(from, now);
+            return world_.all_run() && all > 0 &&
+                   static_cast<double>(record_.ended(caller_end::whole, from, now)) >=
+                       settled_share * static_cast<double>(all);
+        };
+        advance(duration{1'000});
+        advance_until(settled, healed + recovery_bound - clock_.now());
+        const auto from = clock_.now();
+        advance(measured_after);
+        const auto to = clock_.now() - duration{500};
+        const auto all = record_.answered(from, to);
+        const auto whole = record_.ended(caller_end::whole, from, to);
+        recovered_ = all == 0 ? 0 : static_cast<double>(whole) / static_cast<double>(all);
+        if (recovered_ < recovered_share) {
+            record_.violate("recovers", std::to_string(whole) + " of " + std::to_string(all));
+        }
+    }
+
+    void check_metrics() {
+        for (std::size_t i = 0; i < world_.entries().size(); ++i) {
+            int status = 0;
+            const auto text = page(world_.metrics_of(i), "/metrics", status);
+            if (status != 200 || text.find("camphor_request_ms") == std::string::npos) {
+                record_.violate("serves metrics", "entry " + std::to_string(i + 1));
+            }
+        }
+    }
+
+    void stop() {
+        world_.callers().is_over = true;
+        advance(duration{500});
+        for (auto* each : world_.processes()) {
+            each->terminate(clock_.now());
+        }
+        advance_until(
+            [this] {
+                const auto all = world_.processes();
+                return std::none_of(all.begin(), all.end(),
+                                    [](const auto* each) { return each->is_running(); });
+            },
+            stop_bound);
+        poll_timer_.cancel();
+    }
+
+    soak_result result() {
+        const bool was_held_up = longest_stall_ > tolerable_stall;
+        if (!was_held_up && late_.open >= 8 && late_.open_half_a_second_later * 2 > late_.open) {
+            record_.violate("gives a final answer at the route's timeout",
+                            std::to_string(late_.open_half_a_second_later) + " of " +
+                                std::to_string(late_.open));
+        }
+        soak_result out;
+        out.violations = record_.violations();
+        out.faults = faults_;
+        out.log_folder = world_.folder();
+        out.whole = record_.ended(caller_end::whole, {}, time_point::max());
+        out.refused = record_.ended(caller_end::refused, {}, time_point::max());
+        out.failed = record_.ended(caller_end::failed, {}, time_point::max()) +
+                     record_.ended(caller_end::broken, {}, time_point::max()) +
+                     record_.ended(caller_end::closed, {}, time_point::max());
+        out.whole_after_recovery = recovered_;
+        out.longest_stall = longest_stall_;
+        return out;
+    }
+
+    soak_options options_;
+    monotonic_clock clock_;
+    boost::asio::io_context loop_;
+    ledger record_;
+    soak_world world_;
+    std::vector<std::unique_ptr<soak_caller>> callers_;
+    std::vector<std::string> faults_;
+    timeout_count late_;
+    boost::asio::steady_timer poll_timer_{loop_};
+    time_point last_poll_{};
+    duration longest_stall_{};
+    double recovered_ = 0;
+};
+
+} // namespace
+
+soak_result run_soak(const soak_options& options) {
+    return soak(options).run();
+}
+
+} // namespace camphorgrade::soak
--- /dev/null
+++ b/tests/soak/soak_world.cpp
@@ -0,0 +1,331 @@
+#include "soak_world.h"
+
+#include <nlohmann/json.hpp>
+
+#include <unistd.h>
+
+#include <array>
+#include <cstdlib>
+#include <filesystem>
+#include <utility>
+
+namespace camphorgrade::soak {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using json = nlohmann::json;
+
+// Kinds of VM, the third number of their addresses 127.NET.KIND.NUMBER.
+constexpr int entry_vm = 1;
+constexpr int engine_vm = 2;
+constexpr int service_vm = 3;
+// Addresses behind links: what a link hides, and a link's own.
+constexpr int callers_link = 11;
+constexpr int engine_itself = 12;
+constexpr int service_itself = 13;
+constexpr int store_link = 14;
+
+constexpr std::uint16_t callers_port = 8'221;
+constexpr std::uint16_t readiness_port = 8'224;
+constexpr std::uint16_t control_port = 8'229;
+constexpr std::uint16_t store_port = 8'225;
+constexpr std::uint16_t backend_port = 9'001;
+constexpr std::uint16_t beside_port = 9'002;
+constexpr std::uint16_t metrics_port = 9'464;
+
+constexpr int first_net = 16;
+constexpr int nets = 200;
+
+tcp::endpoint endpoint(const std::string& ip, std::uint16_t port) {
+    return {boost::asio::ip::make_address(ip), port};
+}
+
+std::string text(const std::string& ip, std::uint16_t port) {
+    return ip + ':' + std::to_string(port);
+}
+
+/** A part of the loopback network that no other soak uses. */
+int free_net() {
+    boost::asio::io_context loop;
+    for (int tried = 0; tried < nets; ++tried) {
+        const int net = first_net + (getpid() + tried) % nets;
+        boost::system::error_code taken;
+        tcp::acceptor probe(loop);
+        probe.open(tcp::v4());
+        probe.bind(endpoint("127." + std::to_string(net) + ".11.1", callers_port), taken);
+        if (!taken) {
+            return net;
+        }
+    }
+    throw std::runtime_error("no free part of the loopback network");
+}
+
+std::string new_folder() {
+    std::array<char, 32> name{"/tmp/camphor-soak-XXXXXX"};
+    if (mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot make a folder for logs");
+    }
+    return name.data();
+}
+
+json route(request_class what) {
+    const bool is_stream = what == request_class::plan || what == request_class::answer;
+    json out{{"name", path_of(what)},
+             {"host", soak_host},
+             {"path_prefix", path_of(what)},
+             {"kind", is_stream                        ? "streaming"
+                      : what == request_class::booking ? "non_idempotent"
+                                                       : "idempotent"},
+             {"timeout_ms", route_timeout.count()},
+             {"goal_ms", 500},
+             {"gap_aim_ms", 300},
+             {"priority", is_stream ? 1 : 0},
+             {"service", service_of(what)},
+             {"max_attempts", max_attempts},
+             {"public", false},
+             {"resumable", what == request_class::answer}};
+    return out;
+}
+
+} // namespace
+
+soak_world::soak_world(boost::asio::io_context& loop, const clock& clock, std::uint64_t seed,
+                       const soak_sizes& sizes, ledger& record)
+    : loop_(loop), clock_(clock), random_(seed), record_(record), folder_(new_folder()),
+      net_(free_net()), store_(loop, clock) {
+    for (const char* account : {"north", "south"}) {
+        for (int number = 1; number <= 2; ++number) {
+            const auto key = std::string(account) + "-key-" + std::to_string(number);
+            callers_.keys.push_back({account, key, true, {}});
+        }
+    }
+    callers_.calm_for = [this](std::size_t gateway) {
+        const auto now = clock_.now();
+        const auto& site = entries_.at(gateway);
+        return std::min(
+            {site.callers->calm_for(now), site.store->calm_for(now), site.process->calm_for(now)});
+    };
+    for (int i = 1; i <= sizes.entries; ++i) {
+        add_entry(i);
+    }
+    for (int i = 1; i <= sizes.engines; ++i) {
+        add_backend(i, true);
+    }
+    for (int i = 1; i <= sizes.services; ++i) {
+        add_backend(i, false);
+    }
+}
+
+soak_world::~soak_world() = default;
+
+std::string soak_world::ip(int kind, int number) const {
+    return "127." + std::to_string(net_) + '.' + std::to_string(kind) + '.' +
+           std::to_string(number);
+}
+
+std::string soak_world::common_settings() const {
+    return "zone=one\nport_range=7600,7615\nheartbeat_ms=1200\nseeds=" +
+           text(ip(entry_vm, 1), control_port) + ',' + text(ip(entry_vm, 2), control_port) +
+           "\nbounds.grace_s=8\nbounds.drain_ms=2000\nbounds.budget_ratio=0.2\n"
+           "bounds.budget_slack=50\nbounds.budget_window_s=10\n";
+}
+
+void soak_world::add_entry(int number) {
+    const auto own = ip(entry_vm, number);
+    const auto store = ip(store_link, number);
+    const auto front = endpoint(ip(callers_link, number), callers_port);
+    entry_site site;
+    site.callers = std::make_unique<fault_link>(loop_, clock_, front, endpoint(own, callers_port));
+    site.store = std::make_unique<fault_link>(loop_, clock_, endpoint(store, store_port),
+                                              endpoint("127.0.0.1", store_.port()));
+    const auto name = "entry-" + std::to_string(number);
+    const auto settings =
+        "node_name=" + name + "\nip=" + own + "\nlisten.front=" + text(own, callers_port) +
+        "\nlisten.ready=" + text(own, readiness_port) +
+        "\nlisten.control=" + text(own, control_port) +
+        "\nplatform.address=" + text(store, store_port) + '\n' + common_settings();
+    site.process = std::make_unique<soak_process>(
+        program_spec{"camphor-entry", name, settings, folder_}, record_);
+    entries_.push_back(std::move(site));
+    callers_.gateways.push_back(front);
+}
+
+void soak_world::add_backend(int number, bool is_engine) {
+    const auto own = ip(is_engine ? engine_vm : service_vm, number);
+    const auto itself =
+        endpoint(ip(is_engine ? engine_itself : service_itself, number), backend_port);
+    const auto name = (is_engine ? "engine-" : "desk-") + std::to_string(number);
+    backend_site site;
+    site.address = text(own, backend_port);
+    site.backend = std::make_unique<soak_backend>(loop_, clock_, random_, record_, name,
+                                                  is_engine ? "models" : "desk", is_engine);
+    site.backend->listen(itself);
+    site.front = std::make_unique<fault_link>(loop_, clock_, endpoint(own, backend_port), itself);
+    if (is_engine) {
+        site.beside =
+            std::make_unique<fault_link>(loop_, clock_, endpoint(own, beside_port), itself);
+        const auto agent = "agent-" + std::to_string(number);
+        const auto settings =
+            "node_name=" + agent + "\nip=" + own + "\napp=" + text(own, beside_port) +
+            "\nplatform.address=" + text("127.0.0.1", store_.port()) + '\n' + common_settings();
+        site.agent = std::make_unique<soak_process>(
+            program_spec{"camphor-engine-agent", agent, settings, folder_}, record_);
+    }
+    backends_.push_back(std::move(site));
+}
+
+void soak_world::start() {
+    write_catalogue();
+    write_registrations();
+    for (auto* each : processes()) {
+        each->start(clock_.now());
+    }
+}
+
+void soak_world::write_catalogue() {
+    json accounts = json::array();
+    for (const char* name : {"north", "south"}) {
+        json keys = json::array();
+        for (const auto& each : callers_.keys) {
+            if (each.account == name && each.is_valid) {
+                keys.push_back(each.key);
+            }
+        }
+        accounts.push_back({{"name", name},
+                            {"api_keys", keys},
+                            {"priority", 0},
+                            {"unit", "tokens"},
+                            {"plain_tokens", 200},
+                            {"rate_per_s", account_rate},
+                            {"burst", account_burst}});
+    }
+    const json engine{{"slots", 64},
+                      {"kv_tokens", 250'000},
+                      {"weights_mb", 1'100},
+                      {"adapter_slots", 3},
+                      {"models",
+                       {{{"name", "base"},
+                         {"weights_mb", 1'000},
+                         {"load_s", 0.5},
+                         {"adapters", 8},
+                         {"adapter_mb", 1}}}}};
+    json routes = json::array();
+    for (const auto what : {request_class::plan, request_class::answer, request_class::booking,
+                            request_class::report}) {
+        routes.push_back(route(what));
+    }
+    const json out{{"version", ++catalogue_version_},
+                   {"routes", routes},
+                   {"services", {{{"name", "models"}, {"engine", engine}}, {{"name", "desk"}}}},
+                   {"tenants", accounts},
+                   {"limits",
+                    {{"max_header_bytes", 16'384},
+                     {"max_body_bytes", 65'536},
+                     {"header_timeout_ms", 3'000},
+                     {"idle_timeout_ms", 15'000}}}};
+    store_.put("op/config", out.dump());
+}
+
+void soak_world::write_registrations() {
+    for (const auto& each : backends_) {
+        write_registration(each, "ready");
+    }
+}
+
+void soak_world::write_registration(const backend_site& of, const std::string& state) {
+    store_.put("servers/" + of.backend->id(), of.backend->registration(of.address, state));
+}
+
+void soak_world::remove_registration(const backend_site& of) {
+    store_.remove("servers/" + of.backend->id());
+}
+
+void soak_world::bump_adapter_version(int adapter) {
+    const auto version = ++adapter_versions_.try_emplace(adapter, 1).first->second;
+    const auto name = "a" + std::to_string(adapter);
+    const json out{{"model", "base"}, {"adapter", name}, {"version", version}};
+    store_.put("op/version/base." + name, out.dump());
+}
+
+void soak_world::poll() {
+    const auto now = clock_.now();
+    for (auto* each : processes()) {
+        each->poll(now);
+    }
+}
+
+void soak_world::heal() {
+    const auto now = clock_.now();
+    store_.refuses = false;
+    store_.is_silent = false;
+    for (auto* each : links()) {
+        each->heal();
+    }
+    for (auto& each : callers_.keys) {
+        each.changed = each.is_valid ? each.changed : now;
+        each.is_valid = true;
+    }
+    write_catalogue();
+    for (auto& each : backends_) {
+        each.backend->faults = {};
+    }
+    for (auto* each : processes()) {
+        each->bring_back(now);
+    }
+}
+
+bool soak_world::all_run() const {
+    const auto runs = [](const std::unique_ptr<soak_process>& each) {
+        return each == nullptr || (each->is_running() && !each->is_away());
+    };
+    for (const auto& each : entries_) {
+        if (!runs(each.process)) {
+            return false;
+        }
+    }
+    for (const auto& each : backends_) {
+        if (!runs(each.agent)) {
+            return false;
+        }
+    }
+    return true;
+}
+
+std::vector<soak_process*> soak_world::processes() {
+    std::vector<soak_process*> out;
+    for (auto& each : entries_) {
+        out.push_back(each.process.get());
+    }
+    for (auto& each : backends_) {
+        if (each.agent) {
+            out.push_back(each.agent.get());
+        }
+    }
+    return out;
+}
+
+std::vector<fault_link*> soak_world::links() {
+    std::vector<fault_link*> out;
+    for (auto& each : entries_) {
+        out.push_back(each.callers.get());
+        out.push_back(each.store.get());
+    }
+    for (auto& each : backends_) {
+        out.push_back(each.front.get());
+        if (each.beside) {
+            out.push_back(each.beside.get());
+        }
+    }
+    return out;
+}
+
+tcp::endpoint soak_world::readiness_of(std::size_t entry) const {
+    return endpoint(ip(entry_vm, static_cast<int>(entry) + 1), readiness_port);
+}
+
+tcp::endpoint soak_world::metrics_of(std::size_t entry) const {
+    return endpoint(ip(entry_vm, static_cast<int>(entry) + 1), metrics_port);
+}
+
+} // namespace camphorgrade::soak
