Refuse with a true Retry-After around an outage; learn registrations from peers

Now: what is missing is expected when servers had time to register again, or after as long as the outage has lasted. An entry that the store is out of reach of asks a peer in touch for the registered servers. Gone servers with open work are forgotten when it ends; before, they were kept, and told of demand, for ever.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -51,6 +51,7 @@
     listen_for_metrics();
     callers_.listen(endpoint_of(settings_.callers));
     peers_.start();
+    dispatcher_.outlook().begin(now());
     source_->start();
     signals_.async_wait([this](const boost::system::error_code& error, int signal) {
         if (!error) {
@@ -316,6 +317,39 @@
     }
 }
 
+bool gateway_node::is_in_touch() const {
+    return is_store_reachable_ && has_registrations_ &&
+           serving::store_contacts({}).is_in_touch(store_age());
+}
+
+std::vector<serving::backend_server> gateway_node::registered() const {
+    std::vector<serving::backend_server> out;
+    for (const auto& [id, view] : dispatcher_.board().all()) {
+        if (!view.is_gone) {
+            out.push_back(view.server);
+        }
+    }
+    return out;
+}
+
+void gateway_node::on_peer_registrations(const std::vector<serving::backend_server>& servers,
+                                         const std::string& peer) {
+    log_.line("registrations_learned")
+        .text("peer", peer)
+        .number("backend_servers", static_cast<std::int64_t>(servers.size()))
+        .number("store_age_ms", store_age().count());
+    has_registrations_ = true;
+    registrations_.on_relayed(servers, now());
+    for (const auto& each : servers) {
+        const auto* known = dispatcher_.board().find(each.id);
+        const bool has_left =
+            known != nullptr && known->server.is_draining && known->server.born == each.born;
+        if (!has_left) {
+            apply(each); // a server that leaves doesn't return: the peer's view is older
+        }
+    }
+}
+
 void gateway_node::on_registration(const serving::backend_server& server) {
     registrations_.on_registration(server.id);
     apply(server);
@@ -350,6 +384,7 @@
 
 void gateway_node::on_contact(bool reachable) {
     registrations_.on_contact(reachable, now());
+    dispatcher_.outlook().on_contact(reachable, now());
     if (reachable) {
         last_store_answer_ = now();
         has_store_answer_ = true;
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -55,6 +55,10 @@
     duration store_age() const override;
     const std::string& catalogue_text() const override { return catalogue_text_; }
     void on_peer_catalogue(const std::string& text) override;
+    bool is_in_touch() const override;
+    std::vector<serving::backend_server> registered() const override;
+    void on_peer_registrations(const std::vector<serving::backend_server>& servers,
+                               const std::string& peer) override;
     void effects_due() override { carry_out_effects(); }
     event_log& log() override { return log_; }
 
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -26,7 +26,8 @@
       settings_(settings), own_(own),
       socket_(loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life,
               [this](const peering::peer_message& message) { on_message(message); }),
-      server_(loop, clock, *this), demand_timer_(loop), report_timer_(loop) {
+      server_(loop, clock, *this), relay_(loop, clock, pool, host, own.port, {}),
+      demand_timer_(loop), report_timer_(loop) {
     for (const auto& each : seeds) {
         if (each != text_of(own_)) {
             peers_[each].is_seed = true;
@@ -38,15 +39,18 @@
     server_.listen({boost::asio::ip::make_address(own_.ip), own_.port});
     schedule_demands(settings_.demand_heartbeat);
     schedule_reports();
+    relay_.start();
 }
 
 void gateway_peers::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
-    const auto& text = host_.catalogue_text();
-    if (exchange->request().target == catalogue_path && !text.empty()) {
-        exchange->answer({status_ok, {{"Content-Type", "application/json"}}}, text);
-    } else {
-        exchange->answer({status_not_found, {}}, {});
+    const auto& target = exchange->request().target;
+    std::string body;
+    if (target == catalogue_path) {
+        body = host_.catalogue_text();
+    } else if (target == registration_relay::path) {
+        body = relay_.answer();
     }
+    exchange->answer({body.empty() ? status_not_found : status_ok, {}}, body);
 }
 
 void gateway_peers::on_message(const peering::peer_message& message) {
@@ -62,6 +66,7 @@
     const auto now = clock_.now();
     peers_[sender].heard = now;
     learn(report.gateways);
+    relay_.on_peer(sender, report.store_age);
     dispatcher_.limiter().on_peer_usage(sender, life, report.usage, now);
     for (const auto& each : report.crashes) {
         if (dispatcher_.crashes().add(each, now)) {
@@ -158,6 +163,9 @@
 
 void gateway_peers::send_demands() {
     const auto now = clock_.now();
+    std::erase_if(sent_, [this](const auto& each) {
+        return dispatcher_.board().find(each.first) == nullptr;
+    });
     const auto open = dispatcher_.open_by_backend(now);
     for (const auto& [id, view] : dispatcher_.board().all()) {
         const auto* index = dispatcher_.catalogue();
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "registration_relay.h"
+
 #include <adapters/adapter_keeper.h>
 #include <edge/buffered_calls.h>
 #include <edge/caller_server.h>
@@ -20,13 +22,8 @@
 namespace camphorgrade::entry {
 
 /** What the peers need of their gateway. Must outlive them. */
-class peers_host {
+class peers_host : public relay_host {
 public:
-    peers_host() = default;
-    peers_host(const peers_host&) = delete;
-    peers_host& operator=(const peers_host&) = delete;
-    virtual ~peers_host() = default;
-
     virtual duration store_age() const = 0;
     /** Stored form of the newest catalogue; empty when none is known. */
     virtual const std::string& catalogue_text() const = 0;
@@ -54,7 +51,8 @@
 
 /**
  * A gateway's messages with the agents beside engines and with the other gateways: demand and
- * engine state, use of client accounts, crash marks, newer catalogues. Not thread safe.
+ * engine state, use of client accounts, crash marks, newer catalogues, registrations. Not thread
+ * safe.
  */
 class gateway_peers final : public edge::caller_handler {
 public:
@@ -68,7 +66,7 @@
     /** What this gateway wants of an engine has changed. */
     void demand_changed();
 
-    /** A request for the newest catalogue from a peer. */
+    /** A request for the newest catalogue or the registered servers, from a peer. */
     void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
     void on_bad_request(int status) override { static_cast<void>(status); }
 
@@ -103,6 +101,7 @@
     serving::network_address own_;
     peering::peer_socket socket_;
     edge::caller_server server_;
+    registration_relay relay_;
     boost::asio::steady_timer demand_timer_;
     boost::asio::steady_timer report_timer_;
     bool is_demand_soon_ = false;
--- /dev/null
+++ b/libs/peering/src/registrations.cpp
@@ -0,0 +1,62 @@
+#include <peering/registrations.h>
+
+#include <wire/peering.pb.h>
+
+namespace camphorgrade::peering {
+
+namespace {
+
+serving::backend_server read(const wire::registration& in) {
+    serving::backend_server out;
+    out.id = in.id();
+    out.service = in.service();
+    out.address = {in.ip(), static_cast<std::uint16_t>(in.port())};
+    out.data_centre = in.data_centre();
+    out.slots = in.slots();
+    out.is_draining = in.is_draining();
+    out.born = in.born();
+    for (const auto& each : in.held()) {
+        out.held.push_back({each.weights(), each.version()});
+    }
+    return out;
+}
+
+void write(const serving::backend_server& server, wire::registration& out) {
+    out.set_id(server.id);
+    out.set_service(server.service);
+    out.set_ip(server.address.ip);
+    out.set_port(server.address.port);
+    out.set_data_centre(server.data_centre);
+    out.set_slots(server.slots);
+    out.set_is_draining(server.is_draining);
+    out.set_born(server.born);
+    for (const auto& each : server.held) {
+        auto& held = *out.add_held();
+        held.set_weights(each.name);
+        held.set_version(each.version);
+    }
+}
+
+} // namespace
+
+std::string encode_registrations(const std::vector<serving::backend_server>& servers) {
+    wire::registration_list out;
+    for (const auto& each : servers) {
+        write(each, *out.add_servers());
+    }
+    return out.SerializeAsString();
+}
+
+std::optional<std::vector<serving::backend_server>> decode_registrations(std::string_view bytes) {
+    wire::registration_list in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    std::vector<serving::backend_server> out;
+    for (const auto& each : in.servers()) {
+        out.push_back(read(each));
+    }
+    return out;
+}
+
+} // namespace camphorgrade::peering
--- /dev/null
+++ b/libs/peering/tests/test_registrations.cpp
@@ -0,0 +1,35 @@
+#include <peering/registrations.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
+
+using namespace camphorgrade;
+
+namespace {
+
+serving::backend_server any_server() {
+    serving::backend_server out;
+    out.service = "desk";
+    out.address = {"10.0.0.1", *rc::gen::arbitrary<std::uint16_t>()};
+    out.data_centre = "dc-1";
+    out.slots = *rc::gen::arbitrary<std::uint32_t>();
+    out.is_draining = *rc::gen::arbitrary<bool>();
+    out.born = *rc::gen::arbitrary<std::uint64_t>();
+    out.id = "server-" + std::to_string(out.born);
+    out.held = {{"m/a", *rc::gen::arbitrary<std::uint64_t>()}};
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("registrations are read as they were written") {
+    rc::prop("encode and decode", [] {
+        const std::vector<serving::backend_server> servers{any_server(), {}};
+        RC_ASSERT(peering::decode_registrations(peering::encode_registrations(servers)) == servers);
+    });
+}
+
+TEST_CASE("bytes that are no list of registrations are refused") {
+    CHECK_FALSE(peering::decode_registrations("\xff\xff\xff"));
+}
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -26,6 +26,7 @@
 /** What a gateway knows of one backend server, and what it has open there. */
 struct backend_view {
     backend_server server;
+    bool is_gone = false; /**< Removed; kept until the work that is open there has ended. */
     std::optional<engine_state> engine; /**< From the agent beside it; empty before its first. */
     time_point engine_heard;
     std::uint32_t in_flight = 0;
@@ -62,6 +63,9 @@
     /** The server left or its registration is gone: it gets nothing new. */
     void remove(const std::string& id);
 
+    /** Forgets servers that are gone and have no open work any more. */
+    void forget_gone();
+
     /** A report of the agent beside a server; older ones are ignored. */
     void on_engine_state(const std::string& id, engine_state state, time_point now);
 
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -9,6 +9,7 @@
 #include <serving/request_profile.h>
 #include <serving/retry_allowance.h>
 #include <serving/service_catalogue.h>
+#include <serving/store_outlook.h>
 
 #include <cstdint>
 #include <map>
@@ -112,12 +113,12 @@
     duration silent{2'000}; /**< Without a first answer for so long, a server counts as failed. */
     duration place_again{350};      /**< A request that waits longer is placed anew. */
     std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
-    duration start_time{250};       /**< Until a process that has just started knows enough. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
     account_limiter_settings limits;
     retry_allowance_settings retries;
     placement_settings placing;
+    store_outlook_settings outlook;
 
     friend bool operator==(const dispatcher_settings&, const dispatcher_settings&) = default;
 };
@@ -138,8 +139,10 @@
     const catalogue_index* catalogue() const noexcept { return catalogue_.get(); }
     const adapter_versions& versions() const noexcept { return versions_; }
     backend_board& board() noexcept { return board_; }
+    const backend_board& board() const noexcept { return board_; }
     account_limiter& limiter() noexcept { return limiter_; }
     crash_register& crashes() noexcept { return crashes_; }
+    store_outlook& outlook() noexcept { return outlook_; }
 
     /** Admits or refuses a request; effects say what becomes of it. */
     ticket arrive(request_profile profile, std::uint64_t content, time_point now);
@@ -216,6 +219,7 @@
     void try_again(ticket id, request& of, attempt_outcome outcome, time_point now);
     duration patience(const request& of) const;
     duration retry_after(duration estimate);
+    duration retry_when_complete(time_point now);
 
     dispatcher_settings settings_;
     random_source random_;
@@ -225,6 +229,7 @@
     account_limiter limiter_;
     retry_allowance retries_;
     crash_register crashes_;
+    store_outlook outlook_;
     placement_chooser chooser_;
     std::map<ticket, request> requests_;
     std::vector<dispatch_effect> effects_;
--- a/libs/serving/include/serving/registration_book.h
+++ b/libs/serving/include/serving/registration_book.h
@@ -36,6 +36,10 @@
     /** All registrations as read; returns the ids that are gone now. */
     std::vector<std::string> on_all(const std::vector<backend_server>& servers, time_point now);
 
+    /** Registrations as a peer knows them, whose own list may be incomplete after an outage: what
+        it lacks is gone once it has lacked it for the time that servers take to register again. */
+    void on_relayed(const std::vector<backend_server>& servers, time_point now);
+
     void on_registration(const std::string& id);
 
     /** Returns whether the server is gone now. */
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -40,20 +40,24 @@
         view.slowness = 1;
     }
     view.server = server;
+    view.is_gone = false;
 }
 
 void backend_board::remove(const std::string& id) {
-    const auto found = views_.find(id);
-    if (found == views_.end()) {
-        return;
-    }
-    if (found->second.in_flight == 0 && found->second.demand.empty()) {
-        views_.erase(found);
-    } else {
-        found->second.server.is_draining = true;
+    if (auto* view = find(id)) {
+        view->is_gone = true;
+        view->server.is_draining = true;
+        forget_gone();
     }
 }
 
+void backend_board::forget_gone() {
+    std::erase_if(views_, [](const auto& each) {
+        const auto& view = each.second;
+        return view.is_gone && view.in_flight == 0 && view.demand.empty();
+    });
+}
+
 void backend_board::on_engine_state(const std::string& id, engine_state state, time_point now) {
     auto* view = find(id);
     if (view == nullptr) {
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -54,7 +54,7 @@
 std::optional<end_reason> dispatcher::check(request& of, duration& retry_after, time_point now) {
     if (const auto reason = identify(of)) {
         if (*reason == end_reason::no_catalogue) {
-            retry_after = settings_.start_time;
+            retry_after = retry_when_complete(now);
         }
         return reason;
     }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -10,7 +10,7 @@
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
     : settings_(settings), random_(seed), board_({}), limiter_(settings.limits),
-      retries_(settings.retries), crashes_({}),
+      retries_(settings.retries), crashes_({}), outlook_(settings.outlook),
       chooser_(settings.placing, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -58,6 +58,16 @@
     return std::clamp(wanted, settings_.shortest_retry_after, settings_.longest_retry_after);
 }
 
+duration dispatcher::retry_when_complete(time_point now) {
+    // Later than expected rather than sooner: a caller has few tries.
+    const double spread = 1.0 + 0.5 * random_.unit();
+    const auto wait = outlook_.complete_by(now) - now;
+    const auto spread_wait =
+        duration{static_cast<duration::rep>(static_cast<double>(wait.count()) * spread)};
+    return std::clamp(std::max(spread_wait, retry_after(settings_.place_again)),
+                      settings_.shortest_retry_after, settings_.longest_retry_after);
+}
+
 void dispatcher::place(ticket id, request& of, time_point now) {
     placement_request wanted;
     wanted.service = of.service;
@@ -75,7 +85,7 @@
     const auto* to = std::get_if<placement>(&chosen);
     if (to == nullptr) {
         end(id, of, of.refusals > 0 ? end_reason::refused : end_reason::no_backend,
-            retry_after(settings_.place_again));
+            retry_when_complete(now));
         return;
     }
     const auto usable =
@@ -296,6 +306,7 @@
             place(id, each, now);
         }
     }
+    board_.forget_gone();
 }
 
 std::vector<dispatch_effect> dispatcher::take_effects() {
--- a/libs/serving/src/registration_book.cpp
+++ b/libs/serving/src/registration_book.cpp
@@ -50,6 +50,20 @@
     return gone;
 }
 
+void registration_book::on_relayed(const std::vector<backend_server>& servers, time_point now) {
+    std::set<std::string> present;
+    for (const auto& each : servers) {
+        present.insert(each.id);
+        missing_.erase(each.id);
+    }
+    for (const auto& id : known_) {
+        if (present.count(id) == 0) {
+            missing_.try_emplace(id, now + settings_.return_time);
+        }
+    }
+    known_.insert(present.begin(), present.end());
+}
+
 void registration_book::on_registration(const std::string& id) {
     known_.insert(id);
     missing_.erase(id);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -1,10 +1,6 @@
 #include "soak_run.h"
 
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
 #include <algorithm>
 #include <functional>
@@ -14,8 +10,6 @@
 
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr duration poll_interval{20};
 constexpr duration start_bound{15'000};
 constexpr duration recovery_bound{12'000};
@@ -333,32 +327,9 @@
         return true;
     }
 
-    /** A page of a process, read on a connection of its own; empty when it can't be had. */
-    std::string page(const boost::asio::ip::tcp::endpoint& at, const std::string& path,
-                     int& status) {
-        boost::asio::io_context own;
-        boost::beast::tcp_stream stream(own);
-        boost::system::error_code error;
-        status = 0;
-        stream.connect(at, error);
-        if (error) {
-            return {};
-        }
-        http::request<http::string_body> request{http::verb::get, path, 11};
-        request.set(http::field::host, at.address().to_string());
-        boost::beast::flat_buffer buffer;
-        http::response<http::string_body> answer;
-        http::write(stream, request, error);
-        http::read(stream, buffer, answer, error);
-        status = error ? 0 : static_cast<int>(answer.result_int());
-        return error ? std::string{} : answer.body();
-    }
-
     bool all_ready() {
         for (std::size_t i = 0; i < world_.entries().size(); ++i) {
-            int status = 0;
-            page(world_.readiness_of(i), "/readiness", status);
-            if (status != 200) {
+            if (read_page(world_.readiness_of(i), "/readiness").status != 200) {
                 return false;
             }
         }
@@ -412,9 +383,8 @@
 
     void check_metrics() {
         for (std::size_t i = 0; i < world_.entries().size(); ++i) {
-            int status = 0;
-            const auto text = page(world_.metrics_of(i), "/metrics", status);
-            if (status != 200 || text.find("camphor_request_ms") == std::string::npos) {
+            const auto page = read_page(world_.metrics_of(i), "/metrics");
+            if (page.status != 200 || page.body.find("camphor_request_ms") == std::string::npos) {
                 record_.violate("serves metrics", "entry " + std::to_string(i + 1));
             }
         }
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -1,5 +1,10 @@
 #include "soak_world.h"
 
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
 #include <nlohmann/json.hpp>
 
 #include <unistd.h>
@@ -15,6 +20,7 @@
 
 using boost::asio::ip::tcp;
 using json = nlohmann::json;
+namespace http = boost::beast::http;
 
 // Kinds of VM, the third number of their addresses 127.NET.KIND.NUMBER.
 constexpr int entry_vm = 1;
@@ -320,6 +326,24 @@
     return out;
 }
 
+fetched_page read_page(const tcp::endpoint& at, const std::string& path) {
+    boost::asio::io_context loop;
+    boost::beast::tcp_stream stream(loop);
+    boost::system::error_code error;
+    stream.connect(at, error);
+    if (error) {
+        return {};
+    }
+    http::request<http::string_body> request{http::verb::get, path, 11};
+    request.set(http::field::host, at.address().to_string());
+    boost::beast::flat_buffer buffer;
+    http::response<http::string_body> answer;
+    http::write(stream, request, error);
+    http::read(stream, buffer, answer, error);
+    return error ? fetched_page{}
+                 : fetched_page{static_cast<int>(answer.result_int()), answer.body()};
+}
+
 tcp::endpoint soak_world::readiness_of(std::size_t entry) const {
     return endpoint(ip(entry_vm, static_cast<int>(entry) + 1), readiness_port);
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -102,6 +102,15 @@
     std::map<int, std::uint64_t> adapter_versions_;
 };
 
+/** A page of a process; status 0 when it can't be had. */
+struct fetched_page {
+    int status = 0;
+    std::string body;
+};
+
+/** Reads a page on a connection of its own, and waits for it. */
+fetched_page read_page(const boost::asio::ip::tcp::endpoint& at, const std::string& path);
+
 /** Rate and burst of each account, in tokens. */
 inline constexpr double account_rate = 150'000;
 inline constexpr double account_burst = 150'000;
