--- /dev/null
+++ b/libs/entry/src/fleet_knowledge.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include "registration_relay.h"
+
+#include <edge/caller_server.h>
+#include <kernel/clock.h>
+#include <serving/dispatcher.h>
+#include <serving/fleet_source.h>
+#include <serving/registration_book.h>
+#include <telemetry/event_log.h>
+
+#include <string>
+#include <vector>
+
+namespace camphorgrade::entry {
+
+/** What hears of news of the fleet. Must outlive its fleet_knowledge. */
+class fleet_news {
+public:
+    fleet_news() = default;
+    fleet_news(const fleet_news&) = delete;
+    fleet_news& operator=(const fleet_news&) = delete;
+    virtual ~fleet_news() = default;
+
+    /** A newer catalogue bounds what callers may send. */
+    virtual void on_caller_limits(const edge::caller_limits& limits) = 0;
+    /** Catalogue or servers changed, so that agents and peers have news to hear. */
+    virtual void on_fleet_changed() = 0;
+};
+
+/**
+ * What one gateway knows of the fleet, from the store or from its peers: hands it on to the
+ * dispatcher, logs each change of it, and knows how old it is. Not thread safe.
+ */
+class fleet_knowledge final : public serving::fleet_listener, public relay_host {
+public:
+    fleet_knowledge(const clock& clock, event_log& log, serving::dispatcher& dispatcher,
+                    const serving::catalogue_reader& reader, fleet_news& news);
+
+    void on_catalogue(serving::service_catalogue catalogue, const std::string& text) override;
+    void on_adapter_version(const std::string& weights, std::uint64_t version) override;
+    void on_registrations(const std::vector<serving::backend_server>& servers) override;
+    void on_registration(const serving::backend_server& server) override;
+    void on_deregistration(const std::string& id) override;
+    void on_contact(bool reachable) override;
+    void on_bad_record(const std::string& key, const std::string& reason) override;
+
+    bool is_in_touch() const override;
+    std::vector<serving::backend_server> registered() const override;
+    void on_peer_registrations(const std::vector<serving::backend_server>& servers,
+                               const std::string& peer) override;
+
+    /** A catalogue in its stored form, from a peer. */
+    void on_peer_catalogue(const std::string& text);
+
+    /** Stored form of the newest catalogue; empty when none is known. */
+    const std::string& catalogue_text() const noexcept { return catalogue_text_; }
+
+    /** Since the store answered last; -1 ms when it never has. */
+    duration store_age() const;
+
+    /** Whether enough is known to serve callers. */
+    bool is_complete() const;
+
+    /** Drops servers whose time to register again has passed. */
+    void expire();
+
+private:
+    void apply(const serving::backend_server& server);
+    void remove(const std::string& id, const char* reason);
+
+    const clock& clock_;
+    event_log& log_;
+    serving::dispatcher& dispatcher_;
+    const serving::catalogue_reader& reader_;
+    fleet_news& news_;
+    serving::registration_book registrations_;
+    std::string catalogue_text_;
+    time_point last_store_answer_;
+    bool has_store_answer_ = false;
+    bool is_store_reachable_ = false;
+    bool has_registrations_ = false;
+};
+
+} // namespace camphorgrade::entry
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -29,15 +29,15 @@
 gateway_node::gateway_node(const entry_settings& settings, const serving::request_codec& codec,
                            const serving::catalogue_reader& reader,
                            const fleet_source_maker& make_source)
-    : settings_(settings), codec_(codec), reader_(reader),
-      log_(settings.node_name, clock_, sink_, {}), pool_(loop_, clock_, {}),
+    : settings_(settings), codec_(codec), log_(settings.node_name, clock_, sink_, {}),
+      pool_(loop_, clock_, {}),
       dispatcher_(settings.dispatch, settings.data_centre,
                   std::hash<std::string>{}(settings.node_name) ^ settings.life),
-      registrations_({}), callers_(loop_, clock_, *this),
+      fleet_(clock_, log_, dispatcher_, reader, *this), callers_(loop_, clock_, *this),
       operators_(std::make_unique<operator_pages>(loop_, clock_, *this)),
-      peers_(loop_, clock_, pool_, dispatcher_, *this, settings.peers, settings.life,
+      peers_(loop_, clock_, pool_, dispatcher_, fleet_, *this, settings.peers, settings.life,
              settings.seeds, {}),
-      source_(make_source(loop_, pool_, *this)), timer_(loop_),
+      source_(make_source(loop_, pool_, fleet_)), timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
 
 gateway_node::~gateway_node() = default;
@@ -100,14 +100,12 @@
 }
 
 bool gateway_node::is_ready() const {
-    return !is_stopping_ && dispatcher_.catalogue() != nullptr && has_registrations_;
+    return !is_stopping_ && fleet_.is_complete();
 }
 
 void gateway_node::tick() {
     const auto at = now();
-    for (const auto& id : registrations_.expire(at)) {
-        remove(id, "not_registered_again");
-    }
+    fleet_.expire();
     dispatcher_.tick(at);
     carry_out_effects();
     log_.flush();
@@ -233,7 +231,7 @@
         .text("account", dispatcher_.account_of(effect.request))
         .number("retry_after_ms", effect.retry_after.count())
         .number("open_requests", static_cast<std::int64_t>(flows_.size()))
-        .number("store_age_ms", store_age().count());
+        .number("store_age_ms", fleet_.store_age().count());
     metrics_.count("camphor_ended_requests_total",
                    {{"reason", std::string(to_string(effect.reason))}});
     found->second->end(effect);
@@ -266,148 +264,19 @@
         .number("estimate_ms", effect.first_answer.count());
 }
 
-void gateway_node::on_catalogue(serving::service_catalogue catalogue, const std::string& text) {
-    const auto* known = dispatcher_.catalogue();
-    const auto version = catalogue.version;
-    if (known != nullptr && version <= known->catalogue().version) {
-        return;
-    }
-    edge::caller_limits limits;
-    limits.max_header_bytes = catalogue.bounds.max_header_bytes;
-    limits.max_body_bytes = catalogue.bounds.max_body_bytes;
-    limits.header_timeout = catalogue.bounds.header_timeout;
-    limits.idle_timeout = catalogue.bounds.idle_timeout;
+void gateway_node::on_caller_limits(const edge::caller_limits& limits) {
     callers_.set_limits(limits);
-    for (const auto& each : catalogue.accounts) {
-        log_.line("account_limit")
-            .text("account", each.name)
-            .number("rate_per_s", static_cast<std::int64_t>(each.rate_per_s))
-            .number("burst", static_cast<std::int64_t>(each.burst));
-    }
-    log_.line("catalogue_in_force")
-        .number("version", static_cast<std::int64_t>(version))
-        .number("routes", static_cast<std::int64_t>(catalogue.routes.size()));
-    dispatcher_.set_catalogue(std::move(catalogue), now());
-    catalogue_text_ = text;
-    peers_.demand_changed();
-}
-
-void gateway_node::on_peer_catalogue(const std::string& text) {
-    if (auto catalogue = reader_.read(text)) {
-        on_catalogue(std::move(*catalogue), text);
-    } else {
-        on_bad_record("catalogue of a peer", "unreadable");
-    }
-}
-
-void gateway_node::on_adapter_version(const std::string& weights, std::uint64_t version) {
-    log_.line("adapter_version")
-        .text("weights", weights)
-        .number("version", static_cast<std::int64_t>(version));
-    dispatcher_.set_adapter_version(weights, version);
-}
-
-void gateway_node::on_registrations(const std::vector<serving::backend_server>& servers) {
-    has_registrations_ = true;
-    for (const auto& id : registrations_.on_all(servers, now())) {
-        remove(id, "not_registered");
-    }
-    for (const auto& each : servers) {
-        apply(each);
-    }
-}
-
-bool gateway_node::is_in_touch() const {
-    return is_store_reachable_ && has_registrations_ &&
-           serving::store_contacts({}).is_in_touch(store_age());
-}
-
-std::vector<serving::backend_server> gateway_node::registered() const {
-    std::vector<serving::backend_server> out;
-    for (const auto& [id, view] : dispatcher_.board().all()) {
-        if (!view.is_gone) {
-            out.push_back(view.server);
-        }
-    }
-    return out;
-}
-
-void gateway_node::on_peer_registrations(const std::vector<serving::backend_server>& servers,
-                                         const std::string& peer) {
-    log_.line("registrations_learned")
-        .text("peer", peer)
-        .number("backend_servers", static_cast<std::int64_t>(servers.size()))
-        .number("store_age_ms", store_age().count());
-    has_registrations_ = true;
-    registrations_.on_relayed(servers, now());
-    for (const auto& each : servers) {
-        const auto* known = dispatcher_.board().find(each.id);
-        const bool has_left =
-            known != nullptr && known->server.is_draining && known->server.born == each.born;
-        if (!has_left) {
-            apply(each); // a server that leaves doesn't return: the peer's view is older
-        }
-    }
-}
-
-void gateway_node::on_registration(const serving::backend_server& server) {
-    registrations_.on_registration(server.id);
-    apply(server);
-}
-
-void gateway_node::apply(const serving::backend_server& server) {
-    const auto* known = dispatcher_.board().find(server.id);
-    const bool is_news = known == nullptr || known->server.is_draining != server.is_draining ||
-                         known->server.born != server.born;
-    if (is_news) {
-        log_.line("backend_server_registered")
-            .text("backend_server", server.id)
-            .text("service", server.service)
-            .flag("draining", server.is_draining);
-    }
-    dispatcher_.board().put(server);
-    if (is_news) {
-        peers_.demand_changed();
-    }
-}
-
-void gateway_node::on_deregistration(const std::string& id) {
-    if (registrations_.on_deregistration(id, now())) {
-        remove(id, "deregistered");
-    }
-}
-
-void gateway_node::remove(const std::string& id, const char* reason) {
-    log_.line("backend_server_gone").text("backend_server", id).text("reason", reason);
-    dispatcher_.board().remove(id);
 }
 
-void gateway_node::on_contact(bool reachable) {
-    registrations_.on_contact(reachable, now());
-    dispatcher_.outlook().on_contact(reachable, now());
-    if (reachable) {
-        last_store_answer_ = now();
-        has_store_answer_ = true;
-    }
-    if (reachable != is_store_reachable_) {
-        is_store_reachable_ = reachable;
-        log_.line(reachable ? "store_regained" : "store_lost");
-    }
-}
-
-duration gateway_node::store_age() const {
-    return has_store_answer_ ? now() - last_store_answer_ : duration{-1};
-}
-
-void gateway_node::on_bad_record(const std::string& key, const std::string& reason) {
-    log_.line("record_passed_over").text("key", key).text("reason", reason);
+void gateway_node::on_fleet_changed() {
+    peers_.demand_changed();
 }
 
 std::string gateway_node::metrics_text() {
     metrics_.set("camphor_open_requests", {}, static_cast<double>(flows_.size()));
     metrics_.set("camphor_waiting_requests", {},
                  static_cast<double>(dispatcher_.waiting_requests()));
-    metrics_.set("camphor_store_age_ms", {}, static_cast<double>(store_age().count()));
+    metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.store_age().count()));
     return metrics_.prometheus_text();
 }
 
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -23,7 +23,7 @@
 
 /** The process on an entry VM: connects callers, decisions, backend servers, store and peers. */
 class gateway_node final : public edge::caller_handler,
-                           public serving::fleet_listener,
+                           public fleet_news,
                            public flow_host,
                            public peers_host {
 public:
@@ -37,13 +37,8 @@
     void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
     void on_bad_request(int status) override;
 
-    void on_catalogue(serving::service_catalogue catalogue, const std::string& text) override;
-    void on_adapter_version(const std::string& weights, std::uint64_t version) override;
-    void on_registrations(const std::vector<serving::backend_server>& servers) override;
-    void on_registration(const serving::backend_server& server) override;
-    void on_deregistration(const std::string& id) override;
-    void on_contact(bool reachable) override;
-    void on_bad_record(const std::string& key, const std::string& reason) override;
+    void on_caller_limits(const edge::caller_limits& limits) override;
+    void on_fleet_changed() override;
 
     time_point now() const override { return clock_.now(); }
     edge::upstream_pool& pool() override { return pool_; }
@@ -52,13 +47,6 @@
     void attempt_ended(serving::ticket request, serving::attempt_outcome outcome) override;
     void finished(serving::ticket request, int status) override;
 
-    duration store_age() const override;
-    const std::string& catalogue_text() const override { return catalogue_text_; }
-    void on_peer_catalogue(const std::string& text) override;
-    bool is_in_touch() const override;
-    std::vector<serving::backend_server> registered() const override;
-    void on_peer_registrations(const std::vector<serving::backend_server>& servers,
-                               const std::string& peer) override;
     void effects_due() override { carry_out_effects(); }
     event_log& log() override { return log_; }
 
@@ -80,12 +68,9 @@
     void listen_for_metrics();
     void on_signal(int signal);
     void begin_shutdown();
-    void apply(const serving::backend_server& server);
-    void remove(const std::string& id, const char* reason);
 
     entry_settings settings_;
     const serving::request_codec& codec_;
-    const serving::catalogue_reader& reader_;
     monotonic_clock clock_;
     boost::asio::io_context loop_;
     stdout_sink sink_;
@@ -93,7 +78,7 @@
     metrics metrics_;
     edge::upstream_pool pool_;
     serving::dispatcher dispatcher_;
-    serving::registration_book registrations_;
+    fleet_knowledge fleet_;
     std::map<serving::ticket, std::unique_ptr<request_flow>> flows_;
     std::vector<std::unique_ptr<request_flow>> finished_;
     edge::caller_server callers_;
@@ -102,11 +87,6 @@
     std::unique_ptr<fleet_source> source_;
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
-    std::string catalogue_text_;
-    time_point last_store_answer_;
-    bool has_store_answer_ = false;
-    bool is_store_reachable_ = false;
-    bool has_registrations_ = false;
     bool is_stopping_ = false;
     time_point stop_began_;
 };
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -19,14 +19,14 @@
 
 gateway_peers::gateway_peers(boost::asio::io_context& loop, const clock& clock,
                              edge::upstream_pool& pool, serving::dispatcher& dispatcher,
-                             peers_host& host, const serving::network_address& own,
-                             std::uint64_t life, const std::vector<std::string>& seeds,
-                             gateway_peers_settings settings)
-    : loop_(loop), clock_(clock), calls_(loop, pool), dispatcher_(dispatcher), host_(host),
-      settings_(settings), own_(own),
+                             fleet_knowledge& fleet, peers_host& host,
+                             const serving::network_address& own, std::uint64_t life,
+                             const std::vector<std::string>& seeds, gateway_peers_settings settings)
+    : loop_(loop), clock_(clock), calls_(loop, pool), dispatcher_(dispatcher), fleet_(fleet),
+      host_(host), settings_(settings), own_(own),
       socket_(loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life,
               [this](const peering::peer_message& message) { on_message(message); }),
-      server_(loop, clock, *this), relay_(loop, clock, pool, host, own.port, {}),
+      server_(loop, clock, *this), relay_(loop, clock, pool, fleet, own.port, {}),
       demand_timer_(loop), report_timer_(loop) {
     for (const auto& each : seeds) {
         if (each != text_of(own_)) {
@@ -46,7 +46,7 @@
     const auto& target = exchange->request().target;
     std::string body;
     if (target == catalogue_path) {
-        body = host_.catalogue_text();
+        body = fleet_.catalogue_text();
     } else if (target == registration_relay::path) {
         body = relay_.answer();
     }
@@ -136,7 +136,7 @@
                      [this](edge::call_end how, const edge::buffered_answer& answer) {
                          is_fetching_ = false;
                          if (how == edge::call_end::answered && answer.head.status == status_ok) {
-                             host_.on_peer_catalogue(answer.body);
+                             fleet_.on_peer_catalogue(answer.body);
                          }
                      });
     });
@@ -230,7 +230,7 @@
     }
     const auto peers = live_peers();
     report.usage = usage;
-    report.store_age = host_.store_age();
+    report.store_age = fleet_.store_age();
     if (is_full) {
         full_report_at_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet_knowledge.h"
 #include "registration_relay.h"
 
 #include <adapters/adapter_keeper.h>
@@ -22,12 +23,13 @@
 namespace camphorgrade::entry {
 
 /** What the peers need of their gateway. Must outlive them. */
-class peers_host : public relay_host {
+class peers_host {
 public:
-    virtual duration store_age() const = 0;
-    /** Stored form of the newest catalogue; empty when none is known. */
-    virtual const std::string& catalogue_text() const = 0;
-    virtual void on_peer_catalogue(const std::string& text) = 0;
+    peers_host() = default;
+    peers_host(const peers_host&) = delete;
+    peers_host& operator=(const peers_host&) = delete;
+    virtual ~peers_host() = default;
+
     /** The dispatcher was told something that may have effects. */
     virtual void effects_due() = 0;
     virtual event_log& log() = 0;
@@ -57,7 +59,7 @@
 class gateway_peers final : public edge::caller_handler {
 public:
     gateway_peers(boost::asio::io_context& loop, const clock& clock, edge::upstream_pool& pool,
-                  serving::dispatcher& dispatcher, peers_host& host,
+                  serving::dispatcher& dispatcher, fleet_knowledge& fleet, peers_host& host,
                   const serving::network_address& own, std::uint64_t life,
                   const std::vector<std::string>& seeds, gateway_peers_settings settings);
 
@@ -96,6 +98,7 @@
     const clock& clock_;
     edge::buffered_calls calls_;
     serving::dispatcher& dispatcher_;
+    fleet_knowledge& fleet_;
     peers_host& host_;
     gateway_peers_settings settings_;
     serving::network_address own_;
