Keep accounts to their rate when all gateways restart under a hot account

Each entry then started with a quarter of the burst, and took what a peer reported first for old news, though all of it had been used since the start; what was admitted beyond the level was owed only up to one burst. Now: a peer that started at the same time (by its process's age, not by the time of day) is counted from its start; a restarted entry begins with a tenth of the burst; up to two bursts are owed; much use of one account is reported at once.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -143,6 +143,7 @@
     flows_[ticket] =
         std::make_unique<request_flow>(*this, ticket, std::move(exchange), std::move(correlation));
     metrics_.count("camphor_requests_total");
+    peers_.usage_changed();
     carry_out_effects();
 }
 
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -36,6 +36,8 @@
 }
 
 void gateway_peers::start() {
+    started_ = clock_.now();
+    dispatcher_.limiter().begin(started_);
     server_.listen({boost::asio::ip::make_address(own_.ip), own_.port});
     schedule_demands(settings_.demand_heartbeat);
     schedule_reports();
@@ -67,7 +69,7 @@
     peers_[sender].heard = now;
     learn(report.gateways);
     relay_.on_peer(sender, report.store_age);
-    dispatcher_.limiter().on_peer_usage(sender, life, report.usage, now);
+    dispatcher_.limiter().on_peer_usage(sender, life, report.process_age, report.usage, now);
     for (const auto& each : report.crashes) {
         if (dispatcher_.crashes().add(each, now)) {
             host_.log()
@@ -216,6 +218,13 @@
     });
 }
 
+void gateway_peers::usage_changed() {
+    const bool may_send = clock_.now() - report_at_ >= settings_.early_report;
+    if (may_send && dispatcher_.limiter().is_report_due()) {
+        send_reports();
+    }
+}
+
 void gateway_peers::send_reports() {
     const auto now = clock_.now();
     const bool is_full = now - full_report_at_ >= settings_.full_report_interval;
@@ -231,6 +240,7 @@
     const auto peers = live_peers();
     report.usage = usage;
     report.store_age = fleet_.store_age();
+    report.process_age = now - started_;
     if (is_full) {
         full_report_at_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
@@ -238,6 +248,7 @@
         report.versions = dispatcher_.versions();
     }
     report_at_ = now;
+    dispatcher_.limiter().on_reported();
     reported_usage_ = usage;
     reported_catalogue_ = report.catalogue_version;
     socket_.send(peers, std::move(report));
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -40,6 +40,7 @@
     duration demand_delay{5}; /**< Changes within it are told to an engine's agent at once. */
     duration demand_heartbeat{400};
     duration report_interval{100};      /**< To peers, of news; longer where there are many. */
+    duration early_report{20};          /**< The same, of much use of one account. */
     duration report_heartbeat{300};     /**< To peers, without news. */
     duration full_report_interval{900}; /**< With what changes seldom. */
     duration peer_expiry{10'000};       /**< A peer not heard for so long isn't told any more. */
@@ -68,6 +69,9 @@
     /** What this gateway wants of an engine has changed. */
     void demand_changed();
 
+    /** A request was admitted: tells peers soon if it weighs much on its account. */
+    void usage_changed();
+
     /** A request for the newest catalogue or the registered servers, from a peer. */
     void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
     void on_bad_request(int status) override { static_cast<void>(status); }
@@ -111,6 +115,7 @@
     std::map<std::string, peer> peers_;
     std::map<std::string, sent_demand> sent_;
     bool is_fetching_ = false;
+    time_point started_;
     time_point report_at_;
     time_point full_report_at_;
     serving::account_usage reported_usage_;
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -35,7 +35,8 @@
     std::vector<serving::crash_mark> crashes;
     std::vector<std::string> gateways; /**< Addresses of peers that it hears. */
     std::uint64_t catalogue_version = 0;
-    duration store_age{}; /**< Since it last heard from the store. */
+    duration store_age{};   /**< Since it last heard from the store. */
+    duration process_age{}; /**< Since it started. */
     serving::adapter_versions versions;
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -116,6 +116,7 @@
     }
     out.set_catalogue_version(report.catalogue_version);
     out.set_store_age_ms(static_cast<std::uint64_t>(report.store_age.count()));
+    out.set_process_age_ms(static_cast<std::uint64_t>(report.process_age.count()));
     for (const auto& [weights, version] : report.versions) {
         auto& named = *out.add_versions();
         named.set_weights(weights);
@@ -134,6 +135,7 @@
     report.gateways.assign(in.gateways().begin(), in.gateways().end());
     report.catalogue_version = in.catalogue_version();
     report.store_age = duration{static_cast<duration::rep>(in.store_age_ms())};
+    report.process_age = duration{static_cast<duration::rep>(in.process_age_ms())};
     for (const auto& each : in.versions()) {
         report.versions[each.weights()] = each.version();
     }
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -50,6 +50,7 @@
     report.gateways = {"10.0.0.3:7600"};
     report.catalogue_version = 8;
     report.store_age = duration{150};
+    report.process_age = duration{7'000};
     report.versions = {{"m/a1", 3}};
     return {"10.0.0.1:7600", 5, 10, report};
 }
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -17,7 +17,8 @@
 struct account_limiter_settings {
     bool is_restart = false; /**< What an earlier process admitted isn't known: only a part of
                                   each burst is there at the start. */
-    double burst_after_restart = 0.25;
+    double burst_after_restart = 0.1;
+    duration joint_start{1'500};  /**< Gateways that were stopped together start within it. */
     duration peer_silence{600};   /**< Several reports; from here on a peer is assumed to use its
                                        equal share. */
     duration peer_expiry{20'000}; /**< From here on a silent peer is taken for gone. */
@@ -45,6 +46,9 @@
 public:
     explicit account_limiter(account_limiter_settings settings);
 
+    /** The process starts. */
+    void begin(time_point now) { began_ = now; }
+
     /** Accounts that are new start with a full bucket; changed rates apply from now on. */
     void set_catalogue(const service_catalogue& catalogue, time_point now);
 
@@ -54,13 +58,21 @@
     /** Gives back what a request that didn't run was charged. */
     void credit(const std::string& name, double cost);
 
-    /** A peer's counts; `life` tells its processes apart. */
-    void on_peer_usage(const std::string& peer, std::uint64_t life, const account_usage& usage,
-                       time_point now);
+    /** A peer's counts; `life` tells its processes apart, `age` is the time since the start of the
+        present one. */
+    void on_peer_usage(const std::string& peer, std::uint64_t life, duration age,
+                       const account_usage& usage, time_point now);
 
     /** What this gateway has admitted. */
     const account_usage& own_usage() const noexcept { return own_; }
 
+    /** Whether so much was admitted since the last report that peers must hear of it at once: half
+        of an equal part of some account's burst. */
+    bool is_report_due() const;
+
+    /** Peers were told what this gateway has admitted. */
+    void on_reported() { unreported_.clear(); }
+
     /** Gateways that share the limits, this one included. */
     std::size_t gateways() const noexcept { return peers_.size() + 1; }
 
@@ -81,14 +93,18 @@
     };
 
     double usable_share(time_point now) const;
+    /** Whether a peer's process of that age started when this one did, or later. */
+    bool started_with(duration age, time_point now) const;
     void refill(bucket& of, time_point now) const;
     void forget_expired(time_point now);
 
     account_limiter_settings settings_;
+    std::optional<time_point> began_;
     bool has_catalogue_ = false;
     std::map<std::string, bucket> buckets_;
     std::map<std::string, peer> peers_;
     account_usage own_;
+    account_usage unreported_; // admitted since the last report
 };
 
 } // namespace camphorgrade::serving
--- a/libs/serving/src/account_limiter.cpp
+++ b/libs/serving/src/account_limiter.cpp
@@ -9,7 +9,9 @@
 
 constexpr double ms_per_s = 1'000.0;
 // What peers admitted beyond the level is owed, but no more than this many bursts of it.
-constexpr double deepest_debt_in_bursts = 1.0;
+constexpr double deepest_debt_in_bursts = 2.0;
+// Of an equal part of the burst: peers hear at once before all of them can use up their parts.
+constexpr double early_report_part = 0.5;
 
 } // namespace
 
@@ -52,6 +54,10 @@
     of.refilled = now;
 }
 
+bool account_limiter::started_with(duration age, time_point now) const {
+    return settings_.is_restart && began_ && now - age + settings_.joint_start >= *began_;
+}
+
 void account_limiter::forget_expired(time_point now) {
     std::erase_if(
         peers_, [&](const auto& each) { return now - each.second.heard >= settings_.peer_expiry; });
@@ -75,9 +81,18 @@
     }
     charged.level -= cost;
     own_[name] += static_cast<std::uint64_t>(cost);
+    unreported_[name] += static_cast<std::uint64_t>(cost);
     return std::nullopt;
 }
 
+bool account_limiter::is_report_due() const {
+    return std::any_of(unreported_.begin(), unreported_.end(), [this](const auto& each) {
+        const auto found = buckets_.find(each.first);
+        const auto part = static_cast<double>(each.second) * static_cast<double>(gateways());
+        return found != buckets_.end() && part >= found->second.burst * early_report_part;
+    });
+}
+
 void account_limiter::credit(const std::string& name, double cost) {
     const auto found = buckets_.find(name);
     if (found != buckets_.end()) {
@@ -85,13 +100,15 @@
     }
 }
 
-void account_limiter::on_peer_usage(const std::string& peer_name, std::uint64_t life,
+void account_limiter::on_peer_usage(const std::string& peer_name, std::uint64_t life, duration age,
                                     const account_usage& usage, time_point now) {
     auto& known = peers_[peer_name];
     if (life < known.life) {
         return;
     }
-    const bool is_first = known.life == 0;
+    // What a peer used before this process knew it is part of what was there at the start, but for
+    // one that started at the same time: all that it used was used since.
+    const bool is_old_news = known.life == 0 && !started_with(age, now);
     if (life > known.life) {
         known.life = life;
         known.usage.clear();
@@ -102,7 +119,7 @@
         const auto added = count > seen ? count - seen : 0;
         seen = std::max(seen, count);
         const auto found = buckets_.find(account_name);
-        if (found == buckets_.end() || is_first) {
+        if (found == buckets_.end() || is_old_news) {
             continue;
         }
         auto& shared = found->second;
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -130,6 +130,7 @@
     };
     struct token_use {
         time_point sent;
+        time_point ran;
         std::uint64_t tokens = 0;
     };
 
