Name a few gateways in each report, all of them in turn

Cause: each report of an engine's agent to each gateway, and each full report among gateways, named all gateways, so that bytes grew with the third power of the fleet.

--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -24,6 +24,7 @@
     duration heartbeat{400};          /**< Reports to gateways, at least. */
     duration report_delay{4};         /**< Changes within it are told together. */
     duration report_interval{120};    /**< Changes are told to gateways that don't wait for any. */
+    std::size_t max_named = 8;        /**< Addresses of gateways in one report. */
 
     friend bool operator==(const agent_settings&, const agent_settings&) = default;
 };
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -34,8 +34,8 @@
       socket_(loop_, clock_,
               {boost::asio::ip::make_address(settings.peers.ip), settings.peers.port},
               settings.life, [this](const peering::peer_message& message) { on_message(message); }),
-      server_(loop_, clock_, *this), look_timer_(loop_), report_timer_(loop_),
-      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
+      named_(settings.max_named), server_(loop_, clock_, *this), look_timer_(loop_),
+      report_timer_(loop_), signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
 
 void agent_node::run() {
     log_.line("process_started")
@@ -214,8 +214,9 @@
     peering::engine_report out;
     out.backend_id = keeper_.backend_id();
     out.state = present_state();
-    out.gateways = keeper_.gateways(clock_.now());
     const auto now = clock_.now();
+    const auto gateways = keeper_.gateways(now);
+    out.gateways = named_.next(gateways);
     const bool is_for_all = now - told_all_at_ >= settings_.report_interval;
     is_owed_ = !is_for_all;
     if (is_for_all) {
@@ -223,7 +224,7 @@
     }
     reported_ = out.state;
     log_state(out.state);
-    const auto to = is_for_all ? out.gateways : keeper_.waiting_gateways();
+    const auto to = is_for_all ? gateways : keeper_.waiting_gateways();
     socket_.send(to, std::move(out));
 }
 
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -4,6 +4,7 @@
 #include <edge/caller_server.h>
 #include <edge/upstream_pool.h>
 #include <engine_agent/agent_process.h>
+#include <peering/name_rotation.h>
 #include <peering/peer_socket.h>
 #include <telemetry/event_log.h>
 #include <telemetry/metrics.h>
@@ -53,6 +54,7 @@
     std::unique_ptr<adapters::engine_port> engine_;
     adapters::adapter_keeper keeper_;
     peering::peer_socket socket_;
+    peering::name_rotation named_;
     edge::caller_server server_;
     boost::asio::steady_timer look_timer_;
     boost::asio::steady_timer report_timer_;
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -26,8 +26,8 @@
       host_(host), settings_(settings), own_(own),
       socket_(loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life,
               [this](const peering::peer_message& message) { on_message(message); }),
-      server_(loop, clock, *this), relay_(loop, clock, pool, fleet, own.port, {}),
-      demand_timer_(loop), report_timer_(loop) {
+      named_(settings.max_named), server_(loop, clock, *this),
+      relay_(loop, clock, pool, fleet, own.port, {}), demand_timer_(loop), report_timer_(loop) {
     for (const auto& each : seeds) {
         if (each != text_of(own_)) {
             peers_[each].is_seed = true;
@@ -244,7 +244,7 @@
     if (is_full) {
         full_report_at_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
-        report.gateways = peers;
+        report.gateways = named_.next(peers);
         report.versions = dispatcher_.versions();
     }
     report_at_ = now;
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -7,6 +7,7 @@
 #include <edge/buffered_calls.h>
 #include <edge/caller_server.h>
 #include <edge/upstream_pool.h>
+#include <peering/name_rotation.h>
 #include <peering/peer_socket.h>
 #include <serving/dispatcher.h>
 #include <telemetry/event_log.h>
@@ -48,6 +49,7 @@
     duration fetch_timeout{800};
     std::size_t full_pace_peers = 40; /**< Up to so many are told at each interval. */
     std::size_t max_marks = 64;       /**< Crash marks in one report. */
+    std::size_t max_named = 16;       /**< Addresses of other gateways in one report. */
 
     friend bool operator==(const gateway_peers_settings&, const gateway_peers_settings&) = default;
 };
@@ -107,6 +109,7 @@
     gateway_peers_settings settings_;
     serving::network_address own_;
     peering::peer_socket socket_;
+    peering::name_rotation named_;
     edge::caller_server server_;
     registration_relay relay_;
     boost::asio::steady_timer demand_timer_;
--- /dev/null
+++ b/libs/peering/include/peering/name_rotation.h
@@ -0,0 +1,26 @@
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::peering {
+
+/**
+ * Names a few of many addresses at a time, all of them in turn, so that a message stays small
+ * however large the fleet is. Deterministic. Not thread safe.
+ */
+class name_rotation {
+public:
+    /** Precondition: `most` > 0. */
+    explicit name_rotation(std::size_t most);
+
+    /** The next at most `most` of `all`. */
+    std::vector<std::string> next(const std::vector<std::string>& all);
+
+private:
+    std::size_t most_;
+    std::size_t at_ = 0;
+};
+
+} // namespace camphorgrade::peering
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -24,7 +24,7 @@
 struct engine_report {
     std::string backend_id;
     serving::engine_state state;
-    std::vector<std::string> gateways; /**< Addresses of those that the agent hears. */
+    std::vector<std::string> gateways; /**< Addresses of some of those that the agent hears. */
 
     friend bool operator==(const engine_report&, const engine_report&) = default;
 };
@@ -33,7 +33,7 @@
 struct gateway_report {
     serving::account_usage usage;
     std::vector<serving::crash_mark> crashes;
-    std::vector<std::string> gateways; /**< Addresses of peers that it hears. */
+    std::vector<std::string> gateways; /**< Addresses of some of the peers that it hears. */
     std::uint64_t catalogue_version = 0;
     duration store_age{};   /**< Since it last heard from the store. */
     duration process_age{}; /**< Since it started. */
