--- a/libs/entry/src/registration_relay.cpp
+++ b/libs/entry/src/registration_relay.cpp
@@ -13,7 +13,7 @@
 registration_relay::registration_relay(boost::asio::io_context& loop, const clock& clock,
                                        edge::upstream_pool& pool, relay_host& host,
                                        std::uint16_t port, registration_relay_settings settings)
-    : loop_(loop), clock_(clock), calls_(loop, pool), host_(host), port_(port), settings_(settings),
+    : clock_(clock), calls_(loop, pool), host_(host), port_(port), settings_(settings),
       contacts_({}), timer_(loop) {}
 
 void registration_relay::start() {
--- a/libs/entry/src/registration_relay.h
+++ b/libs/entry/src/registration_relay.h
@@ -66,7 +66,6 @@
     void schedule();
     void ask(const std::string& peer);
 
-    boost::asio::io_context& loop_;
     const clock& clock_;
     edge::buffered_calls calls_;
     relay_host& host_;
--- a/libs/peering/tests/test_name_rotation.cpp
+++ b/libs/peering/tests/test_name_rotation.cpp
@@ -8,6 +8,7 @@
 
 TEST_CASE("all addresses are named in turn, a few at a time") {
     std::vector<std::string> all;
+    all.reserve(78);
     for (int i = 0; i < 78; ++i) {
         all.push_back("10.0.0." + std::to_string(i) + ":7600");
     }
