Let one piece of code serve where the change wrote it twice; drop what nothing calls

Cause: registration_book collected present and absent servers once for the store's list and once for a peer's; the dispatcher scaled a duration in three spellings; a store_contacts was made just to compare an age; the soak's caller judged a cut connection twice; backend_board::find_at had no caller. Behaviour is unchanged and no test's assertion was touched. Conclusion: on_all and on_relayed now differ only in what they do with absent servers.

--- a/libs/entry/src/fleet_knowledge.cpp
+++ b/libs/entry/src/fleet_knowledge.cpp
@@ -75,7 +75,7 @@
 
 bool fleet_knowledge::is_in_touch() const {
     return is_store_reachable_ && has_registrations_ &&
-           serving::store_contacts({}).is_in_touch(store_age());
+           serving::store_contacts_settings{}.is_in_touch(store_age());
 }
 
 std::vector<serving::backend_server> fleet_knowledge::registered() const {
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -72,9 +72,6 @@
     backend_view* find(const std::string& id);
     const backend_view* find(const std::string& id) const;
 
-    /** The server at an address that takes new work; null when none does. */
-    backend_view* find_at(const network_address& address);
-
     /** Servers of the service that are registered and not leaving. */
     std::vector<backend_view*> of_service(const std::string& service);
 
--- a/libs/serving/include/serving/registration_book.h
+++ b/libs/serving/include/serving/registration_book.h
@@ -49,6 +49,8 @@
     std::vector<std::string> expire(time_point now);
 
 private:
+    /** Takes these for registered; returns the known ones that aren't among them. */
+    std::vector<std::string> take_present(const std::vector<backend_server>& servers);
     bool is_out(time_point now) const;
     bool is_in_doubt(time_point now) const;
     time_point due(time_point now) const;
--- a/libs/serving/include/serving/store_contacts.h
+++ b/libs/serving/include/serving/store_contacts.h
@@ -13,6 +13,11 @@
     duration in_touch{2'500}; /**< Longer than a watch of registrations waits and pauses: who has
                                    heard nothing from the store for so long has lost it. */
 
+    /** Whether an answer of that age means that the store is in reach; negative: none came. */
+    bool is_in_touch(duration store_age) const {
+        return store_age >= duration::zero() && store_age < in_touch;
+    }
+
     friend bool operator==(const store_contacts_settings&,
                            const store_contacts_settings&) = default;
 };
@@ -28,11 +33,6 @@
     /** A peer heard from the store `store_age` ago; a negative age: never. */
     void on_peer(const std::string& peer, duration store_age, time_point now);
 
-    /** Whether an answer of that age means that the store is in reach. */
-    bool is_in_touch(duration store_age) const {
-        return store_age >= duration::zero() && store_age < settings_.in_touch;
-    }
-
     /** The peer whose knowledge of the store is the newest; nullopt when none is in touch. */
     std::optional<std::string> best(time_point now) const;
 
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -92,13 +92,6 @@
     return found == views_.end() ? nullptr : &found->second;
 }
 
-backend_view* backend_board::find_at(const network_address& address) {
-    const auto found = std::find_if(views_.begin(), views_.end(), [&](const auto& each) {
-        return each.second.server.address == address && !each.second.server.is_draining;
-    });
-    return found == views_.end() ? nullptr : &found->second;
-}
-
 std::vector<backend_view*> backend_board::of_service(const std::string& service) {
     std::vector<backend_view*> out;
     for (auto& [id, view] : views_) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -7,6 +7,14 @@
 
 namespace camphorgrade::serving {
 
+namespace {
+
+duration scaled(duration time, double by) {
+    return duration{static_cast<duration::rep>(static_cast<double>(time.count()) * by)};
+}
+
+} // namespace
+
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
     : settings_(settings), random_(seed), board_({}), limiter_(settings.limits),
@@ -53,18 +61,15 @@
 duration dispatcher::retry_after(duration estimate) {
     // Spread, so that callers that were refused together don't come back together.
     const double spread = 0.75 + 0.5 * random_.unit();
-    const auto wanted =
-        duration{static_cast<duration::rep>(static_cast<double>(estimate.count()) * spread)};
-    return std::clamp(wanted, settings_.shortest_retry_after, settings_.longest_retry_after);
+    return std::clamp(scaled(estimate, spread), settings_.shortest_retry_after,
+                      settings_.longest_retry_after);
 }
 
 duration dispatcher::retry_when_complete(time_point now) {
     // Later than expected rather than sooner: a caller has few tries.
     const double spread = 1.0 + 0.5 * random_.unit();
-    const auto wait = outlook_.complete_by(now) - now;
-    const auto spread_wait =
-        duration{static_cast<duration::rep>(static_cast<double>(wait.count()) * spread)};
-    return std::clamp(std::max(spread_wait, retry_after(settings_.place_again)),
+    const auto wait = scaled(outlook_.complete_by(now) - now, spread);
+    return std::clamp(std::max(wait, retry_after(settings_.place_again)),
                       settings_.shortest_retry_after, settings_.longest_retry_after);
 }
 
@@ -88,10 +93,8 @@
             retry_when_complete(now));
         return;
     }
-    const auto usable =
-        std::min(duration{static_cast<duration::rep>(
-                     static_cast<double>((of.deadline - now).count()) * settings_.usable_time)},
-                 patience(of) - (now - of.arrived));
+    const auto usable = std::min(scaled(of.deadline - now, settings_.usable_time),
+                                 patience(of) - (now - of.arrived));
     if (to->first_answer > usable) {
         end(id, of, end_reason::no_capacity, retry_after(to->first_answer - usable));
         return;
--- a/libs/serving/src/registration_book.cpp
+++ b/libs/serving/src/registration_book.cpp
@@ -1,6 +1,7 @@
 #include <serving/registration_book.h>
 
 #include <algorithm>
+#include <iterator>
 
 namespace camphorgrade::serving {
 
@@ -32,36 +33,34 @@
 
 std::vector<std::string> registration_book::on_all(const std::vector<backend_server>& servers,
                                                    time_point now) {
-    std::set<std::string> present;
-    for (const auto& each : servers) {
-        present.insert(each.id);
-        missing_.erase(each.id);
-    }
     std::vector<std::string> gone;
-    for (const auto& id : known_) {
-        if (present.count(id) == 0 && on_deregistration(id, now)) {
+    for (const auto& id : take_present(servers)) {
+        if (on_deregistration(id, now)) {
             gone.push_back(id);
+            known_.erase(id);
         }
     }
-    for (const auto& id : gone) {
-        known_.erase(id);
-    }
-    known_.insert(present.begin(), present.end());
     return gone;
 }
 
-void registration_book::on_relayed(const std::vector<backend_server>& servers, time_point now) {
+std::vector<std::string>
+registration_book::take_present(const std::vector<backend_server>& servers) {
     std::set<std::string> present;
     for (const auto& each : servers) {
         present.insert(each.id);
         missing_.erase(each.id);
     }
-    for (const auto& id : known_) {
-        if (present.count(id) == 0) {
-            missing_.try_emplace(id, now + settings_.return_time);
-        }
+    std::vector<std::string> absent;
+    std::set_difference(known_.begin(), known_.end(), present.begin(), present.end(),
+                        std::back_inserter(absent));
+    known_.merge(present);
+    return absent;
+}
+
+void registration_book::on_relayed(const std::vector<backend_server>& servers, time_point now) {
+    for (const auto& id : take_present(servers)) {
+        missing_.try_emplace(id, now + settings_.return_time);
     }
-    known_.insert(present.begin(), present.end());
 }
 
 void registration_book::on_registration(const std::string& id) {
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -180,8 +180,7 @@
 
 void soak_caller::on_head(const error_code& error) {
     if (error) {
-        const bool timed_out = error == boost::beast::error::timeout;
-        on_end({timed_out ? caller_end::left : caller_end::closed, 0, false});
+        on_cut(error, caller_end::closed, 0);
         return;
     }
     http::async_read(stream_, buffer_, *answer_,
@@ -190,14 +189,17 @@
 
 void soak_caller::on_answer(const error_code& error) {
     if (error) {
-        const bool timed_out = error == boost::beast::error::timeout;
-        const auto status = static_cast<int>(answer_->get().result_int());
-        on_end({timed_out ? caller_end::left : caller_end::broken, status, false});
+        on_cut(error, caller_end::broken, static_cast<int>(answer_->get().result_int()));
         return;
     }
     on_end(judge_answer());
 }
 
+void soak_caller::on_cut(const error_code& error, caller_end how, int status) {
+    const bool gave_up = error == boost::beast::error::timeout;
+    on_end({gave_up ? caller_end::left : how, status, false});
+}
+
 soak_caller::result soak_caller::judge_answer() {
     const auto& answer = answer_->get();
     const auto status = static_cast<int>(answer.result_int());
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -71,6 +71,8 @@
     void on_sent(const error_code& error);
     void on_head(const error_code& error);
     void on_answer(const error_code& error);
+    /** The connection ended, or the caller's patience did. */
+    void on_cut(const error_code& error, caller_end how, int status);
     void on_end(const result& end);
     result judge_answer();
     void after(duration length, void (soak_caller::*then)());
