Keep what a call reports to alive for as long as the call in the tests of the edge

The tests of upstream_pool crashed once (SIGSEGV in "bytes behind a whole answer end the connection's use"). Cause: a test's recording_sink stood on the stack below the fixture, so it was destroyed before the fixture gave up its calls. When the test closed its socket first, the loop's thread saw the end and called on_failure of a sink that was gone, against what upstream_sink asks for. With a pause of 20 ms at the start of the fixture's end, the address sanitizer reports that use after free each time; without the sanitizer five such runs passed, so it showed only by chance.

The fixture now keeps the sinks, and pool and server are made and destroyed on the loop's own thread (they were destroyed beside it).

--- a/libs/edge/tests/loop_thread.h
+++ b/libs/edge/tests/loop_thread.h
@@ -5,7 +5,9 @@
 #include <boost/asio/post.hpp>
 
 #include <future>
+#include <optional>
 #include <thread>
+#include <utility>
 
 namespace camphorgrade::testing {
 
@@ -25,11 +27,12 @@
     template <typename What>
     void run(What what) {
         std::promise<void> done;
-        boost::asio::post(loop, [&] {
+        auto is_done = done.get_future();
+        boost::asio::post(loop, [&what, done = std::move(done)]() mutable {
             what();
             done.set_value();
         });
-        done.get_future().get();
+        is_done.get();
     }
 
     boost::asio::io_context loop;
@@ -39,4 +42,27 @@
     std::thread thread_;
 };
 
+/** An object that is made, used and destroyed on the loop's thread alone. */
+template <typename What>
+class on_loop {
+public:
+    template <typename... Arguments>
+    explicit on_loop(loop_thread& thread, Arguments&&... arguments) : thread_(thread) {
+        thread_.run([&] { what_.emplace(std::forward<Arguments>(arguments)...); });
+    }
+    ~on_loop() {
+        thread_.run([this] { what_.reset(); });
+    }
+    on_loop(const on_loop&) = delete;
+    on_loop& operator=(const on_loop&) = delete;
+
+    /** Precondition: called on the loop's thread. */
+    What* operator->() { return &*what_; }
+    What& operator*() { return *what_; }
+
+private:
+    loop_thread& thread_;
+    std::optional<What> what_;
+};
+
 } // namespace camphorgrade::testing
--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -32,11 +32,11 @@
 };
 
 struct fixture {
-    fixture() : server(thread.loop, clock, handler) {
-        thread.run([&] { server.listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
+    fixture() : server(thread, thread.loop, clock, handler) {
+        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
     }
 
-    raw_socket connect() { return raw_socket::to(client_loop, server.bound_port()); }
+    raw_socket connect() { return raw_socket::to(client_loop, server->bound_port()); }
 
     /** Answer to bytes after which the server is expected to close. */
     std::string answer_to(const std::string& bytes) {
@@ -49,7 +49,7 @@
     scripted_handler handler;
     boost::asio::io_context client_loop;
     loop_thread thread;
-    caller_server server;
+    on_loop<caller_server> server;
 };
 
 const std::string close_line = "Connection: close\r\n";
@@ -96,7 +96,7 @@
         caller_limits limits;
         limits.max_header_bytes = 512;
         limits.max_body_bytes = 100;
-        with.server.set_limits(limits);
+        with.server->set_limits(limits);
     });
     const std::string long_header = "X-Long: " + std::string(1000, 'a') + "\r\n";
     CHECK(status_of(with.answer_to("GET / HTTP/1.1\r\nHost: x\r\n" + long_header + "\r\n")) == 431);
@@ -109,7 +109,7 @@
     with.thread.run([&] {
         caller_limits limits;
         limits.header_timeout = duration{50};
-        with.server.set_limits(limits);
+        with.server->set_limits(limits);
     });
     CHECK(status_of(with.answer_to("GET / HTTP/1.1\r\nHo")) == 408);
 }
@@ -184,7 +184,7 @@
     }
     CHECK(gone.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
     with.thread.run([&] {
-        CHECK(with.server.open_exchanges() == 0);
+        CHECK(with.server->open_exchanges() == 0);
         kept->answer({200, {}}, "too late");
         kept.reset();
     });
@@ -198,7 +198,7 @@
     with.handler.respond = [&](const exchange_ptr& exchange) { arrived.set_value(exchange); };
     busy.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
     auto exchange = arrived.get_future().get();
-    with.thread.run([&] { with.server.begin_drain(); });
+    with.thread.run([&] { with.server->begin_drain(); });
     CHECK(idle.read_all().empty());
     with.thread.run([&] {
         exchange->answer({200, {}}, "whole");
--- a/libs/edge/tests/test_upstream_pool.cpp
+++ b/libs/edge/tests/test_upstream_pool.cpp
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include <deque>
 #include <future>
 #include <memory>
 #include <string>
@@ -49,14 +50,15 @@
 struct fixture {
     fixture()
         : listener(server_loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          pool(thread.loop, clock, {}) {}
+          pool(thread, thread.loop, clock, upstream_settings{}) {}
     ~fixture() {
         thread.run([&] { calls.clear(); });
     }
 
     upstream_address address() const { return {listener.local_endpoint(), "server-1"}; }
 
-    void start(recording_sink& sink, const std::string& id = "r1") {
+    /** Starts a call; what it returns outlives the call. */
+    recording_sink& start(const std::string& id = "r1") {
         upstream_request request;
         request.method = "POST";
         request.target = "/work";
@@ -64,7 +66,13 @@
         request.body = "body";
         request.correlation_header = "X-Id";
         request.correlation_id = id;
-        thread.run([&] { calls.push_back(pool.start(address(), request, sink)); });
+        return start(address(), request);
+    }
+
+    recording_sink& start(const upstream_address& to, const upstream_request& request) {
+        auto& sink = sinks.emplace_back();
+        thread.run([&] { calls.push_back(pool->start(to, request, sink)); });
+        return sink;
     }
 
     raw_socket accept() { return raw_socket(listener.accept()); }
@@ -72,8 +80,9 @@
     monotonic_clock clock;
     boost::asio::io_context server_loop;
     boost::asio::ip::tcp::acceptor listener;
+    std::deque<recording_sink> sinks;
     loop_thread thread;
-    upstream_pool pool;
+    on_loop<upstream_pool> pool;
     std::vector<std::unique_ptr<upstream_call>> calls;
 };
 
@@ -92,8 +101,7 @@
 
 TEST_CASE("a request is sent as given, and its whole answer comes back") {
     fixture with;
-    recording_sink sink;
-    with.start(sink);
+    auto& sink = with.start();
     auto server = with.accept();
     const auto request = server.read_until("body");
     CHECK(request.find("POST /work HTTP/1.1\r\n") == 0);
@@ -106,14 +114,12 @@
 
 TEST_CASE("a connection is used again after a whole answer") {
     fixture with;
-    recording_sink first;
-    with.start(first);
+    auto& first = with.start();
     auto server = with.accept();
     server.read_until("body");
     server.send(answer("r1", "one"));
     CHECK(end_of(first).body == "one");
-    recording_sink second;
-    with.start(second, "r2");
+    auto& second = with.start("r2");
     CHECK(server.read_until("body").find("X-Id: r2") != std::string::npos);
     server.send(answer("r2", "two"));
     CHECK(end_of(second).body == "two");
@@ -121,8 +127,7 @@
 
 TEST_CASE("an answer that belongs to another request is passed over") {
     fixture with;
-    recording_sink sink;
-    with.start(sink, "r2");
+    auto& sink = with.start("r2");
     auto server = with.accept();
     server.read_until("body");
     server.send(answer("r1", "late") + answer("r2", "right"));
@@ -131,22 +136,19 @@
 
 TEST_CASE("bytes behind a whole answer end the connection's use") {
     fixture with;
-    recording_sink sink;
-    with.start(sink);
+    auto& sink = with.start();
     auto server = with.accept();
     server.read_until("body");
     server.send(answer("r1", "fine") + answer("r1", "fine"));
     CHECK(end_of(sink).is_whole);
-    recording_sink next;
-    with.start(next, "r2");
+    with.start("r2");
     auto other = with.accept();
     CHECK(other.read_until("body").find("X-Id: r2") != std::string::npos);
 }
 
 TEST_CASE("an answer that is cut is not whole") {
     fixture with;
-    recording_sink sink;
-    with.start(sink);
+    auto& sink = with.start();
     auto server = with.accept();
     server.read_until("body");
     SECTION("before its length") {
@@ -174,8 +176,7 @@
 
 TEST_CASE("an answer without length is whole when its connection ends in order") {
     fixture with;
-    recording_sink sink;
-    with.start(sink);
+    auto& sink = with.start();
     auto server = with.accept();
     server.read_until("body");
     server.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\nall of it");
@@ -189,17 +190,13 @@
     fixture with;
     const auto address = with.address();
     with.listener.close();
-    recording_sink sink;
-    with.thread.run([&] {
-        with.calls.push_back(with.pool.start(address, {"GET", "/", {}, "", "", ""}, sink));
-    });
+    auto& sink = with.start(address, {"GET", "/", {}, "", "", ""});
     CHECK(end_of(sink).failure == upstream_failure::not_connected);
 }
 
 TEST_CASE("giving up a call resets its connection") {
     fixture with;
-    recording_sink sink;
-    with.start(sink);
+    with.start();
     auto server = with.accept();
     server.read_until("body");
     with.thread.run([&] { with.calls.clear(); });
@@ -209,14 +206,12 @@
 
 TEST_CASE("giving up a finished call leaves the next one on its connection alone") {
     fixture with;
-    recording_sink first;
-    with.start(first);
+    auto& first = with.start();
     auto server = with.accept();
     server.read_until("body");
     server.send(answer("r1", "one"));
     end_of(first);
-    recording_sink second;
-    with.start(second, "r2");
+    auto& second = with.start("r2");
     server.read_until("body");
     with.thread.run([&] { with.calls.erase(with.calls.begin()); });
     server.send(answer("r2", "two"));
@@ -228,7 +223,7 @@
     std::promise<call_end> ended;
     std::unique_ptr<buffered_calls> calls;
     with.thread.run([&] {
-        calls = std::make_unique<buffered_calls>(with.thread.loop, with.pool);
+        calls = std::make_unique<buffered_calls>(with.thread.loop, *with.pool);
         calls->start(with.address(), {"GET", "/", {{"Host", "x"}}, "", "", ""}, duration{50},
                      [&](call_end how, const buffered_answer&) { ended.set_value(how); });
     });
