Tell peers what an account gets back for requests that did not run

After hundreds of refusals by servers or for lack of capacity, every other gateway took the account for overdrawn and refused it below its rate.

Reports now carry both counts, admitted and given back; both only grow, so lost or reordered reports do no harm. What was charged beyond the deepest debt was never taken and isn't given back; nor is what a peer was charged before it was known here.

Failing first: "load: after backend servers refused all for two seconds, an account still gets its rate" (8 gateways) and "what a peer gives back is there again". The property on the quota window now lets up to nine of ten admitted requests end without having run, and holds.

--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -100,10 +100,11 @@
 }
 
 void write(const gateway_report& report, wire::gateway_report& out) {
-    for (const auto& [account, admitted] : report.usage) {
+    for (const auto& [account, usage] : report.usage) {
         auto& count = *out.add_usage();
         count.set_account(account);
-        count.set_admitted(admitted);
+        count.set_admitted(usage.admitted);
+        count.set_given_back(usage.given_back);
     }
     for (const auto& each : report.crashes) {
         auto& mark = *out.add_crashes();
@@ -127,7 +128,7 @@
 gateway_report read(const wire::gateway_report& in) {
     gateway_report report;
     for (const auto& each : in.usage()) {
-        report.usage[each.account()] = each.admitted();
+        report.usage[each.account()] = {each.admitted(), each.given_back()};
     }
     for (const auto& each : in.crashes()) {
         report.crashes.push_back({each.content(), each.backend_id(), each.born()});
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -10,8 +10,16 @@
 
 namespace camphorgrade::serving {
 
-/** What one gateway has admitted so far in its life, by client account. Counts only grow. */
-using account_usage = std::map<std::string, std::uint64_t>;
+/** What one gateway has charged a client account in its life. Both counts only grow. */
+struct account_count {
+    std::uint64_t admitted = 0;
+    std::uint64_t given_back = 0; /**< Of that, for requests that then didn't run. */
+
+    friend bool operator==(const account_count&, const account_count&) = default;
+};
+
+/** Counts of one gateway, by client account. */
+using account_usage = std::map<std::string, account_count>;
 
 /** Times of an account_limiter. */
 struct account_limiter_settings {
@@ -22,6 +30,8 @@
     duration peer_silence{600};   /**< Several reports; from here on a peer is assumed to use its
                                        equal share. */
     duration peer_expiry{20'000}; /**< From here on a silent peer is taken for gone. */
+    duration longest_request{10'000}; /**< A peer that is new may for so long give back what it was
+                                           charged before it was known. */
 
     friend bool operator==(const account_limiter_settings&,
                            const account_limiter_settings&) = default;
@@ -55,7 +65,7 @@
     /** Takes `cost` from the account, or says after how long there will be enough. */
     std::optional<duration> charge(const std::string& name, double cost, time_point now);
 
-    /** Gives back what a request that didn't run was charged. */
+    /** Gives back what a request that didn't run was charged; peers hear of it too. */
     void credit(const std::string& name, double cost);
 
     /** A peer's counts; `life` tells its processes apart, `age` is the time since the start of the
@@ -63,7 +73,7 @@
     void on_peer_usage(const std::string& peer, std::uint64_t life, duration age,
                        const account_usage& usage, time_point now);
 
-    /** What this gateway has admitted. */
+    /** What this gateway has admitted and given back. */
     const account_usage& own_usage() const noexcept { return own_; }
 
     /** Whether so much was admitted since the last report that peers must hear of it at once: half
@@ -85,17 +95,21 @@
         double rate_per_s = 0;
         double burst = 0;
         time_point refilled;
+        double forgiven = 0; /**< What peers charged beyond the deepest debt. */
     };
     struct peer {
         std::uint64_t life = 0;
         account_usage usage;
         time_point heard;
+        time_point credits_from; /**< What it gave back before may be of charges not counted here. */
     };
 
     double usable_share(time_point now) const;
     /** Whether a peer's process of that age started when this one did, or later. */
     bool started_with(duration age, time_point now) const;
     void refill(bucket& of, time_point now) const;
+    static void charge_for_peer(bucket& of, double cost);
+    static void give_back(bucket& of, double cost);
     void forget_expired(time_point now);
 
     account_limiter_settings settings_;
@@ -104,7 +118,7 @@
     std::map<std::string, bucket> buckets_;
     std::map<std::string, peer> peers_;
     account_usage own_;
-    account_usage unreported_; // admitted since the last report
+    std::map<std::string, double> unreported_; // admitted since the last report, net
 };
 
 } // namespace camphorgrade::serving
--- a/libs/serving/src/account_limiter.cpp
+++ b/libs/serving/src/account_limiter.cpp
@@ -13,6 +13,13 @@
 // Of an equal part of the burst: peers hear at once before all of them can use up their parts.
 constexpr double early_report_part = 0.5;
 
+/** Raises `seen` to `told`; returns by how much. Reports may arrive out of order. */
+double raise(std::uint64_t& seen, std::uint64_t told) {
+    const auto added = told > seen ? told - seen : 0;
+    seen += added;
+    return static_cast<double>(added);
+}
+
 } // namespace
 
 account_limiter::account_limiter(account_limiter_settings settings) : settings_(settings) {}
@@ -29,6 +36,7 @@
         if (const auto found = buckets_.find(each.name); found != buckets_.end()) {
             refill(found->second, now);
             kept.level = std::min(found->second.level, each.burst);
+            kept.forgiven = found->second.forgiven;
         }
         next.emplace(each.name, kept);
     }
@@ -52,6 +60,22 @@
     const auto passed = static_cast<double>((now - of.refilled).count()) / ms_per_s;
     of.level = std::min(of.burst, of.level + passed * of.rate_per_s * usable_share(now));
     of.refilled = now;
+    if (of.level >= of.burst) {
+        of.forgiven = 0;
+    }
+}
+
+void account_limiter::charge_for_peer(bucket& of, double cost) {
+    const double owed = of.level - cost;
+    of.level = std::max(owed, -deepest_debt_in_bursts * of.burst);
+    of.forgiven += of.level - owed;
+}
+
+void account_limiter::give_back(bucket& of, double cost) {
+    // What was forgiven was never taken.
+    const double was_forgiven = std::min(of.forgiven, cost);
+    of.forgiven -= was_forgiven;
+    of.level = std::min(of.burst, of.level + cost - was_forgiven);
 }
 
 bool account_limiter::started_with(duration age, time_point now) const {
@@ -80,24 +104,27 @@
             static_cast<duration::rep>(std::ceil((needed - charged.level) / rate * ms_per_s))};
     }
     charged.level -= cost;
-    own_[name] += static_cast<std::uint64_t>(cost);
-    unreported_[name] += static_cast<std::uint64_t>(cost);
+    own_[name].admitted += static_cast<std::uint64_t>(cost);
+    unreported_[name] += cost;
     return std::nullopt;
 }
 
 bool account_limiter::is_report_due() const {
     return std::any_of(unreported_.begin(), unreported_.end(), [this](const auto& each) {
         const auto found = buckets_.find(each.first);
-        const auto part = static_cast<double>(each.second) * static_cast<double>(gateways());
+        const auto part = each.second * static_cast<double>(gateways());
         return found != buckets_.end() && part >= found->second.burst * early_report_part;
     });
 }
 
 void account_limiter::credit(const std::string& name, double cost) {
     const auto found = buckets_.find(name);
-    if (found != buckets_.end()) {
-        found->second.level = std::min(found->second.burst, found->second.level + cost);
+    if (found == buckets_.end()) {
+        return;
     }
+    give_back(found->second, cost);
+    own_[name].given_back += static_cast<std::uint64_t>(cost);
+    unreported_[name] -= cost;
 }
 
 void account_limiter::on_peer_usage(const std::string& peer_name, std::uint64_t life, duration age,
@@ -109,6 +136,9 @@
     // What a peer used before this process knew it is part of what was there at the start, but for
     // one that started at the same time: all that it used was used since.
     const bool is_old_news = known.life == 0 && !started_with(age, now);
+    if (is_old_news) {
+        known.credits_from = now + settings_.longest_request;
+    }
     if (life > known.life) {
         known.life = life;
         known.usage.clear();
@@ -116,16 +146,18 @@
     known.heard = now;
     for (const auto& [account_name, count] : usage) {
         auto& seen = known.usage[account_name];
-        const auto added = count > seen ? count - seen : 0;
-        seen = std::max(seen, count);
+        const double admitted = raise(seen.admitted, count.admitted);
+        const double given_back = raise(seen.given_back, count.given_back);
         const auto found = buckets_.find(account_name);
         if (found == buckets_.end() || is_old_news) {
             continue;
         }
         auto& shared = found->second;
         refill(shared, now);
-        shared.level = std::max(shared.level - static_cast<double>(added),
-                                -deepest_debt_in_bursts * shared.burst);
+        charge_for_peer(shared, admitted);
+        if (now >= known.credits_from) {
+            give_back(shared, given_back);
+        }
     }
 }
 
