Pass over servers whose process was replaced until they register anew

A refusal by the later process at such an address counted as missing weights alone, so each request tried up to three of them and ended "refused". The agent beside the engine knew better, but ignored demands for an earlier process without a word.

The agent now answers such a demand with the present engine's start time. A server whose agent reports a later start than its registration is the last choice until it registers; what waits there is placed elsewhere at once. It isn't ruled out, as it may have come back under its id while the store is away. A plain server that refuses as another process is avoided for a while.

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -76,6 +76,13 @@
                            const adapter_keeper_settings&) = default;
 };
 
+/** What became of a gateway's demand. */
+enum class demand_result : std::uint8_t {
+    taken,
+    for_earlier_process, /**< The engine has started anew since the gateway heard of it. */
+    for_later_process    /**< The engine's new process hasn't been looked at yet. */
+};
+
 /** How an order ended; what it changed is seen in the next snapshot. */
 enum class order_result : std::uint8_t { accepted, refused, unanswered };
 
@@ -96,8 +103,8 @@
 public:
     explicit adapter_keeper(adapter_keeper_settings settings);
 
-    /** A demand that is meant for another process of the engine is ignored. */
-    void on_demand(const std::string& gateway, engine_demand demand, time_point now);
+    /** A demand that is meant for another process of the engine doesn't count. */
+    demand_result on_demand(const std::string& gateway, engine_demand demand, time_point now);
     /** Counts the results of orders; tells which of them a snapshot that is asked for now shows. */
     std::uint64_t results_seen() const noexcept { return results_seen_; }
 
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -29,11 +29,11 @@
 
 adapter_keeper::adapter_keeper(adapter_keeper_settings settings) : settings_(settings) {}
 
-void adapter_keeper::on_demand(const std::string& gateway, engine_demand demand, time_point now) {
-    const bool is_for_other =
-        snapshot_ && demand.backend_born != 0 && demand.backend_born != snapshot_->born;
-    if (is_for_other) {
-        return;
+demand_result adapter_keeper::on_demand(const std::string& gateway, engine_demand demand,
+                                        time_point now) {
+    if (snapshot_ && demand.backend_born != 0 && demand.backend_born != snapshot_->born) {
+        return demand.backend_born < snapshot_->born ? demand_result::for_earlier_process
+                                                     : demand_result::for_later_process;
     }
     backend_id_ = demand.backend_id;
     if (demand.shape.adapter_places > 0 || !demand.shape.models.empty()) {
@@ -41,6 +41,7 @@
     }
     gateways_[gateway] = {std::move(demand), now};
     recount(now);
+    return demand_result::taken;
 }
 
 void adapter_keeper::recount(time_point now) {
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -244,14 +244,17 @@
     with.see(0);
     auto old = demand_of({waits_for("m/a1")});
     old.backend_born = with.engine.born - 1;
-    with.keeper.on_demand("g1", old, at_ms(0));
+    CHECK(with.keeper.on_demand("g1", old, at_ms(0)) == demand_result::for_earlier_process);
     CHECK(with.keeper.backend_id().empty());
     CHECK_FALSE(with.keeper.next_order(at_ms(0)).has_value());
     auto current = demand_of({});
     current.backend_id = "e2";
     current.backend_born = with.engine.born;
-    with.keeper.on_demand("g1", current, at_ms(1));
-    with.keeper.on_demand("g1", old, at_ms(2));
+    CHECK(with.keeper.on_demand("g1", current, at_ms(1)) == demand_result::taken);
+    CHECK(with.keeper.on_demand("g1", old, at_ms(2)) == demand_result::for_earlier_process);
+    auto next = current;
+    next.backend_born = with.engine.born + 1;
+    CHECK(with.keeper.on_demand("g1", next, at_ms(2)) == demand_result::for_later_process);
     CHECK(with.keeper.backend_id() == "e2");
     CHECK(with.settle(2).size() == 1);
 }
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -88,7 +88,10 @@
     if (demand == nullptr) {
         return;
     }
-    keeper_.on_demand(message.sender, *demand, clock_.now());
+    const auto result = keeper_.on_demand(message.sender, *demand, clock_.now());
+    if (result == adapters::demand_result::for_earlier_process) {
+        tell_of_restart(message.sender, *demand);
+    }
     give_orders();
     report_soon();
     if (keeper_.is_active() && !is_looking_) {
@@ -96,6 +99,19 @@
     }
 }
 
+void agent_node::tell_of_restart(const std::string& gateway,
+                                 const adapters::engine_demand& demand) {
+    log_.line("demand_for_earlier_process")
+        .text("gateway", gateway)
+        .text("backend_server", demand.backend_id)
+        .number("demand_born", static_cast<std::int64_t>(demand.backend_born))
+        .number("engine_born", static_cast<std::int64_t>(keeper_.snapshot().born));
+    peering::engine_report out;
+    out.backend_id = demand.backend_id;
+    out.state = present_state();
+    socket_.send({gateway}, std::move(out));
+}
+
 void agent_node::look() {
     is_looking_ = true;
     const auto results_seen = keeper_.results_seen();
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -31,6 +31,9 @@
 
 private:
     void on_message(const peering::peer_message& message);
+    /** The gateway knows only a process of the engine that has ended: it hears when the present
+        one began. */
+    void tell_of_restart(const std::string& gateway, const adapters::engine_demand& demand);
     void look();
     void on_snapshot(std::optional<adapters::engine_snapshot> snapshot, std::uint64_t results_seen);
     void give_orders();
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -27,6 +27,8 @@
 struct backend_view {
     backend_server server;
     bool is_gone = false; /**< Removed; kept until the work that is open there has ended. */
+    bool is_replaced = false; /**< A later process was seen at its address, which hasn't registered
+                                   yet: another server, or this one without what it held. */
     std::optional<engine_state> engine; /**< From the agent beside it; empty before its first. */
     time_point engine_heard;
     std::uint32_t in_flight = 0;
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -31,6 +31,7 @@
     const bool is_new_process =
         view.server.born != server.born || view.server.address != server.address;
     if (is_new_process) {
+        view.is_replaced = false;
         view.engine.reset();
         view.prompts.clear();
         view.seen_adapters.clear();
@@ -77,6 +78,7 @@
     for (const auto& each : state.adapters) {
         view->seen_adapters.insert(each.weights.name);
     }
+    view->is_replaced = view->server.born != 0 && state.born > view->server.born;
     view->engine = std::move(state);
     view->engine_heard = now;
     view->queued_at_report = view->queued_prompt_tokens;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -224,8 +224,11 @@
     if (outcome == attempt_outcome::wrong_weights) {
         board_.on_missing(backend, of.waits_for);
     }
-    const bool could_not_use =
-        outcome == attempt_outcome::unreachable || outcome == attempt_outcome::broken;
+    // Plain work needs no weights, so it was refused because another process is there.
+    const bool is_other_process = outcome == attempt_outcome::wrong_weights &&
+                                  (of.profile.model.empty() || (view && view->is_replaced));
+    const bool could_not_use = outcome == attempt_outcome::unreachable ||
+                               outcome == attempt_outcome::broken || is_other_process;
     if (could_not_use) {
         board_.on_failure(backend, now);
     } else {
@@ -277,12 +280,16 @@
         return;
     }
     for (auto& [id, each] : requests_) {
-        if (each.at != phase::waiting || each.backend_id != backend_id ||
-            !board_.holds(*view, each.waits_for.name, each.waits_for.version, now)) {
+        if (each.at != phase::waiting || each.backend_id != backend_id) {
             continue;
         }
-        leave_backend(each);
-        send(id, each, {backend_id, true, {}}, now);
+        if (view->is_replaced) {
+            leave_backend(each);
+            place(id, each, now);
+        } else if (board_.holds(*view, each.waits_for.name, each.waits_for.version, now)) {
+            leave_backend(each);
+            send(id, each, {backend_id, true, {}}, now);
+        }
     }
 }
 
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -137,6 +137,100 @@
     CHECK(with.only<send_attempt>()->backend_id != first);
 }
 
+namespace {
+
+/** A report of the agent beside an engine that has started anew since it registered. */
+engine_state of_later_process(std::vector<adapter_place> adapters) {
+    auto out = engine_with(std::move(adapters), 9);
+    out.born = 2'000;
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("a server at whose address a later process runs is the last choice until it registers") {
+    dispatcher_fixture with;
+    with.decisions.on_engine_state("engine-2", engine_with({resident("m/a1")}, 2), at_ms(1));
+    with.decisions.on_engine_state("engine-1", of_later_process({resident("m/a1")}), at_ms(1));
+    for (int i = 0; i < 20; ++i) {
+        with.arrive(profile_of("/plan/x", "a1"), 2);
+        REQUIRE(with.only<send_attempt>() != nullptr);
+        CHECK(with.only<send_attempt>()->backend_id == "engine-2");
+    }
+    SECTION("where nothing else is there, it may have come back under its id") {
+        with.decisions.board().remove("engine-2");
+        with.arrive(profile_of("/plan/x", "a1"), 3);
+        REQUIRE(with.only<send_attempt>() != nullptr);
+        CHECK(with.only<send_attempt>()->backend_id == "engine-1");
+    }
+    SECTION("once it has registered, it serves") {
+        auto registered = server_of("engine-1", "llm");
+        registered.born = 2'000;
+        with.decisions.board().put(registered);
+        with.decisions.on_engine_state("engine-1", of_later_process({resident("m/a1")}), at_ms(3));
+        with.arrive(profile_of("/plan/x", "a1"), 4);
+        REQUIRE(with.only<send_attempt>() != nullptr);
+        CHECK(with.only<send_attempt>()->backend_id == "engine-1");
+    }
+}
+
+TEST_CASE("a request that waits at an engine which started anew goes elsewhere at once") {
+    dispatcher_fixture with;
+    with.arrive(profile_of("/plan/x", "a1"), 0);
+    REQUIRE(with.only<wait_for_weights>() != nullptr);
+    const auto first = with.only<wait_for_weights>()->backend_id;
+    const std::string other = first == "engine-1" ? "engine-2" : "engine-1";
+    with.decisions.on_engine_state(other, engine_with({resident("m/a1")}, 2), at_ms(10));
+    with.decisions.on_engine_state(first, of_later_process({}), at_ms(11));
+    with.effects = with.decisions.take_effects();
+    REQUIRE(with.only<send_attempt>() != nullptr);
+    CHECK(with.only<send_attempt>()->backend_id == other);
+}
+
+TEST_CASE("a plain server that turns out to be another process is avoided") {
+    dispatcher_fixture with;
+    const auto id = with.arrive(profile_of("/read/x"), 0);
+    const auto first = with.only<send_attempt>()->backend_id;
+    with.ended(id, attempt_outcome::wrong_weights, 1);
+    const auto second = with.only<send_attempt>()->backend_id;
+    REQUIRE(second != first);
+    with.ended(id, attempt_outcome::whole, 10);
+    for (int i = 0; i < 3; ++i) {
+        with.arrive(profile_of("/read/x"), 11);
+        REQUIRE(with.only<send_attempt>() != nullptr);
+        CHECK(with.only<send_attempt>()->backend_id == second);
+    }
+}
+
+TEST_CASE("load: after a restart of all, requests don't try the registrations of ended processes") {
+    constexpr int engines = 9;
+    constexpr int registered_anew = 3;
+    dispatcher decisions({}, "dc-1", 7);
+    decisions.set_catalogue(small_catalogue(), at_ms(0));
+    for (int i = 0; i < engines; ++i) {
+        const auto number = std::to_string(i);
+        auto old = server_of("ended-" + number, "llm");
+        old.held.push_back({"m/a1", 1});
+        decisions.board().put(old);
+        decisions.on_engine_state(old.id, of_later_process({resident("m/a1")}), at_ms(10));
+        if (i < registered_anew) {
+            auto next = server_of("new-" + number, "llm");
+            next.born = 2'000;
+            decisions.board().put(next);
+            decisions.on_engine_state(next.id, of_later_process({resident("m/a1")}), at_ms(10));
+        }
+    }
+    for (int ms = 20; ms < 1'020; ms += 10) {
+        decisions.arrive(profile_of("/plan/x", "a1"), static_cast<std::uint64_t>(ms), at_ms(ms));
+        for (const auto& effect : decisions.take_effects()) {
+            const auto* sent = std::get_if<send_attempt>(&effect);
+            REQUIRE(sent != nullptr);
+            CHECK(sent->backend_id.substr(0, 3) == "new");
+            decisions.on_attempt_ended(sent->request, attempt_outcome::whole, at_ms(ms + 5));
+        }
+    }
+}
+
 TEST_CASE("once a request may have run, no later refusal says that it has not") {
     dispatcher_fixture with;
     const auto id = with.arrive(profile_of("/read/x"), 0);
