--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -101,7 +101,8 @@
         std::uint64_t life = 0;
         account_usage usage;
         time_point heard;
-        time_point credits_from; /**< What it gave back before may be of charges not counted here. */
+        time_point
+            credits_from; /**< What it gave back before may be of charges not counted here. */
     };
 
     double usable_share(time_point now) const;
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -26,7 +26,7 @@
 /** What a gateway knows of one backend server, and what it has open there. */
 struct backend_view {
     backend_server server;
-    bool is_gone = false; /**< Removed; kept until the work that is open there has ended. */
+    bool is_gone = false;     /**< Removed; kept until the work that is open there has ended. */
     bool is_replaced = false; /**< A later process was seen at its address, which hasn't registered
                                    yet: another server, or this one without what it held. */
     std::optional<engine_state> engine; /**< From the agent beside it; empty before its first. */
--- a/libs/serving/tests/test_account_limiter.cpp
+++ b/libs/serving/tests/test_account_limiter.cpp
@@ -124,7 +124,8 @@
     CHECK_FALSE(fleet.admit(1, 800, at_ms(0)));
 }
 
-TEST_CASE("load: after backend servers refused all for two seconds, an account still gets its rate") {
+TEST_CASE(
+    "load: after backend servers refused all for two seconds, an account still gets its rate") {
     constexpr std::size_t count = 8;
     constexpr double cost = 20;
     constexpr std::size_t each_tenth = 4; // eight tenths of the rate
