Keep adapters that are wanted again and again longer than those wanted once

Cause: an engine has 7 to 9 places and evicted the least recently used adapter.

An adapter's last use now counts as up to 10 s more recent, 2 s for each time that it was wanted again. Uses older than a minute are forgotten, which also bounds the record: it grew by every adapter ever asked for.

Failing first: "load: adapters that are asked for once don't push out one that is used again and again" (15 loads of it before, 3 at most now).

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -69,8 +69,12 @@
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
     duration refused_pause{200};     /**< After an order that was refused or not answered. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
-    duration replace_pause{1'000}; /**< A replacement waits for runs on the old version; so long it
-                                        isn't ordered again. */
+    duration replace_pause{1'000};  /**< A replacement waits for runs on the old version; so long it
+                                         isn't ordered again. */
+    duration kept_for_reuse{2'000}; /**< Longer that an adapter is kept for each time that it was
+                                         wanted again, ... */
+    std::uint32_t most_reuses = 5;  /**< ... counting no more than so many. */
+    duration use_memory{60'000};    /**< Uses that are older say nothing of the next. */
 
     friend bool operator==(const adapter_keeper_settings&,
                            const adapter_keeper_settings&) = default;
@@ -94,10 +98,10 @@
  *
  * One order is under way at a time, and each names the sequence that it expects, so an order that
  * is carried out late can't follow a newer one. An adapter that any gateway uses or waits for is
- * not evicted; of the others the least recently used goes first. The keeper is the only one that
- * orders its engine; the engine's own start time is its fencing token, so what was meant for an
- * earlier process of the engine is refused by a later one.
- * Deterministic. Not thread safe.
+ * not evicted; of the others the least recently used goes first, where one that was wanted again
+ * and again counts as used more recently. The keeper is the only one that orders its engine; the
+ * engine's own start time is its fencing token, so what was meant for an earlier process of the
+ * engine is refused by a later one. Deterministic. Not thread safe.
  */
 class adapter_keeper {
 public:
@@ -149,9 +153,19 @@
         std::uint32_t in_use = 0;
         std::uint32_t urgency = 0;
         time_point since;
+
+        std::uint32_t requests() const { return waiting + in_use; }
+    };
+    struct use_record {
+        time_point last;
+        std::uint32_t uses = 0;
     };
 
     void recount(time_point now);
+    /** Takes down what is wanted now, and what is wanted more than it was `before`. */
+    void note_uses(const std::map<serving::held_weights, total>& before, time_point now);
+    /** Where an adapter that nobody wants stands in the order of eviction; the least goes first. */
+    time_point eviction_rank(const std::string& name) const;
     std::uint64_t newest_wanted(const std::string& weights) const;
     bool is_held(const serving::held_weights& weights) const;
     bool is_loading(const std::string& name) const;
@@ -170,7 +184,8 @@
     std::string backend_id_;
     std::map<serving::held_weights, total> wanted_;
     std::map<serving::held_weights, time_point> replacing_; /**< Until when each isn't ordered. */
-    std::map<std::string, time_point> used_; /**< When each adapter was last wanted. */
+    std::map<std::string, use_record>
+        used_; /**< Of each adapter, also of those that aren't held. */
     std::uint64_t queued_prompt_tokens_ = 0;
     bool is_order_open_ = false;
     bool needs_snapshot_ = true; /**< Since the last order, the engine's state isn't known. */
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -48,7 +48,7 @@
     std::erase_if(gateways_, [&](const auto& each) {
         return now - each.second.heard >= settings_.gateway_silence;
     });
-    wanted_.clear();
+    const auto before = std::exchange(wanted_, {});
     queued_prompt_tokens_ = 0;
     for (const auto& [name, view] : gateways_) {
         queued_prompt_tokens_ += view.demand.queued_prompt_tokens;
@@ -59,9 +59,31 @@
             at->second.in_use += each.in_use;
             at->second.urgency = std::min(at->second.urgency, each.urgency);
             at->second.since = std::min(at->second.since, since);
-            used_[each.weights.name] = now;
         }
     }
+    note_uses(before, now);
+}
+
+void adapter_keeper::note_uses(const std::map<held_weights, total>& before, time_point now) {
+    for (const auto& [weights, demand] : wanted_) {
+        const auto found = before.find(weights);
+        const auto known = found == before.end() ? 0U : found->second.requests();
+        auto& record = used_[weights.name];
+        record.last = now;
+        record.uses += demand.requests() > known ? demand.requests() - known : 0;
+    }
+    std::erase_if(used_,
+                  [&](const auto& each) { return now - each.second.last > settings_.use_memory; });
+}
+
+time_point adapter_keeper::eviction_rank(const std::string& name) const {
+    const auto found = used_.find(name);
+    if (found == used_.end()) {
+        return {};
+    }
+    const auto& record = found->second;
+    const auto reuses = std::min(record.uses > 0 ? record.uses - 1 : 0, settings_.most_reuses);
+    return record.last + settings_.kept_for_reuse * static_cast<int>(reuses);
 }
 
 void adapter_keeper::on_snapshot(engine_snapshot snapshot, std::uint64_t results_seen,
@@ -90,7 +112,7 @@
     if (result != order_result::accepted) {
         paused_until_ = now + settings_.refused_pause;
     } else if (order.kind == order_kind::load) {
-        used_[order.weights.name] = now;
+        used_[order.weights.name].last = now;
     }
 }
 
@@ -203,8 +225,8 @@
 }
 
 std::optional<held_weights> adapter_keeper::victim() const {
-    const held_weights* oldest = nullptr;
-    time_point oldest_use = time_point::max();
+    const held_weights* chosen = nullptr;
+    time_point least = time_point::max();
     for (const auto& each : snapshot_->adapters) {
         const bool is_wanted = std::any_of(wanted_.begin(), wanted_.end(), [&](const auto& wanted) {
             return wanted.first.name == each.name;
@@ -212,14 +234,13 @@
         if (is_wanted || is_loading(each.name)) {
             continue;
         }
-        const auto used = used_.find(each.name);
-        const auto at = used == used_.end() ? time_point{} : used->second;
-        if (oldest == nullptr || at < oldest_use) {
-            oldest = &each;
-            oldest_use = at;
+        const auto rank = eviction_rank(each.name);
+        if (chosen == nullptr || rank < least) {
+            chosen = &each;
+            least = rank;
         }
     }
-    return oldest == nullptr ? std::nullopt : std::optional<held_weights>(*oldest);
+    return chosen == nullptr ? std::nullopt : std::optional<held_weights>(*chosen);
 }
 
 engine_order adapter_keeper::make(order_kind kind, const held_weights& weights) const {
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -189,6 +189,49 @@
     CHECK(orders[1].weights.name == "m/a9");
 }
 
+TEST_CASE(
+    "load: adapters that are asked for once don't push out one that is used again and again") {
+    fixture with;
+    constexpr std::int64_t end = 30'000;
+    constexpr std::int64_t use = 200;
+    constexpr std::int64_t popular_every = 2'000;
+    constexpr std::int64_t others_every = 500;
+    int popular_loads = 0;
+    for (std::int64_t ms = 0; ms < end; ms += 100) {
+        with.engine.finish_loads();
+        with.see(ms);
+        std::vector<adapter_want> wants;
+        if (ms % popular_every < use) {
+            const bool is_there = with.engine.is_resident("m/popular");
+            wants.push_back(is_there ? uses("m/popular") : waits_for("m/popular"));
+        }
+        if (ms % others_every < use) {
+            const auto name = "m/once" + std::to_string(ms / others_every);
+            wants.push_back(with.engine.is_resident(name) ? uses(name) : waits_for(name));
+        }
+        with.want("g1", std::move(wants), ms);
+        for (const auto& loaded : loads_of(with.settle(ms))) {
+            popular_loads += loaded == "m/popular" ? 1 : 0;
+        }
+    }
+    CHECK(popular_loads <= 3);
+}
+
+TEST_CASE("an adapter that was popular once makes room when nobody asks for it any more") {
+    fixture with;
+    with.engine.resident = {{"m/a1", 1}, {"m/a2", 1}, {"m/a3", 1}};
+    with.see(0);
+    for (std::int64_t ms = 0; ms < 10'000; ms += 200) {
+        with.want("g1", ms % 400 == 0 ? std::vector{uses("m/a1")} : std::vector<adapter_want>{},
+                  ms);
+    }
+    with.want("g1", {uses("m/a2"), uses("m/a3")}, 25'000);
+    with.want("g1", {waits_for("m/a9")}, 25'100);
+    const auto orders = with.settle(25'100);
+    REQUIRE(orders.size() == 2);
+    CHECK(orders[0].weights.name == "m/a1");
+}
+
 TEST_CASE("an adapter that a request uses or waits for isn't evicted") {
     fixture with;
     with.engine.resident = {{"m/a1", 1}, {"m/a2", 1}, {"m/a3", 1}};
