Count what all gateways wait for when a place for an adapter is judged free

Cause: an engine's report says how many places can be had; a gateway set against it only the adapters that it waits for itself.

Reports now carry the number of adapters that gateways wait for and that have no place yet; a request's own is left out where it waits already.

Failing first: "load: a place that other gateways wait for isn't taken for a free one" (12 of 20 adapters went to the crowded engine).

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -171,6 +171,8 @@
     bool is_loading(const std::string& name) const;
     std::size_t places_taken() const;
     std::size_t evictable() const;
+    std::size_t unplaced() const;
+    bool is_placed(const serving::held_weights& weights) const;
     std::optional<engine_order> model_order(time_point now);
     std::optional<engine_order> adapter_order(time_point now);
     bool is_replacing(const serving::held_weights& weights, time_point now) const;
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -157,6 +157,18 @@
     return free + static_cast<std::size_t>(idle);
 }
 
+bool adapter_keeper::is_placed(const held_weights& weights) const {
+    return is_held(weights) || is_loading(weights.name);
+}
+
+std::size_t adapter_keeper::unplaced() const {
+    const auto count = std::count_if(wanted_.begin(), wanted_.end(), [&](const auto& each) {
+        const auto& [weights, demand] = each;
+        return demand.waiting > 0 && is_adapter(weights.name) && !is_placed(weights);
+    });
+    return static_cast<std::size_t>(count);
+}
+
 std::optional<engine_order> adapter_keeper::next_order(time_point now) {
     const bool is_known = snapshot_ && !needs_snapshot_ && !backend_id_.empty();
     if (!is_known || is_order_open_ || now < paused_until_) {
@@ -195,8 +207,7 @@
         const bool needs_load = demand.waiting > 0 && is_adapter(weights.name) &&
                                 weights.version >= newest_wanted(weights.name) &&
                                 names(snapshot_->models, model_of(weights.name)) &&
-                                !is_held(weights) && !is_loading(weights.name) &&
-                                !is_replacing(weights, now);
+                                !is_placed(weights) && !is_replacing(weights, now);
         if (needs_load && (best == nullptr || std::tie(demand.urgency, demand.since) <
                                                   std::tie(best->urgency, best->since))) {
             chosen = &weights;
@@ -266,6 +277,7 @@
         out.adapters.push_back({each, true, in_use(each.name)});
     }
     out.evictable = static_cast<std::uint32_t>(evictable());
+    out.unplaced = static_cast<std::uint32_t>(unplaced());
     out.waiting = snapshot_->waiting;
     out.running = snapshot_->running;
     out.kv_used = snapshot_->kv_used;
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -240,6 +240,7 @@
     with.want("g2", {waits_for("m/a3"), waits_for("m/a9")}, 0);
     CHECK(with.settle(0).empty());
     CHECK(with.keeper.state().evictable == 0);
+    CHECK(with.keeper.state().unplaced == 1);
 }
 
 TEST_CASE("what a silent gateway wanted stops counting") {
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -66,6 +66,7 @@
         adapter.set_in_use(each.in_use);
     }
     out.set_evictable(state.evictable);
+    out.set_unplaced(state.unplaced);
     out.set_waiting(state.waiting);
     out.set_running(state.running);
     out.set_kv_used(state.kv_used);
@@ -89,6 +90,7 @@
         state.adapters.push_back({{each.name(), each.version()}, each.is_loading(), each.in_use()});
     }
     state.evictable = in.evictable();
+    state.unplaced = in.unplaced();
     state.waiting = in.waiting();
     state.running = in.running();
     state.kv_used = in.kv_used();
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -33,6 +33,7 @@
     report.state.models = {{"m", 1}};
     report.state.adapters = {{{"m/a1", 3}, true, 0}, {{"m/a2", 1}, false, 4}};
     report.state.evictable = 5;
+    report.state.unplaced = 2;
     report.state.waiting = 1;
     report.state.running = 12;
     report.state.kv_used = 41'000;
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -61,6 +61,7 @@
     std::vector<held_weights> models;
     std::vector<adapter_place> adapters;
     std::uint32_t evictable = 0; /**< Places that are free or whose adapter nobody uses. */
+    std::uint32_t unplaced = 0;  /**< Adapters that gateways wait for and that have no place yet. */
     std::uint32_t waiting = 0;
     std::uint32_t running = 0;
     std::uint64_t kv_used = 0;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -42,6 +42,7 @@
     std::vector<prompt_part> prompt_parts;
     duration objective{};
     std::set<std::string> excluded; /**< Servers that were tried. */
+    std::string waited_at;          /**< Where it has waited so far; empty when it is new. */
 };
 
 /** Where a request goes. A value type. */
@@ -83,6 +84,9 @@
                           const placement_request& request, duration load_cold, std::size_t servers,
                           time_point now) const;
     estimate judge_plain(backend_view& view, const placement_request& request) const;
+    /** Adapters that other requests wait for at an engine and that have no place there yet. */
+    static std::uint32_t others_unplaced(const backend_view& view,
+                                         const placement_request& request);
     duration load_wait(const backend_view& view, const placement_request& request,
                        duration load_cold) const;
     bool is_fetched(const backend_view& view, const placement_request& request) const;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -86,6 +86,7 @@
     wanted.prompt_parts = of.profile.prompt_parts;
     wanted.objective = of.on_route->latency_objective;
     wanted.excluded = of.excluded;
+    wanted.waited_at = of.backend_id;
     const auto chosen = chooser_.choose(board_, wanted, now);
     const auto* to = std::get_if<placement>(&chosen);
     if (to == nullptr) {
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -114,6 +114,12 @@
     return {&view, true, work, work + load + common_penalty(view, request), 0};
 }
 
+std::uint32_t placement_chooser::others_unplaced(const backend_view& view,
+                                                 const placement_request& request) {
+    const std::uint32_t own = view.server.id == request.waited_at ? 1 : 0;
+    return view.engine->unplaced > own ? view.engine->unplaced - own : 0;
+}
+
 duration placement_chooser::load_wait(const backend_view& view, const placement_request& request,
                                       duration load_cold) const {
     const auto& places = view.engine->adapters;
@@ -132,7 +138,8 @@
         return load_cold + settings_.replace_wait;
     }
     const auto load = is_fetched(view, request) ? settings_.warm_load : load_cold;
-    const auto unmet = unmet_demand(view);
+    // The agent knows what all gateways wait for, this gateway what it has asked for since.
+    const auto unmet = std::max(unmet_demand(view), others_unplaced(view, request));
     if (unmet < view.engine->evictable) {
         return load + load * unmet / 2;
     }
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -330,6 +330,22 @@
     CHECK(sent["engine-2"] == 5);
 }
 
+TEST_CASE("load: a place that other gateways wait for isn't taken for a free one") {
+    for (int i = 0; i < 20; ++i) {
+        dispatcher_fixture with;
+        auto crowded = engine_with({}, 2);
+        crowded.evictable = 1;
+        crowded.unplaced = 1;
+        auto free = engine_with({}, 2);
+        free.evictable = 1;
+        with.decisions.on_engine_state("engine-1", crowded, at_ms(1));
+        with.decisions.on_engine_state("engine-2", free, at_ms(1));
+        with.arrive(profile_of("/plan/x", "a" + std::to_string(i)), 2);
+        REQUIRE(with.only<wait_for_weights>() != nullptr);
+        CHECK(with.only<wait_for_weights>()->backend_id == "engine-2");
+    }
+}
+
 TEST_CASE("load: what other gateways have queued at an engine counts, and what was sent since") {
     dispatcher_fixture with;
     auto busy = engine_with({resident("m/a1")}, 2);
