--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -109,6 +109,7 @@
 
     /** A demand that is meant for another process of the engine doesn't count. */
     demand_result on_demand(const std::string& gateway, engine_demand demand, time_point now);
+
     /** Counts the results of orders; tells which of them a snapshot that is asked for now shows. */
     std::uint64_t results_seen() const noexcept { return results_seen_; }
 
@@ -162,7 +163,7 @@
     };
 
     void recount(time_point now);
-    /** Takes down what is wanted now, and what is wanted more than it was `before`. */
+    /** Records what is wanted now; each request that wasn't there `before` is one more use. */
     void note_uses(const std::map<serving::held_weights, total>& before, time_point now);
     /** Where an adapter that nobody wants stands in the order of eviction; the least goes first. */
     time_point eviction_rank(const std::string& name) const;
@@ -186,8 +187,7 @@
     std::string backend_id_;
     std::map<serving::held_weights, total> wanted_;
     std::map<serving::held_weights, time_point> replacing_; /**< Until when each isn't ordered. */
-    std::map<std::string, use_record>
-        used_; /**< Of each adapter, also of those that aren't held. */
+    std::map<std::string, use_record> used_; /**< Also of adapters that aren't held. */
     std::uint64_t queued_prompt_tokens_ = 0;
     bool is_order_open_ = false;
     bool needs_snapshot_ = true; /**< Since the last order, the engine's state isn't known. */
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -101,8 +101,8 @@
         std::uint64_t life = 0;
         account_usage usage;
         time_point heard;
-        time_point
-            credits_from; /**< What it gave back before may be of charges not counted here. */
+        /** What it gave back before may be of charges that weren't counted here. */
+        time_point credits_from;
     };
 
     double usable_share(time_point now) const;
