Fetch a peer's page in one place, and drop what the change wrote twice or left unused

Cause: registration_relay asked a peer for a page with the same lines as gateway_peers did for the catalogue; both now call fetch_peer_page. Whether an adapter needs a place was spelt out both where loads are ordered and where the report counts them: adapter_keeper::needs_place.

No behaviour is meant to change and no test did. Conclusion: fewer twins, the same decisions.

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -173,7 +173,8 @@
     std::size_t places_taken() const;
     std::size_t evictable() const;
     std::size_t unplaced() const;
-    bool is_placed(const serving::held_weights& weights) const;
+    /** Whether requests wait for an adapter that the engine neither holds nor loads. */
+    bool needs_place(const serving::held_weights& weights, const total& demand) const;
     std::optional<engine_order> model_order(time_point now);
     std::optional<engine_order> adapter_order(time_point now);
     bool is_replacing(const serving::held_weights& weights, time_point now) const;
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -157,14 +157,14 @@
     return free + static_cast<std::size_t>(idle);
 }
 
-bool adapter_keeper::is_placed(const held_weights& weights) const {
-    return is_held(weights) || is_loading(weights.name);
+bool adapter_keeper::needs_place(const held_weights& weights, const total& demand) const {
+    return demand.waiting > 0 && is_adapter(weights.name) && !is_held(weights) &&
+           !is_loading(weights.name);
 }
 
 std::size_t adapter_keeper::unplaced() const {
     const auto count = std::count_if(wanted_.begin(), wanted_.end(), [&](const auto& each) {
-        const auto& [weights, demand] = each;
-        return demand.waiting > 0 && is_adapter(weights.name) && !is_placed(weights);
+        return needs_place(each.first, each.second);
     });
     return static_cast<std::size_t>(count);
 }
@@ -204,10 +204,9 @@
     const held_weights* chosen = nullptr;
     const total* best = nullptr;
     for (const auto& [weights, demand] : wanted_) {
-        const bool needs_load = demand.waiting > 0 && is_adapter(weights.name) &&
-                                weights.version >= newest_wanted(weights.name) &&
-                                names(snapshot_->models, model_of(weights.name)) &&
-                                !is_placed(weights) && !is_replacing(weights, now);
+        const bool needs_load =
+            needs_place(weights, demand) && weights.version >= newest_wanted(weights.name) &&
+            names(snapshot_->models, model_of(weights.name)) && !is_replacing(weights, now);
         if (needs_load && (best == nullptr || std::tie(demand.urgency, demand.since) <
                                                   std::tie(best->urgency, best->since))) {
             chosen = &weights;
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -1,5 +1,7 @@
 #include "gateway_peers.h"
 
+#include "peer_page.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -127,20 +129,13 @@
             is_fetching_ = false;
             return;
         }
-        const auto colon = from.rfind(':');
-        const edge::upstream_address address{
-            {boost::asio::ip::make_address(from.substr(0, colon)), own_.port}, from};
-        edge::upstream_request request;
-        request.method = "GET";
-        request.target = catalogue_path;
-        request.headers = {{"Host", "peer"}};
-        calls_.start(address, request, settings_.fetch_timeout,
-                     [this](edge::call_end how, const edge::buffered_answer& answer) {
-                         is_fetching_ = false;
-                         if (how == edge::call_end::answered && answer.head.status == status_ok) {
-                             fleet_.on_peer_catalogue(answer.body);
-                         }
-                     });
+        fetch_peer_page(calls_, from, own_.port, catalogue_path, settings_.fetch_timeout,
+                        [this](const std::optional<std::string>& page) {
+                            is_fetching_ = false;
+                            if (page) {
+                                fleet_.on_peer_catalogue(*page);
+                            }
+                        });
     });
 }
 
--- a/libs/entry/src/registration_relay.cpp
+++ b/libs/entry/src/registration_relay.cpp
@@ -1,15 +1,11 @@
 #include "registration_relay.h"
 
+#include "peer_page.h"
+
 #include <peering/registrations.h>
 
 namespace camphorgrade::entry {
 
-namespace {
-
-constexpr int status_ok = 200;
-
-} // namespace
-
 registration_relay::registration_relay(boost::asio::io_context& loop, const clock& clock,
                                        edge::upstream_pool& pool, relay_host& host,
                                        std::uint16_t port, registration_relay_settings settings)
@@ -43,22 +39,15 @@
 }
 
 void registration_relay::ask(const std::string& peer) {
-    const edge::upstream_address address{
-        {boost::asio::ip::make_address(peer.substr(0, peer.rfind(':'))), port_}, peer};
-    edge::upstream_request request;
-    request.method = "GET";
-    request.target = path;
-    request.headers = {{"Host", "peer"}};
-    calls_.start(address, request, settings_.call_timeout,
-                 [this, peer](edge::call_end how, const edge::buffered_answer& answer) {
-                     if (how != edge::call_end::answered || answer.head.status != status_ok ||
-                         host_.is_in_touch()) {
-                         return; // asked again at the next interval, if it is still needed
-                     }
-                     if (const auto servers = peering::decode_registrations(answer.body)) {
-                         host_.on_peer_registrations(*servers, peer);
-                     }
-                 });
+    fetch_peer_page(calls_, peer, port_, path, settings_.call_timeout,
+                    [this, peer](const std::optional<std::string>& page) {
+                        if (!page || host_.is_in_touch()) {
+                            return; // asked again at the next interval, if it is still needed
+                        }
+                        if (const auto servers = peering::decode_registrations(*page)) {
+                            host_.on_peer_registrations(*servers, peer);
+                        }
+                    });
 }
 
 } // namespace camphorgrade::entry
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -48,9 +48,8 @@
 /** Where a request goes. A value type. */
 struct placement {
     std::string backend_id;
-    bool is_ready = false;           /**< The weights are there: send now. Else wait for them. */
-    duration first_answer{};         /**< Estimate. */
-    std::uint64_t unread_tokens = 0; /**< Of the prompt, that the engine has to read. */
+    bool is_ready = false;   /**< The weights are there: send now. Else wait for them. */
+    duration first_answer{}; /**< Estimate. */
 
     friend bool operator==(const placement&, const placement&) = default;
 };
@@ -77,7 +76,6 @@
         bool is_ready = false;
         duration first_answer{};
         duration cost{}; /**< First answer and what else speaks against the server. */
-        std::uint64_t unread = 0;
     };
 
     estimate judge_engine(backend_board& board, backend_view& view,
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -90,7 +90,7 @@
     if (best.view == nullptr) {
         return no_placement::no_backend_server;
     }
-    return placement{best.view->server.id, best.is_ready, best.first_answer, best.unread};
+    return placement{best.view->server.id, best.is_ready, best.first_answer};
 }
 
 duration placement_chooser::common_penalty(const backend_view& view,
@@ -111,7 +111,7 @@
                               std::max(1.0, rounds));
     // Below a full house, the less loaded of two alike servers is still the better one.
     const auto load = from_ms(rounds * static_cast<double>(settings_.plain_work.count()));
-    return {&view, true, work, work + load + common_penalty(view, request), 0};
+    return {&view, true, work, work + load + common_penalty(view, request)};
 }
 
 std::uint32_t placement_chooser::others_unplaced(const backend_view& view,
@@ -183,7 +183,7 @@
             first += settings_.full_batch;
         }
     }
-    return {&view, is_ready, first, first + cost, unread};
+    return {&view, is_ready, first, first + cost};
 }
 
 } // namespace camphorgrade::serving
