Heed servers that leave or want nothing for a while, and bound bytes that are no answer

Cause: nothing read Server-Leaving or Retry-After of a backend server, so a leaving server was used until the store said so, and one that had asked for peace was asked on. A chunk's line, a trailer, interim answers and answers of other requests were read without end, and an answer that is kept until whole filled the memory.

A server that says it leaves gets nothing new until its next process; what waits there is placed anew. One that holds off gets nothing until its time has passed; when all do, Retry-After is the least of their times. What a server may send that is no answer is bounded in the pool, answers, events and refusals in the flow, unread output at the caller's connection. A refusal counts as one by its head, whatever becomes of its body: before, a cut body made a 502 of it.

--- a/libs/edge/include/edge/buffered_calls.h
+++ b/libs/edge/include/edge/buffered_calls.h
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -25,11 +26,15 @@
 enum class call_end : std::uint8_t { answered, not_connected, broken, timed_out };
 
 /**
- * Calls whose answers are small and wanted whole, each with a timeout. Not thread safe.
+ * Calls whose answers are small and wanted whole, each with a timeout. An answer that grows too
+ * large is broken off. Not thread safe.
  * When it is destroyed, calls under way are given up and their callbacks never run.
  */
 class buffered_calls {
 public:
+    /** Above what a store's page of keys, an operators' text or a peer's page holds. */
+    static constexpr std::size_t max_body_bytes = std::size_t{8} * 1024 * 1024;
+
     using done = std::function<void(call_end, const buffered_answer&)>;
 
     buffered_calls(boost::asio::io_context& loop, upstream_pool& pool);
--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -74,6 +74,9 @@
     upstream_call(const upstream_call&) = delete;
     upstream_call& operator=(const upstream_call&) = delete;
     virtual ~upstream_call() = default;
+
+    /** Breaks the call if its answer isn't whole after `time`; does nothing once it has ended. */
+    virtual void end_within(duration time) = 0;
 };
 
 /** Times and bounds of a pool's connections. */
@@ -84,6 +87,11 @@
     duration default_idle{1'000};  /**< For servers that don't say how long they keep one. */
     std::size_t max_header_bytes = std::size_t{32} * 1024;
     std::size_t max_idle_each = 64; /**< Kept connections to one address. */
+    std::size_t max_unparsed_bytes = std::size_t{64} * 1024; /**< Of a head, or of the lines
+                                                                  between the chunks of a body. */
+    std::uint32_t max_skipped_answers = 16; /**< Interim answers and those of other requests, ... */
+    std::size_t max_skipped_bytes =
+        std::size_t{256} * 1024; /**< ... and bytes of their bodies, in one call. */
 
     friend bool operator==(const upstream_settings&, const upstream_settings&) = default;
 };
@@ -93,7 +101,8 @@
  *
  * An answer is whole only if its length, its last chunk, or an orderly end of a body without
  * length says so. A connection is used again only after a whole answer with nothing behind it.
- * Dead peers are found by keep-alive probes. Not thread safe.
+ * Dead peers are found by keep-alive probes. What a server may send that is no answer to the call
+ * is bounded; the size of the answer itself is for the sink to bound. Not thread safe.
  *
  * @code
  * upstream_pool pool(loop, clock, {});
--- a/libs/edge/src/buffered_calls.cpp
+++ b/libs/edge/src/buffered_calls.cpp
@@ -27,7 +27,13 @@
         answer_.head = head;
     }
 
-    void on_body(std::string_view bytes) override { answer_.body.append(bytes); }
+    void on_body(std::string_view bytes) override {
+        answer_.body.append(bytes);
+        if (answer_.body.size() > max_body_bytes) {
+            handle_.reset();
+            end(call_end::broken);
+        }
+    }
 
     void on_end() override { end(call_end::answered); }
 
--- a/libs/edge/src/caller_exchange.cpp
+++ b/libs/edge/src/caller_exchange.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+// A caller that reads so much slower than its answer comes is taken for gone.
+constexpr std::size_t max_unread_bytes = std::size_t{4} * 1024 * 1024;
+
 std::string chunk(std::string_view bytes) {
     std::array<char, 24> size{};
     const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -94,6 +97,9 @@
         *left_ -= bytes.size();
     }
     on_->send(is_chunked_ ? chunk(bytes) : std::string(bytes));
+    if (on_ && on_->queued_.size() > max_unread_bytes) {
+        on_->caller_is_gone();
+    }
 }
 
 void caller_server::connection::exchange::finish() {
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -51,8 +51,8 @@
 } // namespace
 
 upstream_pool::connection::connection(std::shared_ptr<state> shared, upstream_address to)
-    : shared_(std::move(shared)), to_(std::move(to)), socket_(shared_->loop),
-      timer_(shared_->loop) {}
+    : shared_(std::move(shared)), to_(std::move(to)), socket_(shared_->loop), timer_(shared_->loop),
+      input_(shared_->settings.max_unparsed_bytes) {}
 
 std::uint64_t upstream_pool::connection::start(const upstream_request& request,
                                                upstream_sink& sink) {
@@ -64,6 +64,8 @@
     correlation_id_ = request.correlation_id;
     is_written_ = false;
     has_stray_answer_ = false;
+    skipped_answers_ = 0;
+    skipped_bytes_ = 0;
     timer_.cancel();
     if (is_connected_) {
         send_request();
@@ -85,6 +87,19 @@
     close();
 }
 
+void upstream_pool::connection::end_within(std::uint64_t number, duration time) {
+    if (sink_ == nullptr || number != call_number_) {
+        return;
+    }
+    timer_.expires_after(time);
+    timer_.async_wait([weak = weak_from_this(), number](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self && self->sink_ != nullptr && self->call_number_ == number) {
+            self->fail(upstream_failure::broken);
+        }
+    });
+}
+
 bool upstream_pool::connection::is_usable(time_point now) {
     if (is_closed_ || now >= usable_until_) {
         return false;
@@ -161,13 +176,10 @@
         fail(upstream_failure::broken);
         return;
     }
-    if (static_cast<int>(parser_->get().result_int()) < first_final_status) {
-        read_head();
-        return;
-    }
-    if (!belongs_to_call()) {
-        has_stray_answer_ = true;
-        begin_body();
+    const bool is_interim = static_cast<int>(parser_->get().result_int()) < first_final_status;
+    if (is_interim || !belongs_to_call()) {
+        has_stray_answer_ = !is_interim;
+        skip_head();
         return;
     }
     has_stray_answer_ = false;
@@ -181,6 +193,16 @@
     }
 }
 
+void upstream_pool::connection::skip_head() {
+    if (++skipped_answers_ > shared_->settings.max_skipped_answers) {
+        fail(upstream_failure::broken);
+    } else if (has_stray_answer_) {
+        begin_body();
+    } else {
+        read_head();
+    }
+}
+
 bool upstream_pool::connection::belongs_to_call() const {
     if (correlation_id_.empty()) {
         return true;
@@ -217,7 +239,12 @@
         return;
     }
     const std::size_t got = body_.size() - parser_->get().body().size;
-    if (got > 0 && !has_stray_answer_) {
+    if (has_stray_answer_) {
+        skipped_bytes_ += got;
+        if (skipped_bytes_ > shared_->settings.max_skipped_bytes) {
+            fail(upstream_failure::broken);
+        }
+    } else if (got > 0) {
         sink_->on_body({body_.data(), got});
     }
     if (is_closed_) {
--- a/libs/edge/src/upstream_connection.h
+++ b/libs/edge/src/upstream_connection.h
@@ -41,6 +41,9 @@
     /** Ends this call without telling its sink; nothing happens if it has ended. */
     void cancel(std::uint64_t number);
 
+    /** Breaks this call if it is still under way after `time`. */
+    void end_within(std::uint64_t number, duration time);
+
     /** Whether an idle connection may take another call: not too old, and nothing to read on it. */
     bool is_usable(time_point now);
 
@@ -55,6 +58,7 @@
     void send_request();
     void read_head();
     void on_head(const boost::system::error_code& error);
+    void skip_head();
     void begin_body();
     void read_body();
     void on_body(const boost::system::error_code& error);
@@ -82,6 +86,8 @@
     bool is_written_ = false;
     bool is_head_request_ = false;
     bool has_stray_answer_ = false;
+    std::uint32_t skipped_answers_ = 0; /**< In this call. */
+    std::size_t skipped_bytes_ = 0;
     bool is_closed_ = false;
     time_point usable_until_;
 };
--- a/libs/edge/src/upstream_pool.cpp
+++ b/libs/edge/src/upstream_pool.cpp
@@ -16,6 +16,12 @@
         }
     }
 
+    void end_within(duration time) override {
+        if (const auto connection = on_.lock()) {
+            connection->end_within(number_, time);
+        }
+    }
+
 private:
     std::weak_ptr<connection> on_;
     std::uint64_t number_;
--- a/libs/edge/tests/raw_socket.h
+++ b/libs/edge/tests/raw_socket.h
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -25,6 +26,17 @@
 
     void send(const std::string& bytes) { boost::asio::write(socket_, boost::asio::buffer(bytes)); }
 
+    /** Sends `bytes` over and over until the peer closes, at most `most` bytes; returns how many.
+     */
+    std::size_t send_endlessly(const std::string& bytes, std::size_t most) {
+        std::size_t sent = 0;
+        boost::system::error_code error;
+        while (!error && sent < most) {
+            sent += boost::asio::write(socket_, boost::asio::buffer(bytes), error);
+        }
+        return sent;
+    }
+
     /** Reads until `mark` was seen or the peer closes. */
     std::string read_until(const std::string& mark) {
         std::string got;
--- a/libs/edge/tests/test_upstream_pool.cpp
+++ b/libs/edge/tests/test_upstream_pool.cpp
@@ -1,12 +1,7 @@
-#include "loop_thread.h"
-#include "raw_socket.h"
+#include "upstream_fixture.h"
 
 #include <edge/buffered_calls.h>
-#include <edge/upstream_pool.h>
 
-#include <catch2/catch.hpp>
-
-#include <deque>
 #include <future>
 #include <memory>
 #include <string>
@@ -15,92 +10,8 @@
 using namespace camphorgrade::edge;
 using namespace camphorgrade::testing;
 
-namespace {
-
-/** What came back from one call. */
-struct outcome {
-    bool is_whole = false;
-    std::optional<upstream_failure> failure;
-    int status = 0;
-    std::string body;
-};
-
-class recording_sink final : public upstream_sink {
-public:
-    void on_head(const http_head& head, const upstream_framing& framing) override {
-        static_cast<void>(framing);
-        got.status = head.status;
-        heads.set_value();
-    }
-    void on_body(std::string_view bytes) override { got.body.append(bytes); }
-    void on_end() override {
-        got.is_whole = true;
-        ended.set_value(got);
-    }
-    void on_failure(upstream_failure why) override {
-        got.failure = why;
-        ended.set_value(got);
-    }
-
-    outcome got;
-    std::promise<void> heads;
-    std::promise<outcome> ended;
-};
-
-struct fixture {
-    fixture()
-        : listener(server_loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          pool(thread, thread.loop, clock, upstream_settings{}) {}
-    ~fixture() {
-        thread.run([&] { calls.clear(); });
-    }
-
-    upstream_address address() const { return {listener.local_endpoint(), "server-1"}; }
-
-    /** Starts a call; what it returns outlives the call. */
-    recording_sink& start(const std::string& id = "r1") {
-        upstream_request request;
-        request.method = "POST";
-        request.target = "/work";
-        request.headers = {{"Host", "x"}, {"X-Id", id}};
-        request.body = "body";
-        request.correlation_header = "X-Id";
-        request.correlation_id = id;
-        return start(address(), request);
-    }
-
-    recording_sink& start(const upstream_address& to, const upstream_request& request) {
-        auto& sink = sinks.emplace_back();
-        thread.run([&] { calls.push_back(pool->start(to, request, sink)); });
-        return sink;
-    }
-
-    raw_socket accept() { return raw_socket(listener.accept()); }
-
-    monotonic_clock clock;
-    boost::asio::io_context server_loop;
-    boost::asio::ip::tcp::acceptor listener;
-    std::deque<recording_sink> sinks;
-    loop_thread thread;
-    on_loop<upstream_pool> pool;
-    std::vector<std::unique_ptr<upstream_call>> calls;
-};
-
-outcome end_of(recording_sink& sink) {
-    auto future = sink.ended.get_future();
-    REQUIRE(future.wait_for(std::chrono::seconds(5)) == std::future_status::ready);
-    return future.get();
-}
-
-std::string answer(const std::string& id, const std::string& body) {
-    return "HTTP/1.1 200 OK\r\nX-Id: " + id + "\r\nContent-Length: " + std::to_string(body.size()) +
-           "\r\n\r\n" + body;
-}
-
-} // namespace
-
 TEST_CASE("a request is sent as given, and its whole answer comes back") {
-    fixture with;
+    upstream_fixture with;
     auto& sink = with.start();
     auto server = with.accept();
     const auto request = server.read_until("body");
@@ -113,7 +24,7 @@
 }
 
 TEST_CASE("a connection is used again after a whole answer") {
-    fixture with;
+    upstream_fixture with;
     auto& first = with.start();
     auto server = with.accept();
     server.read_until("body");
@@ -126,7 +37,7 @@
 }
 
 TEST_CASE("an answer that belongs to another request is passed over") {
-    fixture with;
+    upstream_fixture with;
     auto& sink = with.start("r2");
     auto server = with.accept();
     server.read_until("body");
@@ -135,7 +46,7 @@
 }
 
 TEST_CASE("bytes behind a whole answer end the connection's use") {
-    fixture with;
+    upstream_fixture with;
     auto& sink = with.start();
     auto server = with.accept();
     server.read_until("body");
@@ -147,7 +58,7 @@
 }
 
 TEST_CASE("an answer that is cut is not whole") {
-    fixture with;
+    upstream_fixture with;
     auto& sink = with.start();
     auto server = with.accept();
     server.read_until("body");
@@ -175,7 +86,7 @@
 }
 
 TEST_CASE("an answer without length is whole when its connection ends in order") {
-    fixture with;
+    upstream_fixture with;
     auto& sink = with.start();
     auto server = with.accept();
     server.read_until("body");
@@ -187,7 +98,7 @@
 }
 
 TEST_CASE("a call to nobody says that nothing was sent") {
-    fixture with;
+    upstream_fixture with;
     const auto address = with.address();
     with.listener.close();
     auto& sink = with.start(address, {"GET", "/", {}, "", "", ""});
@@ -195,7 +106,7 @@
 }
 
 TEST_CASE("giving up a call resets its connection") {
-    fixture with;
+    upstream_fixture with;
     with.start();
     auto server = with.accept();
     server.read_until("body");
@@ -205,7 +116,7 @@
 }
 
 TEST_CASE("giving up a finished call leaves the next one on its connection alone") {
-    fixture with;
+    upstream_fixture with;
     auto& first = with.start();
     auto server = with.accept();
     server.read_until("body");
@@ -219,7 +130,7 @@
 }
 
 TEST_CASE("a buffered call that isn't answered in time ends") {
-    fixture with;
+    upstream_fixture with;
     std::promise<call_end> ended;
     std::unique_ptr<buffered_calls> calls;
     with.thread.run([&] {
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -172,6 +172,23 @@
     finished(request, 0);
 }
 
+void gateway_node::answer_began(serving::ticket request, const serving::answer_profile& answer) {
+    const bool is_news =
+        answer.is_leaving || answer.retry_after.has_value() || answer.has_bad_retry_after;
+    if (!is_news) {
+        return;
+    }
+    const auto found = flows_.find(request);
+    log_.line("backend_server_notice")
+        .text("request", found == flows_.end() ? "" : found->second->correlation_id())
+        .text("backend_server", dispatcher_.backend_of(request))
+        .flag("leaving", answer.is_leaving)
+        .number("hold_off_ms", answer.retry_after.value_or(duration{-1}).count())
+        .flag("unreadable_time", answer.has_bad_retry_after);
+    dispatcher_.on_answer_head(request, answer, now());
+    carry_out_effects();
+}
+
 void gateway_node::attempt_ended(serving::ticket request, serving::attempt_outcome outcome) {
     dispatcher_.on_attempt_ended(request, outcome, now());
     if (outcome != serving::attempt_outcome::whole) {
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -44,6 +44,7 @@
     edge::upstream_pool& pool() override { return pool_; }
     const serving::request_codec& codec() const override { return codec_; }
     serving::dispatcher& dispatcher() override { return dispatcher_; }
+    void answer_began(serving::ticket request, const serving::answer_profile& answer) override;
     void attempt_ended(serving::ticket request, serving::attempt_outcome outcome) override;
     void finished(serving::ticket request, int status) override;
 
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -14,6 +14,13 @@
 constexpr int status_ok = 200;
 constexpr int status_redirect = 300;
 constexpr int status_misdirected = 421;
+// Of an answer that is passed on when it is whole.
+constexpr std::size_t max_whole_answer_bytes = std::size_t{8} * 1024 * 1024;
+// Of one event of a stream that may be resumed.
+constexpr std::size_t max_event_bytes = std::size_t{1} * 1024 * 1024;
+// A refusal's body is read on only so that its connection can be used again.
+constexpr std::size_t max_refusal_bytes = std::size_t{64} * 1024;
+constexpr duration refusal_body_time{300};
 
 bool is_success(int status) {
     return status >= status_ok && status < status_redirect;
@@ -47,6 +54,8 @@
     request.correlation_header = host_.codec().correlation_header();
     request.correlation_id = correlation_id_;
     head_ = {};
+    answer_ = {};
+    discarded_bytes_ = 0;
     has_first_answer_ = false;
     handling_ = handling::discard;
     const edge::upstream_address to{
@@ -63,14 +72,15 @@
     head_ = head;
     framing_ = framing;
     answer_ = host_.codec().decode_answer(head);
+    host_.answer_began(request_, answer_);
     if (answer_.has_not_run) {
         handling_ = handling::discard;
+        call_->end_within(refusal_body_time);
         return;
     }
     const bool is_usable = answer_.is_sealed && !answer_.is_encoded;
     if (is_success(head.status) && !is_usable) {
-        call_.reset();
-        attempt_failed(serving::attempt_outcome::broken);
+        break_off();
         return;
     }
     handling_ = is_success(head.status) && is_stream_answer() ? handling::stream : handling::buffer;
@@ -90,16 +100,26 @@
 
 void request_flow::on_body(std::string_view bytes) {
     if (handling_ == handling::discard) {
+        discarded_bytes_ += bytes.size();
+        if (discarded_bytes_ > max_refusal_bytes) {
+            break_off();
+        }
         return;
     }
     note_first_answer();
     if (handling_ == handling::buffer) {
         buffered_.append(bytes);
+        if (buffered_.size() > max_whole_answer_bytes) {
+            break_off();
+        }
         return;
     }
     const auto* route = host_.dispatcher().route_of(request_);
     if (route != nullptr && route->may_repeat()) {
         pass_on(events_.take(bytes));
+        if (events_.rest().size() > max_event_bytes) {
+            break_off();
+        }
     } else {
         pass_on(bytes);
     }
@@ -127,8 +147,7 @@
 void request_flow::on_end() {
     call_.reset();
     if (answer_.has_not_run) {
-        attempt_failed(head_.status == status_misdirected ? serving::attempt_outcome::wrong_weights
-                                                          : serving::attempt_outcome::refused);
+        attempt_failed(refusal());
         return;
     }
     note_first_answer();
@@ -157,10 +176,23 @@
 }
 
 void request_flow::on_failure(edge::upstream_failure why) {
+    if (why == edge::upstream_failure::not_connected) {
+        call_.reset();
+        attempt_failed(serving::attempt_outcome::unreachable);
+    } else {
+        break_off();
+    }
+}
+
+void request_flow::break_off() {
     call_.reset();
-    attempt_failed(why == edge::upstream_failure::not_connected
-                       ? serving::attempt_outcome::unreachable
-                       : serving::attempt_outcome::broken);
+    // A head that says "not run" holds, whatever became of its body.
+    attempt_failed(answer_.has_not_run ? refusal() : serving::attempt_outcome::broken);
+}
+
+serving::attempt_outcome request_flow::refusal() const {
+    return head_.status == status_misdirected ? serving::attempt_outcome::wrong_weights
+                                              : serving::attempt_outcome::refused;
 }
 
 void request_flow::attempt_failed(serving::attempt_outcome outcome) {
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -26,6 +26,10 @@
     virtual const serving::request_codec& codec() const = 0;
     virtual serving::dispatcher& dispatcher() = 0;
 
+    /** The head of a backend server's answer came; the dispatcher takes what it says of the
+        server. */
+    virtual void answer_began(serving::ticket request, const serving::answer_profile& answer) = 0;
+
     /** An attempt ended; the dispatcher decides, then flow_host has its effects carried out. */
     virtual void attempt_ended(serving::ticket request, serving::attempt_outcome outcome) = 0;
 
@@ -38,7 +42,8 @@
  *
  * An answer that isn't a stream is passed on when it is whole. Of a stream, events are passed on
  * as they arrive; one that may be resumed is passed on by whole events, so that another backend
- * server can go on after the last of them.
+ * server can go on after the last of them. What a server sends without end is bounded: an answer
+ * that is kept until it is whole, an event, and the body of a refusal.
  */
 class request_flow final : public edge::upstream_sink {
 public:
@@ -79,6 +84,9 @@
     void pass_on(std::string_view bytes);
     void begin_stream();
     void attempt_failed(serving::attempt_outcome outcome);
+    void break_off();
+    /** Precondition: the present attempt's head says that the request didn't run. */
+    serving::attempt_outcome refusal() const;
     bool is_stream_answer() const;
 
     flow_host& host_;
@@ -93,6 +101,7 @@
     bool has_first_answer_ = false;
     duration first_answer_{-1};
     std::string buffered_;
+    std::size_t discarded_bytes_ = 0;   /**< Of the present attempt's body. */
     std::optional<server_error> error_; /**< To pass on if no better answer comes. */
     bool has_begun_ = false;
     event_stream events_;
--- a/libs/entry/tests/test_request_flow.cpp
+++ b/libs/entry/tests/test_request_flow.cpp
@@ -73,8 +73,11 @@
         return out;
     }
     serving::answer_profile decode_answer(const http_head& head) const override {
-        return {find_header(head.headers, "X-Seal").has_value(),
-                find_header(head.headers, "X-Not-Run").has_value(), false};
+        serving::answer_profile out;
+        out.is_sealed = find_header(head.headers, "X-Seal").has_value();
+        out.has_not_run = find_header(head.headers, "X-Not-Run").has_value();
+        out.is_leaving = find_header(head.headers, "X-Leaving").has_value();
+        return out;
     }
     std::string correlation_header() const override { return "X-Id"; }
 };
@@ -108,8 +111,10 @@
             [this, socket, input, script](const boost::system::error_code&, std::size_t size) {
                 const auto* data = static_cast<const char*>(input->data().data());
                 requests.emplace_back(data, size);
-                boost::asio::write(*socket, boost::asio::buffer(script));
-                socket->close();
+                const auto sent = std::make_shared<std::string>(script);
+                boost::asio::async_write(*socket, boost::asio::buffer(*sent),
+                                         [socket, sent](const boost::system::error_code&,
+                                                        std::size_t) { socket->close(); });
             });
     }
 
@@ -162,6 +167,10 @@
     edge::upstream_pool& pool() override { return pool_; }
     const serving::request_codec& codec() const override { return codec_; }
     serving::dispatcher& dispatcher() override { return decisions; }
+    void answer_began(serving::ticket id, const serving::answer_profile& head) override {
+        decisions.on_answer_head(id, head, now());
+        carry_out();
+    }
     void attempt_ended(serving::ticket id, serving::attempt_outcome outcome) override {
         decisions.on_attempt_ended(id, outcome, now());
         carry_out();
@@ -255,3 +264,49 @@
     CHECK(got.is_aborted);
     CHECK_FALSE(got.is_finished);
 }
+
+TEST_CASE("a refusal counts as one whatever comes behind its head") {
+    const std::string head = "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n";
+    const std::string booked = whole("200 OK", "booked");
+    SECTION("a body that is cut") {
+        fixture with(kind::non_idempotent, false, {head + "Content-Length: 9\r\n\r\nsor", booked});
+        CHECK(with.run().body == "booked");
+    }
+    SECTION("more bytes than a refusal has") {
+        fixture with(kind::non_idempotent, false,
+                     {head + "\r\n" + std::string(1'000'000, 'x'), booked});
+        CHECK(with.run().body == "booked");
+    }
+}
+
+TEST_CASE("a body without end is broken off before it fills the memory") {
+    const std::string endless(9'000'000, 'x');
+    SECTION("of an answer that is passed on when it is whole") {
+        fixture with(kind::non_idempotent, false,
+                     {"HTTP/1.1 200 OK\r\nX-Seal: s\r\n\r\n" + endless});
+        const auto got = with.run();
+        CHECK(got.status == 502);
+        CHECK(got.body.size() < 1'000);
+    }
+    SECTION("of an event of a stream that may be resumed") {
+        const auto head = stream_head.substr(0, stream_head.find("Content-Length"));
+        fixture with(
+            kind::streaming, true,
+            {head + "\r\nid: 1\n\n" + endless, head + "Connection: close\r\n\r\nid: 2\n\n"});
+        const auto got = with.run();
+        CHECK(got.body == "id: 1\n\nid: 2\n\n");
+        CHECK(got.is_finished);
+    }
+}
+
+TEST_CASE("a server that says it is leaving isn't used for the next attempt") {
+    fixture with(
+        kind::idempotent, false,
+        {whole("500 Error", "sorry", "X-Seal: s\r\nX-Leaving: 1\r\n"), whole("200 OK", "fine")});
+    CHECK(with.run().body == "fine");
+    int leaving = 0;
+    for (const auto& [id, view] : with.decisions.board().all()) {
+        leaving += view.is_leaving ? 1 : 0;
+    }
+    CHECK(leaving == 1);
+}
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -39,8 +39,10 @@
     prompt_cache prompts;
     std::uint32_t failures = 0; /**< In a row. */
     time_point avoid_until;
-    double failure_share = 0; /**< Moving average over the answers of this server. */
-    double slowness = 1;      /**< Moving average of measured over expected time. */
+    bool is_leaving = false;   /**< It said so in an answer; true until its next process. */
+    time_point hold_off_until; /**< It wants nothing before. */
+    double failure_share = 0;  /**< Moving average over the answers of this server. */
+    double slowness = 1;       /**< Moving average of measured over expected time. */
 };
 
 /** Times by which a board judges backend servers. */
@@ -74,6 +76,15 @@
     backend_view* find(const std::string& id);
     const backend_view* find(const std::string& id) const;
 
+    /** The server said in an answer that it is leaving. */
+    void on_leaving(const std::string& id);
+
+    /** The server wants no requests before `until`; what it said before holds on, too. */
+    void on_hold_off(const std::string& id, time_point until);
+
+    /** Whether the server may be sent a request: it neither leaves nor holds off. */
+    static bool takes_work(const backend_view& view, time_point now);
+
     /** Servers of the service that are registered and not leaving. */
     std::vector<backend_view*> of_service(const std::string& service);
 
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -115,6 +115,8 @@
     std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
+    duration longest_hold_off{
+        600'000}; /**< A server that wants nothing for longer is asked anew. */
     account_limiter_settings limits;
     retry_allowance_settings retries;
     placement_settings placing;
@@ -147,6 +149,10 @@
     /** Admits or refuses a request; effects say what becomes of it. */
     ticket arrive(request_profile profile, std::uint64_t content, time_point now);
 
+    /** The head of an answer came: what waits for a server that leaves or holds off goes
+        elsewhere. */
+    void on_answer_head(ticket id, const answer_profile& answer, time_point now);
+
     /** The first event or the whole answer came: its prompt is read. */
     void on_first_answer(ticket id, time_point now);
 
@@ -170,6 +176,8 @@
 
     /** Account that a request is charged to; empty for a public route. */
     std::string account_of(ticket id) const;
+    /** Backend server where the request was sent or waits; empty when there is none. */
+    std::string backend_of(ticket id) const;
     const route* route_of(ticket id) const;
     time_point deadline_of(ticket id) const;
 
@@ -210,6 +218,9 @@
     std::optional<end_reason> identify(request& of) const;
     std::string pick_service(const route& from);
     void place(ticket id, request& of, time_point now);
+    /** Places anew what waits for weights at a server that takes no work now. */
+    void place_elsewhere(const std::string& backend_id, time_point now);
+    void end_unplaced(ticket id, request& of, const no_placement& why, time_point now);
     void send(ticket id, request& of, const placement& to, time_point now);
     void wait(ticket id, request& of, const placement& to, time_point now);
     void end(ticket id, request& of, end_reason reason, duration retry_after = {});
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -5,6 +5,7 @@
 #include <serving/request_profile.h>
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -54,8 +55,13 @@
     friend bool operator==(const placement&, const placement&) = default;
 };
 
-/** Why a request can't be placed. */
-enum class no_placement : std::uint8_t { no_backend_server };
+/** No backend server takes the request. A value type. */
+struct no_placement {
+    std::optional<time_point> open_at; /**< When the first of those that hold off takes work again;
+                                            empty: none holds off. */
+
+    friend bool operator==(const no_placement&, const no_placement&) = default;
+};
 
 /**
  * Chooses the backend server with the least estimated time to the first answer: waiting prompts,
--- a/libs/serving/include/serving/request_codec.h
+++ b/libs/serving/include/serving/request_codec.h
@@ -22,15 +22,6 @@
     friend bool operator==(const attempt_profile&, const attempt_profile&) = default;
 };
 
-/** What a backend server's answer says of itself. */
-struct answer_profile {
-    bool is_sealed = false;   /**< It is the backend server's own answer to a request it took. */
-    bool has_not_run = false; /**< The backend server states that it did not run the request. */
-    bool is_encoded = false;  /**< Its body isn't what the backend server made. */
-
-    friend bool operator==(const answer_profile&, const answer_profile&) = default;
-};
-
 /** Translates requests and answers between their headers and what they say. Thread safe. */
 class request_codec {
 public:
--- a/libs/serving/include/serving/request_profile.h
+++ b/libs/serving/include/serving/request_profile.h
@@ -38,4 +38,17 @@
     friend bool operator==(const request_profile&, const request_profile&) = default;
 };
 
+/** What the head of a backend server's answer says of the answer and of the server. */
+struct answer_profile {
+    bool is_sealed = false;   /**< It is the backend server's own answer to a request it took. */
+    bool has_not_run = false; /**< The backend server states that it did not run the request. */
+    bool is_encoded = false;  /**< Its body isn't what the backend server made. */
+    bool is_leaving = false;  /**< The backend server is shutting down: it wants nothing new. */
+    std::optional<duration> retry_after; /**< It turned the request away and wants nothing for so
+                                              long. */
+    bool has_bad_retry_after = false;    /**< It said a time that can't be read. */
+
+    friend bool operator==(const answer_profile&, const answer_profile&) = default;
+};
+
 } // namespace camphorgrade::serving
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -39,6 +39,8 @@
         view.avoid_until = {};
         view.failure_share = 0;
         view.slowness = 1;
+        view.is_leaving = false;
+        view.hold_off_until = {};
     }
     view.server = server;
     view.is_gone = false;
@@ -97,13 +99,29 @@
 std::vector<backend_view*> backend_board::of_service(const std::string& service) {
     std::vector<backend_view*> out;
     for (auto& [id, view] : views_) {
-        if (view.server.service == service && !view.server.is_draining) {
+        if (view.server.service == service && !view.server.is_draining && !view.is_leaving) {
             out.push_back(&view);
         }
     }
     return out;
 }
 
+void backend_board::on_leaving(const std::string& id) {
+    if (auto* view = find(id)) {
+        view->is_leaving = true;
+    }
+}
+
+void backend_board::on_hold_off(const std::string& id, time_point until) {
+    if (auto* view = find(id)) {
+        view->hold_off_until = std::max(view->hold_off_until, until);
+    }
+}
+
+bool backend_board::takes_work(const backend_view& view, time_point now) {
+    return !view.server.is_draining && !view.is_leaving && now >= view.hold_off_until;
+}
+
 void backend_board::on_failure(const std::string& id, time_point now) {
     auto* view = find(id);
     if (view == nullptr) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -88,12 +88,11 @@
     wanted.excluded = of.excluded;
     wanted.waited_at = of.backend_id;
     const auto chosen = chooser_.choose(board_, wanted, now);
-    const auto* to = std::get_if<placement>(&chosen);
-    if (to == nullptr) {
-        end(id, of, of.refusals > 0 ? end_reason::refused : end_reason::no_backend,
-            retry_when_complete(now));
+    if (const auto* none = std::get_if<no_placement>(&chosen)) {
+        end_unplaced(id, of, *none, now);
         return;
     }
+    const auto* to = std::get_if<placement>(&chosen);
     const auto usable = std::min(scaled(of.deadline - now, settings_.usable_time),
                                  patience(of) - (now - of.arrived));
     if (to->first_answer > usable) {
@@ -107,6 +106,48 @@
     }
 }
 
+void dispatcher::end_unplaced(ticket id, request& of, const no_placement& why, time_point now) {
+    const auto reason = of.refusals > 0 ? end_reason::refused
+                        : why.open_at   ? end_reason::no_capacity
+                                        : end_reason::no_backend;
+    if (!why.open_at) {
+        end(id, of, reason, retry_when_complete(now));
+        return;
+    }
+    // Never sooner than the servers said.
+    const double spread = 1.0 + 0.25 * random_.unit();
+    end(id, of, reason,
+        std::max(scaled(*why.open_at - now, spread), settings_.shortest_retry_after));
+}
+
+void dispatcher::place_elsewhere(const std::string& backend_id, time_point now) {
+    for (auto& [id, each] : requests_) {
+        if (each.at == phase::waiting && each.backend_id == backend_id) {
+            leave_backend(each);
+            place(id, each, now);
+        }
+    }
+}
+
+void dispatcher::on_answer_head(ticket id, const answer_profile& answer, time_point now) {
+    const auto found = requests_.find(id);
+    if (found == requests_.end() || found->second.at != phase::sent) {
+        return;
+    }
+    const auto backend = found->second.backend_id;
+    if (answer.is_leaving) {
+        board_.on_leaving(backend);
+    }
+    if (answer.retry_after) {
+        board_.on_hold_off(backend,
+                           now + std::min(*answer.retry_after, settings_.longest_hold_off));
+    }
+    const auto* view = board_.find(backend);
+    if (view != nullptr && !backend_board::takes_work(*view, now)) {
+        place_elsewhere(backend, now);
+    }
+}
+
 void dispatcher::send(ticket id, request& of, const placement& to, time_point now) {
     auto* view = board_.find(to.backend_id);
     CAMPHOR_INVARIANT(view != nullptr);
@@ -284,7 +325,7 @@
         if (each.at != phase::waiting || each.backend_id != backend_id) {
             continue;
         }
-        if (view->is_replaced) {
+        if (view->is_replaced || !backend_board::takes_work(*view, now)) {
             leave_backend(each);
             place(id, each, now);
         } else if (board_.holds(*view, each.waits_for.name, each.waits_for.version, now)) {
@@ -355,6 +396,11 @@
     return found == requests_.end() ? std::string{} : found->second.account;
 }
 
+std::string dispatcher::backend_of(ticket id) const {
+    const auto found = requests_.find(id);
+    return found == requests_.end() ? std::string{} : found->second.backend_id;
+}
+
 const route* dispatcher::route_of(ticket id) const {
     const auto found = requests_.find(id);
     return found == requests_.end() ? nullptr : found->second.on_route;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -60,8 +60,16 @@
 std::variant<placement, no_placement>
 placement_chooser::choose(backend_board& board, const placement_request& request, time_point now) {
     auto candidates = board.of_service(request.service);
+    std::optional<time_point> open_at;
     std::erase_if(candidates, [&](const backend_view* each) {
-        return request.excluded.count(each->server.id) != 0;
+        if (request.excluded.count(each->server.id) != 0) {
+            return true;
+        }
+        if (backend_board::takes_work(*each, now)) {
+            return false;
+        }
+        open_at = std::min(open_at.value_or(each->hold_off_until), each->hold_off_until);
+        return true;
     });
     const auto servers = candidates.size();
     const auto is_avoided = [&](const backend_view* each) {
@@ -88,7 +96,7 @@
         }
     }
     if (best.view == nullptr) {
-        return no_placement::no_backend_server;
+        return no_placement{open_at};
     }
     return placement{best.view->server.id, best.is_ready, best.first_answer};
 }
--- /dev/null
+++ b/libs/serving/tests/test_server_notices.cpp
@@ -0,0 +1,169 @@
+#include "serving_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+using namespace camphorgrade;
+using namespace camphorgrade::testing;
+
+namespace {
+
+answer_profile leaving() {
+    answer_profile out;
+    out.is_sealed = true;
+    out.is_leaving = true;
+    return out;
+}
+
+answer_profile holding_off(duration time) {
+    answer_profile out;
+    out.has_not_run = true;
+    out.retry_after = time;
+    return out;
+}
+
+std::string sent_to(const dispatcher_fixture& with) {
+    const auto* sent = with.only<send_attempt>();
+    REQUIRE(sent != nullptr);
+    return sent->backend_id;
+}
+
+/** Engines that hold adapter a1. */
+void load_everywhere(dispatcher_fixture& with) {
+    for (const auto* id : {"engine-1", "engine-2"}) {
+        with.decisions.on_engine_state(id, engine_with({{{"m/a1", 1}, false, 0}}, 2), at_ms(1));
+    }
+}
+
+} // namespace
+
+TEST_CASE("a server that said it is leaving gets nothing new until its next process") {
+    dispatcher_fixture with;
+    const auto first = with.arrive(profile_of("/book/x"), 0);
+    const auto left = sent_to(with);
+    with.decisions.on_answer_head(first, leaving(), at_ms(10));
+    with.ended(first, attempt_outcome::whole, 11);
+    for (int i = 0; i < 20; ++i) {
+        with.arrive(profile_of("/read/x"), 20 + i);
+        CHECK(sent_to(with) != left);
+    }
+    // Its registration still says ready: the word of the server itself is newer.
+    with.decisions.board().put(server_of(left, "desk"));
+    with.arrive(profile_of("/read/x"), 100);
+    CHECK(sent_to(with) != left);
+    auto next = server_of(left, "desk");
+    next.born = 2'000;
+    with.decisions.board().put(next);
+    with.arrive(profile_of("/read/x"), 110);
+    CHECK(sent_to(with) == left);
+}
+
+TEST_CASE("when all servers are leaving, requests are refused as not run") {
+    dispatcher_fixture with;
+    for (int i = 0; i < 2; ++i) {
+        const auto id = with.arrive(profile_of("/book/x"), i);
+        with.decisions.on_answer_head(id, leaving(), at_ms(i));
+    }
+    with.arrive(profile_of("/book/x"), 10);
+    const auto* end = with.only<end_request>();
+    REQUIRE(end != nullptr);
+    CHECK(end->reason == end_reason::no_backend);
+    CHECK(end->retry_after > duration::zero());
+}
+
+TEST_CASE("load: a request that waits for its adapter leaves an engine that is leaving") {
+    dispatcher_fixture with;
+    const auto waiting = with.arrive(profile_of("/plan/x", "a2"), 0);
+    const auto* wait = with.only<wait_for_weights>();
+    REQUIRE(wait != nullptr);
+    const auto where = wait->backend_id;
+    with.decisions.on_engine_state(where, engine_with({{{"m/a1", 1}, false, 0}}, 2), at_ms(1));
+    const auto running = with.arrive(profile_of("/plan/x", "a1"), 2);
+    REQUIRE(sent_to(with) == where);
+    with.decisions.on_answer_head(running, leaving(), at_ms(50));
+    with.effects = with.decisions.take_effects();
+    const auto* again = with.only<wait_for_weights>();
+    REQUIRE(again != nullptr);
+    CHECK(again->request == waiting);
+    CHECK(again->backend_id != where);
+    with.decisions.on_engine_state(where, engine_with({{{"m/a2", 1}, false, 0}}, 3), at_ms(250));
+    CHECK(with.decisions.take_effects().empty());
+}
+
+TEST_CASE("an engine whose registration says draining isn't sent what waited there") {
+    dispatcher_fixture with;
+    with.arrive(profile_of("/plan/x", "a1"), 0);
+    const auto* wait = with.only<wait_for_weights>();
+    REQUIRE(wait != nullptr);
+    auto drained = server_of(wait->backend_id, "llm");
+    drained.is_draining = true;
+    with.decisions.board().put(drained);
+    with.decisions.on_engine_state(drained.id, engine_with({{{"m/a1", 1}, false, 0}}, 2),
+                                   at_ms(250));
+    for (const auto& each : with.decisions.take_effects()) {
+        CHECK(std::get_if<send_attempt>(&each) == nullptr);
+    }
+}
+
+TEST_CASE("load: servers that hold off get nothing until their time has passed") {
+    dispatcher_fixture with;
+    const auto first = with.arrive(profile_of("/book/x"), 0);
+    const auto refusing = sent_to(with);
+    with.decisions.on_answer_head(first, holding_off(duration{2'000}), at_ms(10));
+    // A later, shorter time doesn't end the earlier one.
+    with.decisions.on_answer_head(first, holding_off(duration{100}), at_ms(11));
+    with.ended(first, attempt_outcome::refused, 12);
+    CHECK(sent_to(with) != refusing);
+    for (std::int64_t at = 20; at < 2'000; at += 60) {
+        const auto id = with.arrive(profile_of("/read/x"), at);
+        CHECK(sent_to(with) != refusing);
+        with.ended(id, attempt_outcome::whole, at + 50);
+    }
+    bool is_used = false;
+    for (int i = 0; i < 20; ++i) {
+        with.arrive(profile_of("/read/x"), 2'011);
+        is_used = is_used || sent_to(with) == refusing;
+    }
+    CHECK(is_used);
+}
+
+TEST_CASE("load: when all servers hold off, Retry-After is the least of their times, at once") {
+    dispatcher_fixture with;
+    const auto first = with.arrive(profile_of("/book/x"), 0);
+    with.decisions.on_answer_head(first, holding_off(duration{9'000}), at_ms(0));
+    const auto second = with.arrive(profile_of("/book/x"), 0);
+    with.decisions.on_answer_head(second, holding_off(duration{7'000}), at_ms(0));
+    for (int i = 0; i < 50; ++i) {
+        with.arrive(profile_of("/read/x"), 1'000);
+        const auto* end = with.only<end_request>();
+        REQUIRE(end != nullptr);
+        CHECK(has_not_run(end->reason));
+        CHECK(end->retry_after >= duration{6'000});
+        CHECK(end->retry_after <= duration{7'500});
+    }
+}
+
+TEST_CASE("what waits for an adapter goes elsewhere when its engine holds off") {
+    dispatcher_fixture with;
+    load_everywhere(with);
+    const auto running = with.arrive(profile_of("/plan/x", "a1"), 2);
+    const auto where = sent_to(with);
+    with.decisions.on_answer_head(running, holding_off(duration{3'000}), at_ms(5));
+    with.ended(running, attempt_outcome::refused, 5);
+    CHECK(sent_to(with) != where);
+    with.arrive(profile_of("/plan/x", "a1"), 100);
+    CHECK(sent_to(with) != where);
+}
+
+TEST_CASE("a server that asks for endless peace is asked anew after a bounded time") {
+    dispatcher_settings settings;
+    settings.longest_hold_off = duration{1'000};
+    dispatcher_fixture with(settings);
+    for (int i = 0; i < 2; ++i) {
+        const auto id = with.arrive(profile_of("/book/x"), 0);
+        with.decisions.on_answer_head(id, holding_off(duration{86'400'000}), at_ms(0));
+    }
+    with.arrive(profile_of("/read/x"), 1'000);
+    CHECK(with.only<send_attempt>() != nullptr);
+}
