--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -22,6 +22,7 @@
     for (const auto& ip : from.seed_ips) {
         out.seeds.push_back(peer_address(ip, from.first_port));
     }
+    out.capacity = from.capacity;
     out.shutdown_grace = from.shutdown_grace;
     out.life = process_life();
     out.dispatch.limits.is_restart = !from.is_first_start;
--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -24,6 +24,13 @@
     friend bool operator==(const adapter_want&, const adapter_want&) = default;
 };
 
+/** Whether a gateway wants to be told of an engine where none of its requests wait. */
+enum class report_wish : std::uint8_t {
+    none,       /**< Others hand it what it has to know. */
+    for_itself, /**< For its own use. */
+    to_relay    /**< To hand it on to other gateways. */
+};
+
 /** All that one gateway wants of this engine. A value type. */
 struct engine_demand {
     std::string backend_id;
@@ -31,6 +38,7 @@
     std::vector<adapter_want> wants;
     std::uint64_t queued_prompt_tokens = 0;
     serving::engine_shape shape;
+    report_wish wish = report_wish::for_itself;
 
     friend bool operator==(const engine_demand&, const engine_demand&) = default;
 };
@@ -141,8 +149,8 @@
     /** Gateways that wait for an adapter. */
     std::vector<std::string> waiting_gateways() const;
 
-    /** Gateways heard lately. */
-    std::vector<std::string> gateways(time_point now) const;
+    /** Gateways heard lately that have this wish. */
+    std::vector<std::string> gateways(report_wish wish, time_point now) const;
 
 private:
     struct gateway_view {
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -306,10 +306,10 @@
     return out;
 }
 
-std::vector<std::string> adapter_keeper::gateways(time_point now) const {
+std::vector<std::string> adapter_keeper::gateways(report_wish wish, time_point now) const {
     std::vector<std::string> out;
     for (const auto& [name, view] : gateways_) {
-        if (now - view.heard < settings_.gateway_silence) {
+        if (view.demand.wish == wish && now - view.heard < settings_.gateway_silence) {
             out.push_back(name);
         }
     }
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -33,7 +33,10 @@
       calls_(loop_, pool_), engine_(make_engine(calls_)), keeper_({}),
       socket_(loop_, clock_,
               {boost::asio::ip::make_address(settings.peers.ip), settings.peers.port},
-              settings.life, [this](const peering::peer_message& message) { on_message(message); }),
+              settings.life, {},
+              [this](const peering::peer_message& message, const peering::arrival&) {
+                  on_message(message);
+              }),
       named_(settings.max_named), server_(loop_, clock_, *this), look_timer_(loop_),
       report_timer_(loop_), signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
 
@@ -231,8 +234,9 @@
     out.backend_id = keeper_.backend_id();
     out.state = present_state();
     const auto now = clock_.now();
-    const auto gateways = keeper_.gateways(now);
-    out.gateways = named_.next(gateways);
+    auto listeners = keeper_.gateways(adapters::report_wish::for_itself, now);
+    const auto relays = keeper_.gateways(adapters::report_wish::to_relay, now);
+    out.gateways = named_.next(listeners.empty() ? relays : listeners);
     const bool is_for_all = now - told_all_at_ >= settings_.report_interval;
     is_owed_ = !is_for_all;
     if (is_for_all) {
@@ -240,7 +244,13 @@
     }
     reported_ = out.state;
     log_state(out.state);
-    const auto to = is_for_all ? gateways : keeper_.waiting_gateways();
+    auto to = keeper_.waiting_gateways();
+    if (is_for_all) {
+        socket_.send(relays, out, {true, false});
+        to.insert(to.end(), listeners.begin(), listeners.end());
+    }
+    std::sort(to.begin(), to.end());
+    to.erase(std::unique(to.begin(), to.end()), to.end());
     socket_.send(to, std::move(out));
 }
 
--- a/libs/entry/include/entry/entry_process.h
+++ b/libs/entry/include/entry/entry_process.h
@@ -26,6 +26,7 @@
     serving::network_address metrics;   /**< Metrics alone; port 0: nowhere else. */
     serving::network_address peers;     /**< Messages of the system's own processes. */
     std::vector<std::string> seeds;     /**< Peer addresses, "ip:port", that may be stale. */
+    std::uint32_t capacity = 0;         /**< Of this VM: share of a core, in thousandths. */
     duration shutdown_grace{8'000};     /**< From SIGTERM until the process must be gone. */
     std::uint64_t life = 1;             /**< Larger for each later process on this VM. */
     serving::dispatcher_settings dispatch;
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -36,7 +36,7 @@
       fleet_(clock_, log_, dispatcher_, reader, *this), callers_(loop_, clock_, *this),
       operators_(std::make_unique<operator_pages>(loop_, clock_, *this)),
       peers_(loop_, clock_, pool_, dispatcher_, fleet_, *this, settings.peers, settings.life,
-             settings.seeds, {}),
+             {settings.data_centre, settings.capacity}, settings.seeds, {}),
       source_(make_source(loop_, pool_, fleet_)), timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
 
@@ -295,6 +295,8 @@
     metrics_.set("camphor_waiting_requests", {},
                  static_cast<double>(dispatcher_.waiting_requests()));
     metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.store_age().count()));
+    metrics_.set("camphor_unreadable_peer_datagrams", {},
+                 static_cast<double>(peers_.unreadable_datagrams()));
     return metrics_.prometheus_text();
 }
 
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -13,34 +13,27 @@
 constexpr int status_not_found = 404;
 constexpr const char* catalogue_path = "/catalogue";
 
-std::string text_of(const serving::network_address& address) {
-    return address.ip + ':' + std::to_string(address.port);
-}
-
 } // namespace
 
 gateway_peers::gateway_peers(boost::asio::io_context& loop, const clock& clock,
                              edge::upstream_pool& pool, serving::dispatcher& dispatcher,
                              fleet_knowledge& fleet, peers_host& host,
                              const serving::network_address& own, std::uint64_t life,
+                             const peering::peer_identity& identity,
                              const std::vector<std::string>& seeds, gateway_peers_settings settings)
     : loop_(loop), clock_(clock), calls_(loop, pool), dispatcher_(dispatcher), fleet_(fleet),
       host_(host), settings_(settings), own_(own),
-      socket_(loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life,
-              [this](const peering::peer_message& message) { on_message(message); }),
-      named_(settings.max_named), server_(loop, clock, *this),
-      relay_(loop, clock, pool, fleet, own.port, {}), demand_timer_(loop), report_timer_(loop) {
-    for (const auto& each : seeds) {
-        if (each != text_of(own_)) {
-            peers_[each].is_seed = true;
-        }
-    }
-}
+      exchange_(
+          loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life, identity, seeds,
+          [this](const peering::peer_message& message) { on_message(message); }, settings.exchange),
+      named_(settings.max_named), recent_(settings.usage_repeat), server_(loop, clock, *this),
+      relay_(loop, clock, pool, fleet, own.port, {}), demand_timer_(loop), report_timer_(loop) {}
 
 void gateway_peers::start() {
     started_ = clock_.now();
     dispatcher_.limiter().begin(started_);
     server_.listen({boost::asio::ip::make_address(own_.ip), own_.port});
+    exchange_.start();
     schedule_demands(settings_.demand_heartbeat);
     schedule_reports();
     relay_.start();
@@ -68,10 +61,10 @@
 void gateway_peers::take(const std::string& sender, std::uint64_t life,
                          const peering::gateway_report& report) {
     const auto now = clock_.now();
-    peers_[sender].heard = now;
-    learn(report.gateways);
+    exchange_.learn(report.gateways);
     relay_.on_peer(sender, report.store_age);
-    dispatcher_.limiter().on_peer_usage(sender, life, report.process_age, report.usage, now);
+    dispatcher_.limiter().on_peer_usage(sender, life, report.process_age, report.usage,
+                                        report.has_all_usage, now);
     for (const auto& each : report.crashes) {
         if (dispatcher_.crashes().add(each, now)) {
             host_.log()
@@ -91,31 +84,11 @@
 }
 
 void gateway_peers::take(const peering::engine_report& report) {
-    learn(report.gateways);
+    exchange_.learn(report.gateways);
     dispatcher_.on_engine_state(report.backend_id, report.state, clock_.now());
     host_.effects_due();
 }
 
-void gateway_peers::learn(const std::vector<std::string>& addresses) {
-    const auto now = clock_.now();
-    for (const auto& each : addresses) {
-        if (each != socket_.own_address()) {
-            peers_.try_emplace(each, peer{now, false});
-        }
-    }
-}
-
-std::vector<std::string> gateway_peers::live_peers() const {
-    std::vector<std::string> out;
-    const auto now = clock_.now();
-    for (const auto& [address, each] : peers_) {
-        if (each.is_seed || now - each.heard < settings_.peer_expiry) {
-            out.push_back(address);
-        }
-    }
-    return out;
-}
-
 void gateway_peers::fetch_catalogue(const std::string& from, std::uint64_t version) {
     if (is_fetching_) {
         return;
@@ -160,35 +133,75 @@
 
 void gateway_peers::send_demands() {
     const auto now = clock_.now();
+    const auto* index = dispatcher_.catalogue();
+    if (index == nullptr) {
+        return;
+    }
     std::erase_if(sent_, [this](const auto& each) {
         return dispatcher_.board().find(each.first) == nullptr;
     });
+    const bool is_heartbeat = now - all_demands_at_ >= settings_.demand_heartbeat;
+    if (is_heartbeat) {
+        all_demands_at_ = now;
+    }
     const auto open = dispatcher_.open_by_backend(now);
-    for (const auto& [id, view] : dispatcher_.board().all()) {
-        const auto* index = dispatcher_.catalogue();
-        const auto* service = index == nullptr ? nullptr : index->find_service(view.server.service);
+    for (const auto& id : engines_to_tell(open, is_heartbeat)) {
+        const auto* view = dispatcher_.board().find(id);
+        const auto* service = view == nullptr ? nullptr : index->find_service(view->server.service);
         if (service == nullptr || !service->engine) {
             continue;
         }
-        adapters::engine_demand demand;
-        demand.backend_id = id;
-        demand.backend_born = view.server.born;
-        demand.queued_prompt_tokens = view.queued_prompt_tokens;
-        demand.shape = *service->engine;
         const auto found = open.find(id);
-        if (found != open.end()) {
-            for (const auto& each : found->second) {
-                demand.wants.push_back({each.weights, each.waiting, each.in_use, each.oldest_wait,
-                                        static_cast<std::uint32_t>(each.urgency)});
-            }
+        const auto& works = found == open.end() ? std::vector<serving::open_work>{} : found->second;
+        send_demand(*view, demand_of(*view, *service->engine, works));
+    }
+}
+
+std::set<std::string>
+gateway_peers::engines_to_tell(const std::map<std::string, std::vector<serving::open_work>>& open,
+                               bool is_heartbeat) const {
+    std::set<std::string> out;
+    for (const auto& each : open) {
+        out.insert(each.first);
+    }
+    for (const auto& [id, last] : sent_) {
+        if (!last.demand.wants.empty()) {
+            out.insert(id);
         }
-        send_demand(view, std::move(demand));
     }
+    if (is_heartbeat) {
+        for (const auto& each : dispatcher_.board().all()) {
+            out.insert(each.first);
+        }
+    }
+    return out;
+}
+
+adapters::engine_demand gateway_peers::demand_of(const serving::backend_view& view,
+                                                 const serving::engine_shape& shape,
+                                                 const std::vector<serving::open_work>& works) {
+    adapters::engine_demand demand;
+    demand.backend_id = view.server.id;
+    demand.backend_born = view.server.born;
+    demand.queued_prompt_tokens = view.queued_prompt_tokens;
+    demand.shape = shape;
+    demand.wish = exchange_.wish_for(view.server.data_centre);
+    for (const auto& each : works) {
+        demand.wants.push_back({each.weights, each.waiting, each.in_use, each.oldest_wait,
+                                static_cast<std::uint32_t>(each.urgency)});
+    }
+    return demand;
 }
 
 void gateway_peers::send_demand(const serving::backend_view& view, adapters::engine_demand demand) {
     const auto now = clock_.now();
     auto& last = sent_[view.server.id];
+    // The end of a want is told, too: until then the agent counts it.
+    const bool is_wanted = demand.wish != adapters::report_wish::none || !demand.wants.empty() ||
+                           !last.demand.wants.empty();
+    if (!is_wanted) {
+        return;
+    }
     auto comparable = demand;
     for (auto& each : comparable.wants) {
         each.oldest_wait = {}; // it grows by itself
@@ -198,16 +211,16 @@
         return;
     }
     last = {std::move(comparable), now};
-    socket_.send({view.server.address.ip + ':' + std::to_string(own_.port)}, std::move(demand));
+    exchange_.send(view.server.address.ip + ':' + std::to_string(own_.port), std::move(demand));
 }
 
 void gateway_peers::schedule_reports() {
-    const auto peers = live_peers().size();
-    const auto slowdown = std::max<std::size_t>(1, peers / settings_.full_pace_peers);
-    report_timer_.expires_after(settings_.report_interval * static_cast<int>(slowdown));
+    const auto interval =
+        exchange_.tells_directly() ? settings_.report_interval : settings_.relayed_interval;
+    report_timer_.expires_after(interval);
     report_timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
-            send_reports();
+            send_reports(false);
             schedule_reports();
         }
     });
@@ -216,11 +229,11 @@
 void gateway_peers::usage_changed() {
     const bool may_send = clock_.now() - report_at_ >= settings_.early_report;
     if (may_send && dispatcher_.limiter().is_report_due()) {
-        send_reports();
+        send_reports(true);
     }
 }
 
-void gateway_peers::send_reports() {
+void gateway_peers::send_reports(bool is_urgent) {
     const auto now = clock_.now();
     const bool is_full = now - full_report_at_ >= settings_.full_report_interval;
     const auto& usage = dispatcher_.limiter().own_usage();
@@ -229,24 +242,27 @@
     report.catalogue_version = known == nullptr ? 0 : known->catalogue().version;
     const bool is_news =
         usage != reported_usage_ || report.catalogue_version != reported_catalogue_;
-    if (!is_full && !is_news && now - report_at_ < settings_.report_heartbeat) {
+    // Relays add to the time until a report is heard, so none is left out there.
+    const bool may_skip = exchange_.tells_directly() && !is_full && !is_news;
+    if (may_skip && now - report_at_ < settings_.report_heartbeat) {
         return;
     }
-    const auto peers = live_peers();
-    report.usage = usage;
+    report.has_all_usage = is_full;
+    const auto recent = recent_.changed(usage, now);
+    report.usage = is_full ? usage : recent;
     report.store_age = fleet_.store_age();
     report.process_age = now - started_;
     if (is_full) {
         full_report_at_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
-        report.gateways = named_.next(peers);
+        report.gateways = named_.next(exchange_.peers());
         report.versions = dispatcher_.versions();
     }
     report_at_ = now;
     dispatcher_.limiter().on_reported();
     reported_usage_ = usage;
     reported_catalogue_ = report.catalogue_version;
-    socket_.send(peers, std::move(report));
+    exchange_.publish(std::move(report), is_urgent);
 }
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "fleet_knowledge.h"
+#include "peer_exchange.h"
 #include "registration_relay.h"
 
 #include <adapters/adapter_keeper.h>
@@ -8,7 +9,7 @@
 #include <edge/caller_server.h>
 #include <edge/upstream_pool.h>
 #include <peering/name_rotation.h>
-#include <peering/peer_socket.h>
+#include <peering/recent_usage.h>
 #include <serving/dispatcher.h>
 #include <telemetry/event_log.h>
 
@@ -40,16 +41,17 @@
 struct gateway_peers_settings {
     duration demand_delay{5}; /**< Changes within it are told to an engine's agent at once. */
     duration demand_heartbeat{400};
-    duration report_interval{100};      /**< To peers, of news; longer where there are many. */
+    duration report_interval{100};      /**< To peers, of news, ... */
+    duration relayed_interval{200};     /**< ... and through relays. */
     duration early_report{20};          /**< The same, of much use of one account. */
     duration report_heartbeat{300};     /**< To peers, without news. */
     duration full_report_interval{900}; /**< With what changes seldom. */
-    duration peer_expiry{10'000};       /**< A peer not heard for so long isn't told any more. */
+    duration usage_repeat{800};         /**< So long a changed count is told again. */
     duration fetch_delay{200}; /**< Time for the own watch to bring a newer catalogue first. */
     duration fetch_timeout{800};
-    std::size_t full_pace_peers = 40; /**< Up to so many are told at each interval. */
-    std::size_t max_marks = 64;       /**< Crash marks in one report. */
-    std::size_t max_named = 16;       /**< Addresses of other gateways in one report. */
+    std::size_t max_marks = 64; /**< Crash marks in one report. */
+    std::size_t max_named = 16; /**< Addresses of other gateways in one report. */
+    peer_exchange_settings exchange;
 
     friend bool operator==(const gateway_peers_settings&, const gateway_peers_settings&) = default;
 };
@@ -64,7 +66,8 @@
     gateway_peers(boost::asio::io_context& loop, const clock& clock, edge::upstream_pool& pool,
                   serving::dispatcher& dispatcher, fleet_knowledge& fleet, peers_host& host,
                   const serving::network_address& own, std::uint64_t life,
-                  const std::vector<std::string>& seeds, gateway_peers_settings settings);
+                  const peering::peer_identity& identity, const std::vector<std::string>& seeds,
+                  gateway_peers_settings settings);
 
     void start();
 
@@ -74,15 +77,14 @@
     /** A request was admitted: tells peers soon if it weighs much on its account. */
     void usage_changed();
 
+    /** Datagrams that were no message of ours. */
+    std::uint64_t unreadable_datagrams() const noexcept { return exchange_.unreadable_datagrams(); }
+
     /** A request for the newest catalogue or the registered servers, from a peer. */
     void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
     void on_bad_request(int status) override { static_cast<void>(status); }
 
 private:
-    struct peer {
-        time_point heard;
-        bool is_seed = false;
-    };
     struct sent_demand {
         adapters::engine_demand demand;
         time_point at;
@@ -91,14 +93,19 @@
     void on_message(const peering::peer_message& message);
     void take(const std::string& sender, std::uint64_t life, const peering::gateway_report& report);
     void take(const peering::engine_report& report);
-    void learn(const std::vector<std::string>& addresses);
     void send_demands();
+    /** Engines that may have to hear of this gateway's demand now. */
+    std::set<std::string>
+    engines_to_tell(const std::map<std::string, std::vector<serving::open_work>>& open,
+                    bool is_heartbeat) const;
+    adapters::engine_demand demand_of(const serving::backend_view& view,
+                                      const serving::engine_shape& shape,
+                                      const std::vector<serving::open_work>& works);
     void send_demand(const serving::backend_view& view, adapters::engine_demand demand);
-    void send_reports();
+    void send_reports(bool is_urgent);
     void schedule_demands(duration after);
     void schedule_reports();
     void fetch_catalogue(const std::string& from, std::uint64_t version);
-    std::vector<std::string> live_peers() const;
 
     boost::asio::io_context& loop_;
     const clock& clock_;
@@ -108,15 +115,16 @@
     peers_host& host_;
     gateway_peers_settings settings_;
     serving::network_address own_;
-    peering::peer_socket socket_;
+    peer_exchange exchange_;
     peering::name_rotation named_;
+    peering::recent_usage recent_;
     edge::caller_server server_;
     registration_relay relay_;
     boost::asio::steady_timer demand_timer_;
     boost::asio::steady_timer report_timer_;
     bool is_demand_soon_ = false;
-    std::map<std::string, peer> peers_;
     std::map<std::string, sent_demand> sent_;
+    time_point all_demands_at_;
     bool is_fetching_ = false;
     time_point started_;
     time_point report_at_;
--- /dev/null
+++ b/libs/entry/src/peer_exchange.cpp
@@ -0,0 +1,159 @@
+#include "peer_exchange.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace camphorgrade::entry {
+
+peer_exchange::peer_exchange(boost::asio::io_context& loop, const clock& clock,
+                             const boost::asio::ip::udp::endpoint& own, std::uint64_t life,
+                             peering::peer_identity identity, const std::vector<std::string>& seeds,
+                             taker take, peer_exchange_settings settings)
+    : clock_(clock), settings_(settings), data_centre_(identity.data_centre),
+      take_(std::move(take)),
+      socket_(loop, clock, own, life, identity,
+              [this](const peering::peer_message& message, const peering::arrival& how) {
+                  on_message(message, how);
+              }),
+      directory_(socket_.own_address(), std::move(identity), settings.relays),
+      bundler_(settings.max_bundle_bytes), timer_(loop) {
+    std::copy_if(seeds.begin(), seeds.end(), std::back_inserter(seeds_),
+                 [this](const std::string& each) { return each != own_address(); });
+}
+
+void peer_exchange::start() {
+    hand_on_within(settings_.relay_interval);
+}
+
+void peer_exchange::review_relays() {
+    const auto now = clock_.now();
+    directory_.forget_silent(now);
+    is_direct_ = directory_.tells_directly(now);
+    wishes_.clear();
+}
+
+adapters::report_wish peer_exchange::wish_for(const std::string& data_centre) {
+    if (is_direct_) {
+        return adapters::report_wish::for_itself;
+    }
+    const auto [found, is_new] = wishes_.try_emplace(data_centre, adapters::report_wish::none);
+    if (is_new && directory_.is_relay_for(data_centre, clock_.now())) {
+        found->second = adapters::report_wish::to_relay;
+    }
+    return found->second;
+}
+
+void peer_exchange::publish(peering::gateway_report report, bool is_urgent) {
+    if (tells_directly()) {
+        socket_.send(peers(), std::move(report));
+        return;
+    }
+    const auto sealed = socket_.seal(std::move(report), {true, is_urgent});
+    auto relays = directory_.use_relays(data_centre_, clock_.now());
+    if (std::erase(relays, own_address()) > 0) {
+        bundler_.add(sealed, peering::report_origin::sender);
+        is_urgent_ = is_urgent_ || is_urgent;
+        hand_on_within(is_urgent ? settings_.urgent_delay : settings_.relay_interval);
+    }
+    socket_.send_sealed(relays, sealed);
+}
+
+void peer_exchange::send(const std::string& agent, adapters::engine_demand demand) {
+    socket_.send({agent}, std::move(demand));
+}
+
+void peer_exchange::learn(const std::vector<std::string>& addresses) {
+    const auto now = clock_.now();
+    std::erase_if(named_,
+                  [&](const auto& each) { return now - each.second >= settings_.name_expiry; });
+    for (const auto& each : addresses) {
+        if (each != own_address()) {
+            named_.try_emplace(each, now);
+        }
+    }
+}
+
+std::vector<std::string> peer_exchange::peers() const {
+    const auto heard = directory_.peers(clock_.now());
+    std::set<std::string> out(heard.begin(), heard.end());
+    out.insert(seeds_.begin(), seeds_.end());
+    for (const auto& [address, when] : named_) {
+        out.insert(address);
+    }
+    return {out.begin(), out.end()};
+}
+
+void peer_exchange::on_message(const peering::peer_message& message, const peering::arrival& how) {
+    const auto kind = message.kind();
+    const bool is_gateway =
+        kind == peering::message_kind::gateway || kind == peering::message_kind::bundle;
+    if (is_gateway) {
+        directory_.on_heard(message.sender, message.from, how.is_direct, clock_.now());
+        named_.erase(message.sender);
+    }
+    gather(message, how);
+    take_(message);
+}
+
+void peer_exchange::gather(const peering::peer_message& message, const peering::arrival& how) {
+    const bool is_asked = how.is_direct && message.options.is_to_be_relayed;
+    if (!is_asked && !how.is_for_data_centre) {
+        return;
+    }
+    bundler_.add({message.sender, how.named_life, message.sequence, message.kind(),
+                  std::string(how.datagram)},
+                 is_asked ? peering::report_origin::sender : peering::report_origin::other_centre);
+    is_urgent_ = is_urgent_ || message.options.is_urgent;
+    hand_on_within(message.options.is_urgent ? settings_.urgent_delay : settings_.relay_interval);
+}
+
+void peer_exchange::hand_on_within(duration time) {
+    const auto at = clock_.now() + time;
+    const bool is_scheduled = hand_on_at_ != time_point{};
+    if (is_scheduled && hand_on_at_ <= at) {
+        return;
+    }
+    hand_on_at_ = at;
+    timer_.expires_after(time);
+    timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            hand_on_at_ = {};
+            review_relays();
+            hand_on();
+            hand_on_within(settings_.relay_interval);
+        }
+    });
+}
+
+void peer_exchange::hand_on() {
+    const auto now = clock_.now();
+    const bool is_relay = !is_direct_ && directory_.is_relay_for(data_centre_, now);
+    if (!is_relay && bundler_.is_empty()) {
+        return;
+    }
+    const peering::relay_options options{false, std::exchange(is_urgent_, false)};
+    std::vector<std::string> relays;
+    for (const auto& each : directory_.other_centres(now)) {
+        const auto chosen = directory_.use_relays(each, now);
+        relays.insert(relays.end(), chosen.begin(), chosen.end());
+    }
+    auto outwards = bundler_.for_other_centres();
+    auto inwards = bundler_.for_own_centre();
+    bundler_.clear();
+    if (outwards.empty()) {
+        outwards.emplace_back(); // tells the others that this relay lives
+    }
+    if (inwards.empty()) {
+        inwards.emplace_back();
+    }
+    for (auto& each : outwards) {
+        socket_.send(relays, std::move(each), options);
+    }
+    const auto local = directory_.local_peers(now);
+    for (auto& each : inwards) {
+        socket_.send(local, std::move(each), options);
+    }
+}
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/peer_exchange.h
@@ -0,0 +1,91 @@
+#pragma once
+
+#include <peering/peer_socket.h>
+#include <peering/relay_directory.h>
+#include <peering/report_bundler.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::entry {
+
+/** Times and sizes of a peer_exchange. */
+struct peer_exchange_settings {
+    duration relay_interval{100}; /**< Between two hand-ons by a relay, ... */
+    duration urgent_delay{20};    /**< ... and until one of an urgent report. */
+    duration name_expiry{10'000}; /**< A gateway that is only known by name is told for so long. */
+    std::size_t max_bundle_bytes = std::size_t{8} * 1024;
+    peering::relay_directory_settings relays;
+
+    friend bool operator==(const peer_exchange_settings&, const peer_exchange_settings&) = default;
+};
+
+/**
+ * A gateway's messages to the other gateways: directly in a small fleet, else through relays of
+ * each data centre, of which this gateway may be one. Not thread safe.
+ */
+class peer_exchange {
+public:
+    using taker = std::function<void(const peering::peer_message&)>;
+
+    /** Throws boost::system::system_error when the address can't be had. */
+    peer_exchange(boost::asio::io_context& loop, const clock& clock,
+                  const boost::asio::ip::udp::endpoint& own, std::uint64_t life,
+                  peering::peer_identity identity, const std::vector<std::string>& seeds,
+                  taker take, peer_exchange_settings settings);
+
+    void start();
+
+    /** Tells all gateways. */
+    void publish(peering::gateway_report report, bool is_urgent);
+
+    /** Tells the agent beside an engine. */
+    void send(const std::string& agent, adapters::engine_demand demand);
+
+    /** Gateways that others name. */
+    void learn(const std::vector<std::string>& addresses);
+
+    /** Addresses of all gateways that are known, without this one. */
+    std::vector<std::string> peers() const;
+
+    /** Whether reports go to all peers without relays. */
+    bool tells_directly() const noexcept { return is_direct_; }
+
+    /** What this gateway has to hear of engines in a data centre. */
+    adapters::report_wish wish_for(const std::string& data_centre);
+
+    const std::string& own_address() const noexcept { return socket_.own_address(); }
+    std::uint64_t unreadable_datagrams() const noexcept { return socket_.unreadable(); }
+
+private:
+    void on_message(const peering::peer_message& message, const peering::arrival& how);
+    void gather(const peering::peer_message& message, const peering::arrival& how);
+    /** Decides anew who relays; what was decided holds until the next time. */
+    void review_relays();
+    void hand_on_within(duration time);
+    void hand_on();
+
+    const clock& clock_;
+    peer_exchange_settings settings_;
+    std::string data_centre_;
+    taker take_;
+    peering::peer_socket socket_;
+    peering::relay_directory directory_;
+    peering::report_bundler bundler_;
+    boost::asio::steady_timer timer_;
+    time_point hand_on_at_;
+    bool is_urgent_ = false; /**< One of the gathered reports is. */
+    bool is_direct_ = true;
+    std::map<std::string, adapters::report_wish> wishes_; /**< By data centre. */
+    std::map<std::string, time_point> named_;
+    std::vector<std::string> seeds_;
+};
+
+} // namespace camphorgrade::entry
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -6,6 +6,7 @@
 #include <serving/crash_register.h>
 #include <serving/service_catalogue.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -38,11 +39,53 @@
     duration store_age{};   /**< Since it last heard from the store. */
     duration process_age{}; /**< Since it started. */
     serving::adapter_versions versions;
+    bool has_all_usage = true; /**< Else `usage` has only the accounts that changed lately. */
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
 };
 
-using peer_body = std::variant<adapters::engine_demand, engine_report, gateway_report>;
+/** What a message is about; the order of `peer_body`. */
+enum class message_kind : std::uint8_t { demand, engine, gateway, bundle };
+
+inline constexpr std::size_t message_kinds = 4;
+
+/** A report as its sender sent it, which a relay hands on. */
+struct relayed_report {
+    std::string sender;
+    std::uint64_t life = 0;
+    std::uint64_t sequence = 0;
+    message_kind kind = message_kind::gateway;
+    std::string datagram;
+
+    friend bool operator==(const relayed_report&, const relayed_report&) = default;
+};
+
+/** Reports that a relay hands on together. */
+struct report_bundle {
+    std::vector<relayed_report> reports;
+    bool is_for_data_centre = false; /**< To be handed on within the receiver's data centre. */
+
+    friend bool operator==(const report_bundle&, const report_bundle&) = default;
+};
+
+using peer_body =
+    std::variant<adapters::engine_demand, engine_report, gateway_report, report_bundle>;
+
+/** What the sender of a message is, for those that choose relays. */
+struct peer_identity {
+    std::string data_centre;
+    std::uint32_t capacity = 0; /**< Share of a processor core, in thousandths. */
+
+    friend bool operator==(const peer_identity&, const peer_identity&) = default;
+};
+
+/** How a message is to be treated by who receives it directly. */
+struct relay_options {
+    bool is_to_be_relayed = false;
+    bool is_urgent = false; /**< To be handed on at once. */
+
+    friend bool operator==(const relay_options&, const relay_options&) = default;
+};
 
 /** A message and who sent it. */
 struct peer_message {
@@ -50,6 +93,10 @@
     std::uint64_t life = 0;     /**< Start of the sender's process; larger is later. */
     std::uint64_t sequence = 0; /**< Counts the sender's messages. */
     peer_body body;
+    peer_identity from;
+    relay_options options;
+
+    message_kind kind() const noexcept { return static_cast<message_kind>(body.index()); }
 
     friend bool operator==(const peer_message&, const peer_message&) = default;
 };
--- /dev/null
+++ b/libs/peering/include/peering/relay_directory.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include <kernel/clock.h>
+#include <peering/peer_messages.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace camphorgrade::peering {
+
+/** Times and sizes of a relay_directory. */
+struct relay_directory_settings {
+    std::size_t relays = 2;       /**< In each data centre. */
+    std::size_t most_direct = 16; /**< Gateways; up to so many tell each other directly. */
+    duration peer_live{1'500};    /**< A gateway not heard for so long doesn't relay. */
+    duration peer_expiry{10'000}; /**< A gateway not heard for so long is forgotten. */
+    duration relay_silence{400}; /**< A relay in use that isn't heard directly for so long is passed
+                                      over, ... */
+    duration passed_over{1'000}; /**< ... for so long. */
+
+    friend bool operator==(const relay_directory_settings&,
+                           const relay_directory_settings&) = default;
+};
+
+/**
+ * Knows the gateways of a fleet and which of them hand on reports for each data centre.
+ *
+ * Relays are those of most capacity; a hash breaks ties. Each gateway chooses by its own view, and
+ * any gateway hands on what it is asked to, so views that differ cost duplicates and lose
+ * nothing. While no chosen relay of the own data centre is heard, reports go to all peers
+ * directly. Deterministic. Not thread safe.
+ */
+class relay_directory {
+public:
+    /** `own` is this gateway's address. */
+    relay_directory(std::string own, peer_identity identity, relay_directory_settings settings);
+
+    /** A gateway was heard, directly or through a relay. */
+    void on_heard(const std::string& address, const peer_identity& identity, bool is_direct,
+                  time_point now);
+
+    /** Drops gateways that weren't heard for long. */
+    void forget_silent(time_point now);
+
+    /** Whether reports go to all peers, without relays. */
+    bool tells_directly(time_point now);
+
+    /** Relays of a data centre to send to; empty when no gateway lives there. One that is silent
+        although it was sent to is replaced. May name this gateway, for its own data centre. */
+    std::vector<std::string> use_relays(const std::string& data_centre, time_point now);
+
+    /** Whether this gateway hands on reports of what stands in a data centre: one of its own, or
+        one where no gateway lives. */
+    bool is_relay_for(const std::string& data_centre, time_point now) const;
+
+    /** Other data centres where gateways live. */
+    std::set<std::string> other_centres(time_point now) const;
+
+    /** Live gateways of the own data centre, without this one. */
+    std::vector<std::string> local_peers(time_point now) const;
+
+    /** All gateways that aren't forgotten, without this one. */
+    std::vector<std::string> peers(time_point now) const;
+
+private:
+    struct gateway {
+        peer_identity identity;
+        std::uint64_t rank = 0; /**< Among those of equal capacity; the least relays first. */
+        time_point heard;
+        time_point heard_directly;
+        time_point used_since; /**< Since when it is sent to as a relay. */
+        time_point used_last;
+        time_point passed_over_until;
+    };
+    using candidate = std::map<std::string, gateway>::value_type;
+
+    bool is_live(const gateway& which, time_point now) const;
+    /** The best `relays` of the live gateways that `is_wanted` takes, in order. */
+    template <typename Predicate>
+    std::vector<std::string> best(Predicate is_wanted, time_point now) const;
+    std::vector<std::string> choose(const std::string& data_centre, time_point now) const;
+    /** Notes that a relay is sent to; returns whether it has been silent for too long. */
+    bool is_silent_relay(gateway& which, time_point now) const;
+
+    std::string own_;
+    relay_directory_settings settings_;
+    std::map<std::string, gateway> gateways_; // this one, too
+};
+
+} // namespace camphorgrade::peering
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -27,6 +27,14 @@
         model.set_weights_mb(each.weights_mb);
         model.set_adapter_mb(each.adapter_mb);
     }
+    out.set_report_wish(static_cast<std::uint32_t>(demand.wish));
+}
+
+/** A number that stands for a wish; one from a later version counts as none. */
+adapters::report_wish wish_of(std::uint32_t number) {
+    using adapters::report_wish;
+    const bool is_known = number <= static_cast<std::uint32_t>(report_wish::to_relay);
+    return is_known ? static_cast<report_wish>(number) : report_wish::none;
 }
 
 adapters::engine_demand read(const wire::engine_demand& in) {
@@ -46,6 +54,7 @@
     for (const auto& each : in.models()) {
         demand.shape.models.push_back({each.name(), each.weights_mb(), each.adapter_mb(), {}});
     }
+    demand.wish = wish_of(in.report_wish());
     return demand;
 }
 
@@ -125,6 +134,7 @@
         named.set_weights(weights);
         named.set_version(version);
     }
+    out.set_has_all_usage(report.has_all_usage);
 }
 
 gateway_report read(const wire::gateway_report& in) {
@@ -142,15 +152,43 @@
     for (const auto& each : in.versions()) {
         report.versions[each.weights()] = each.version();
     }
+    report.has_all_usage = in.has_all_usage();
     return report;
 }
 
+void write(const report_bundle& bundle, wire::bundle& out) {
+    for (const auto& each : bundle.reports) {
+        auto& report = *out.add_reports();
+        report.set_sender(each.sender);
+        report.set_life(each.life);
+        report.set_sequence(each.sequence);
+        report.set_kind(static_cast<std::uint32_t>(each.kind));
+        report.set_datagram(each.datagram);
+    }
+    out.set_is_for_data_centre(bundle.is_for_data_centre);
+}
+
+report_bundle read(const wire::bundle& in) {
+    report_bundle bundle;
+    bundle.is_for_data_centre = in.is_for_data_centre();
+    for (const auto& each : in.reports()) {
+        const bool is_report = each.kind() == static_cast<std::uint32_t>(message_kind::engine) ||
+                               each.kind() == static_cast<std::uint32_t>(message_kind::gateway);
+        if (is_report) {
+            bundle.reports.push_back({each.sender(), each.life(), each.sequence(),
+                                      static_cast<message_kind>(each.kind()), each.datagram()});
+        }
+    }
+    return bundle;
+}
+
 struct body_writer {
     wire::datagram& out;
 
     void operator()(const adapters::engine_demand& demand) { write(demand, *out.mutable_demand()); }
     void operator()(const engine_report& report) { write(report, *out.mutable_engine()); }
     void operator()(const gateway_report& report) { write(report, *out.mutable_gateway()); }
+    void operator()(const report_bundle& bundle) { write(bundle, *out.mutable_bundle()); }
 };
 
 } // namespace
@@ -160,6 +198,10 @@
     out.set_sender(message.sender);
     out.set_life(message.life);
     out.set_sequence(message.sequence);
+    out.set_data_centre(message.from.data_centre);
+    out.set_capacity(message.from.capacity);
+    out.set_is_to_be_relayed(message.options.is_to_be_relayed);
+    out.set_is_urgent(message.options.is_urgent);
     std::visit(body_writer{out}, message.body);
     return out.SerializeAsString();
 }
@@ -169,7 +211,12 @@
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return std::nullopt;
     }
-    peer_message message{in.sender(), in.life(), in.sequence(), {}};
+    peer_message message;
+    message.sender = in.sender();
+    message.life = in.life();
+    message.sequence = in.sequence();
+    message.from = {in.data_centre(), in.capacity()};
+    message.options = {in.is_to_be_relayed(), in.is_urgent()};
     switch (in.body_case()) {
     case wire::datagram::kDemand:
         message.body = read(in.demand());
@@ -180,6 +227,9 @@
     case wire::datagram::kGateway:
         message.body = read(in.gateway());
         return message;
+    case wire::datagram::kBundle:
+        message.body = read(in.bundle());
+        return message;
     case wire::datagram::BODY_NOT_SET:
         break;
     }
--- a/libs/peering/src/peer_socket.cpp
+++ b/libs/peering/src/peer_socket.cpp
@@ -31,23 +31,31 @@
 
 peer_socket::peer_socket(boost::asio::io_context& loop, const clock& clock,
                          const boost::asio::ip::udp::endpoint& own, std::uint64_t life,
-                         receiver on_message)
+                         peer_identity identity, receiver on_message)
     : socket_(loop, own),
       own_(own.address().to_string() + ':' + std::to_string(socket_.local_endpoint().port())),
-      life_(life), on_message_(std::move(on_message)), clock_(clock) {
+      life_(life), identity_(std::move(identity)), on_message_(std::move(on_message)),
+      clock_(clock) {
     socket_.non_blocking(true);
     receive();
 }
 
-void peer_socket::send(const std::vector<std::string>& to, peer_body body) {
-    if (to.empty()) {
-        return;
+void peer_socket::send(const std::vector<std::string>& to, peer_body body, relay_options options) {
+    if (!to.empty()) {
+        send_sealed(to, seal(std::move(body), options));
     }
-    const auto bytes = encode({own_, life_, ++sequence_, std::move(body)});
+}
+
+relayed_report peer_socket::seal(peer_body body, relay_options options) {
+    const peer_message message{own_, life_, ++sequence_, std::move(body), identity_, options};
+    return {own_, life_, message.sequence, message.kind(), encode(message)};
+}
+
+void peer_socket::send_sealed(const std::vector<std::string>& to, const relayed_report& report) {
     for (const auto& each : to) {
         if (const auto endpoint = parse(each)) {
             boost::system::error_code ignored; // a lost report is replaced by the next
-            socket_.send_to(boost::asio::buffer(bytes), *endpoint, 0, ignored);
+            socket_.send_to(boost::asio::buffer(report.datagram), *endpoint, 0, ignored);
         }
     }
 }
@@ -59,36 +67,68 @@
                                        return;
                                    }
                                    if (!error) {
-                                       take(bytes);
+                                       take({buffer_.data(), bytes});
                                    }
                                    receive();
                                });
 }
 
-void peer_socket::take(std::size_t bytes) {
-    auto message = decode({buffer_.data(), bytes});
-    if (message && accept(*message)) {
-        on_message_(*message);
+void peer_socket::take(std::string_view datagram) {
+    auto message = decode(datagram);
+    if (!message) {
+        ++unreadable_;
+        return;
+    }
+    const auto named_life = message->life;
+    if (!accept(*message)) {
+        return;
+    }
+    on_message_(*message, {true, false, named_life, datagram});
+    if (const auto* bundle = std::get_if<report_bundle>(&message->body)) {
+        open(*bundle);
     }
 }
 
+void peer_socket::open(const report_bundle& bundle) {
+    for (const auto& each : bundle.reports) {
+        const auto known = senders_.find(each.sender);
+        if (each.sender == own_ ||
+            (known != senders_.end() &&
+             is_outdated(known->second, each.life, each.sequence, each.kind))) {
+            continue;
+        }
+        auto message = decode(each.datagram);
+        if (!message || message->sender != each.sender || message->kind() != each.kind ||
+            message->life != each.life || message->sequence != each.sequence) {
+            ++unreadable_;
+        } else if (accept(*message)) {
+            on_message_(*message, {false, bundle.is_for_data_centre, each.life, each.datagram});
+        }
+    }
+}
+
+bool peer_socket::is_outdated(const known_sender& known, std::uint64_t life, std::uint64_t sequence,
+                              message_kind kind) const {
+    if (life != known.named_life) {
+        return life < known.named_life && clock_.now() - known.heard < life_expiry;
+    }
+    // A bundle replaces no other one.
+    return kind != message_kind::bundle &&
+           sequence <= known.sequences.at(static_cast<std::size_t>(kind));
+}
+
 bool peer_socket::accept(peer_message& message) {
-    const auto now = clock_.now();
     auto& known = senders_[message.sender];
-    const bool is_earlier = message.life < known.named_life;
-    if (is_earlier && now - known.heard < life_expiry) {
+    if (is_outdated(known, message.life, message.sequence, message.kind())) {
         return false;
     }
     if (message.life != known.named_life) {
         known.named_life = message.life;
-        known.sequence = 0;
+        known.sequences = {};
         ++known.life;
     }
-    if (message.sequence <= known.sequence) {
-        return false;
-    }
-    known.sequence = message.sequence;
-    known.heard = now;
+    known.sequences.at(static_cast<std::size_t>(message.kind())) = message.sequence;
+    known.heard = clock_.now();
     message.life = known.life;
     if (auto* report = std::get_if<engine_report>(&message.body)) {
         report->state.agent_life = message.life;
--- /dev/null
+++ b/libs/peering/src/relay_directory.cpp
@@ -0,0 +1,163 @@
+#include <peering/relay_directory.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <tuple>
+#include <utility>
+
+namespace camphorgrade::peering {
+
+relay_directory::relay_directory(std::string own, peer_identity identity,
+                                 relay_directory_settings settings)
+    : own_(std::move(own)), settings_(settings) {
+    auto& self = gateways_[own_];
+    self.identity = std::move(identity);
+    self.rank = XXH64(own_.data(), own_.size(), 0);
+}
+
+void relay_directory::on_heard(const std::string& address, const peer_identity& identity,
+                               bool is_direct, time_point now) {
+    if (address == own_) {
+        return;
+    }
+    auto [found, is_new] = gateways_.try_emplace(address);
+    auto& known = found->second;
+    if (is_new) {
+        known.rank = XXH64(address.data(), address.size(), 0);
+    }
+    if (known.identity != identity) {
+        known.identity = identity;
+    }
+    known.heard = now;
+    if (is_direct) {
+        known.heard_directly = now;
+    }
+}
+
+void relay_directory::forget_silent(time_point now) {
+    std::erase_if(gateways_, [&](const candidate& each) {
+        return each.first != own_ && now - each.second.heard >= settings_.peer_expiry;
+    });
+}
+
+bool relay_directory::is_live(const gateway& which, time_point now) const {
+    const bool is_self = &which == &gateways_.at(own_);
+    return is_self || now - which.heard < settings_.peer_live;
+}
+
+template <typename Predicate>
+std::vector<std::string> relay_directory::best(Predicate is_wanted, time_point now) const {
+    std::vector<const candidate*> found;
+    for (const auto& each : gateways_) {
+        if (is_live(each.second, now) && is_wanted(each.second)) {
+            found.push_back(&each);
+        }
+    }
+    const auto count = std::min(settings_.relays, found.size());
+    const auto goes_first = [](const candidate* a, const candidate* b) {
+        return std::tie(b->second.identity.capacity, a->second.rank, a->first) <
+               std::tie(a->second.identity.capacity, b->second.rank, b->first);
+    };
+    std::partial_sort(found.begin(), found.begin() + static_cast<std::ptrdiff_t>(count),
+                      found.end(), goes_first);
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < count; ++i) {
+        out.push_back(found[i]->first);
+    }
+    return out;
+}
+
+std::vector<std::string> relay_directory::choose(const std::string& data_centre,
+                                                 time_point now) const {
+    auto chosen = best(
+        [&](const gateway& each) {
+            return each.identity.data_centre == data_centre && now >= each.passed_over_until;
+        },
+        now);
+    if (chosen.empty()) {
+        chosen = best([&](const gateway& each) { return each.identity.data_centre == data_centre; },
+                      now);
+    }
+    return chosen;
+}
+
+bool relay_directory::is_silent_relay(gateway& which, time_point now) const {
+    if (&which == &gateways_.at(own_)) {
+        return false;
+    }
+    if (now - which.used_last >= settings_.relay_silence) {
+        which.used_since = now;
+    }
+    which.used_last = now;
+    return now - which.used_since >= settings_.relay_silence &&
+           now - which.heard_directly >= settings_.relay_silence;
+}
+
+std::vector<std::string> relay_directory::use_relays(const std::string& data_centre,
+                                                     time_point now) {
+    auto chosen = choose(data_centre, now);
+    bool has_silent = false;
+    for (const auto& each : chosen) {
+        auto& which = gateways_.at(each);
+        if (is_silent_relay(which, now)) {
+            which.passed_over_until = now + settings_.passed_over;
+            has_silent = true;
+        }
+    }
+    return has_silent ? choose(data_centre, now) : chosen;
+}
+
+bool relay_directory::tells_directly(time_point now) {
+    const auto live = std::count_if(gateways_.begin(), gateways_.end(),
+                                    [&](const auto& each) { return is_live(each.second, now); });
+    if (static_cast<std::size_t>(live) <= settings_.most_direct) {
+        return true;
+    }
+    const auto chosen = use_relays(gateways_.at(own_).identity.data_centre, now);
+    return std::none_of(chosen.begin(), chosen.end(), [&](const std::string& each) {
+        return each == own_ || now - gateways_.at(each).heard_directly < settings_.relay_silence;
+    });
+}
+
+bool relay_directory::is_relay_for(const std::string& data_centre, time_point now) const {
+    auto chosen = choose(data_centre, now);
+    if (chosen.empty()) {
+        chosen = best([](const gateway&) { return true; }, now);
+    }
+    return std::find(chosen.begin(), chosen.end(), own_) != chosen.end();
+}
+
+std::set<std::string> relay_directory::other_centres(time_point now) const {
+    std::set<std::string> out;
+    for (const auto& [address, each] : gateways_) {
+        if (is_live(each, now)) {
+            out.insert(each.identity.data_centre);
+        }
+    }
+    out.erase(gateways_.at(own_).identity.data_centre);
+    return out;
+}
+
+std::vector<std::string> relay_directory::local_peers(time_point now) const {
+    const auto& own_centre = gateways_.at(own_).identity.data_centre;
+    std::vector<std::string> out;
+    for (const auto& [address, each] : gateways_) {
+        if (address != own_ && is_live(each, now) && each.identity.data_centre == own_centre) {
+            out.push_back(address);
+        }
+    }
+    return out;
+}
+
+std::vector<std::string> relay_directory::peers(time_point now) const {
+    std::vector<std::string> out;
+    for (const auto& [address, each] : gateways_) {
+        if (address != own_ && now - each.heard < settings_.peer_expiry) {
+            out.push_back(address);
+        }
+    }
+    return out;
+}
+
+} // namespace camphorgrade::peering
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -23,7 +23,8 @@
     demand.shape.adapter_places = 7;
     demand.shape.weights_mb = 66'500;
     demand.shape.models = {{"m", 65'100, 12, {}}};
-    return {"10.0.0.1:7600", 5, 9, demand};
+    demand.wish = adapters::report_wish::to_relay;
+    return {"10.0.0.1:7600", 5, 9, demand, {"dc-1", 500}, {true, true}};
 }
 
 peer_message report_message() {
@@ -41,7 +42,7 @@
     report.state.queued_prompt_tokens = 12;
     report.state.is_reachable = false;
     report.gateways = {"10.0.0.1:7600"};
-    return {"10.0.0.2:7600", 6, 1, report};
+    return {"10.0.0.2:7600", 6, 1, report, {}, {}};
 }
 
 peer_message gateway_message() {
@@ -53,21 +54,38 @@
     report.store_age = duration{150};
     report.process_age = duration{7'000};
     report.versions = {{"m/a1", 3}};
-    return {"10.0.0.1:7600", 5, 10, report};
+    report.has_all_usage = false;
+    return {"10.0.0.1:7600", 5, 10, report, {"dc-2", 90}, {}};
+}
+
+/** A message as a relay hands it on. */
+relayed_report relayed(const peer_message& message) {
+    return {message.sender, message.life, message.sequence, message.kind(), encode(message)};
+}
+
+peer_message bundle_message(std::vector<relayed_report> reports) {
+    return {"10.0.0.9:7600", 3, 4, report_bundle{std::move(reports), true}, {}, {}};
 }
 
 /** Two sockets over loopback; messages to the first are kept. */
 struct peer_pair {
     peer_pair()
-        : to(loop, clock, {boost::asio::ip::make_address("127.0.0.1"), 0}, 1,
-             [this](const peer_message& message) { got.push_back(message); }) {}
+        : to(loop, clock, {boost::asio::ip::make_address("127.0.0.1"), 0}, 1, {},
+             [this](const peer_message& message, const arrival& how) {
+                 got.push_back(message);
+                 was_direct.push_back(how.is_direct);
+             }) {}
 
     void send(std::uint64_t life) {
         auto message = gateway_message();
         message.life = life;
         message.sequence = ++sequence;
+        send(encode(message));
+    }
+
+    void send(const std::string& datagram) {
         boost::asio::ip::udp::socket raw(loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
-        raw.send_to(boost::asio::buffer(encode(message)), target());
+        raw.send_to(boost::asio::buffer(datagram), target());
         loop.restart();
         loop.run_for(std::chrono::milliseconds(30));
     }
@@ -81,6 +99,7 @@
     boost::asio::io_context loop;
     manual_clock clock;
     std::vector<peer_message> got;
+    std::vector<bool> was_direct;
     peer_socket to;
     std::uint64_t sequence = 0;
 };
@@ -88,7 +107,8 @@
 } // namespace
 
 TEST_CASE("each message reads back as it was written") {
-    for (const auto& each : {demand_message(), report_message(), gateway_message()}) {
+    const auto bundle = bundle_message({relayed(report_message()), relayed(gateway_message())});
+    for (const auto& each : {demand_message(), report_message(), gateway_message(), bundle}) {
         const auto read = decode(encode(each));
         REQUIRE(read.has_value());
         CHECK(*read == each);
@@ -126,3 +146,39 @@
     REQUIRE(with.got.size() == 2);
     CHECK(with.got[1].life == 2);
 }
+
+TEST_CASE("each report of a bundle is taken once, whoever hands it on") {
+    peer_pair with;
+    const auto bundle = bundle_message({relayed(report_message()), relayed(gateway_message())});
+    with.send(encode(bundle));
+    REQUIRE(with.got.size() == 3);
+    CHECK(with.got[0].kind() == message_kind::bundle);
+    CHECK(with.got[1].kind() == message_kind::engine);
+    CHECK(with.got[2].kind() == message_kind::gateway);
+    CHECK(with.was_direct == std::vector<bool>{true, false, false});
+    auto again = bundle;
+    again.sender = "10.0.0.8:7600";
+    with.send(encode(again));
+    CHECK(with.got.size() == 4); // the bundle alone
+    with.send(encode(gateway_message()));
+    CHECK(with.got.size() == 4); // it was heard through the relays already
+}
+
+TEST_CASE("a relay's word for what it hands on isn't taken, and strangers' bytes are counted") {
+    peer_pair with;
+    auto other = relayed(gateway_message());
+    other.sender = "10.0.0.7:7600";
+    auto newer = relayed(gateway_message());
+    newer.sequence += 5;
+    auto demand = relayed(demand_message());
+    demand.kind = message_kind::gateway;
+    auto cut = relayed(report_message());
+    cut.datagram.resize(cut.datagram.size() / 2);
+    with.send(encode(bundle_message({other, newer, demand, cut})));
+    CHECK(with.got.size() == 1);
+    CHECK(with.to.unreadable() == 4);
+    with.send("no message");
+    CHECK(with.to.unreadable() == 5);
+    with.send(encode(gateway_message()));
+    CHECK(with.got.size() == 2);
+}
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -69,9 +69,10 @@
     void credit(const std::string& name, double cost);
 
     /** A peer's counts; `life` tells its processes apart, `age` is the time since the start of the
-        present one. */
+        present one. Without `has_all`, those of accounts that changed lately; they count once the
+        process's counts of all accounts have come. */
     void on_peer_usage(const std::string& peer, std::uint64_t life, duration age,
-                       const account_usage& usage, time_point now);
+                       const account_usage& usage, bool has_all, time_point now);
 
     /** What this gateway has admitted and given back. */
     const account_usage& own_usage() const noexcept { return own_; }
--- a/libs/serving/src/account_limiter.cpp
+++ b/libs/serving/src/account_limiter.cpp
@@ -128,11 +128,15 @@
 }
 
 void account_limiter::on_peer_usage(const std::string& peer_name, std::uint64_t life, duration age,
-                                    const account_usage& usage, time_point now) {
+                                    const account_usage& usage, bool has_all, time_point now) {
     auto& known = peers_[peer_name];
     if (life < known.life) {
         return;
     }
+    known.heard = now;
+    if (life != known.life && !has_all) {
+        return; // what it used before can't be told from what is new
+    }
     // What a peer used before this process knew it is part of what was there at the start, but for
     // one that started at the same time: all that it used was used since.
     const bool is_old_news = known.life == 0 && !started_with(age, now);
@@ -143,7 +147,6 @@
         known.life = life;
         known.usage.clear();
     }
-    known.heard = now;
     for (const auto& [account_name, count] : usage) {
         auto& seen = known.usage[account_name];
         const double admitted = raise(seen.admitted, count.admitted);
--- a/libs/serving/tests/test_account_limiter.cpp
+++ b/libs/serving/tests/test_account_limiter.cpp
@@ -42,7 +42,7 @@
             for (std::size_t to = 0; to < all_.size(); ++to) {
                 if (from != to && from != cut_off && to != cut_off) {
                     all_[to].on_peer_usage(std::to_string(from), 1, duration{60'000},
-                                           all_[from].own_usage(), now);
+                                           all_[from].own_usage(), true, now);
                 }
             }
         }
@@ -96,7 +96,7 @@
 TEST_CASE("a peer that is gone for good frees its share") {
     account_limiter limiter({});
     limiter.set_catalogue(one_account(), at_ms(0));
-    limiter.on_peer_usage("p", 1, duration{60'000}, {}, at_ms(0));
+    limiter.on_peer_usage("p", 1, duration{60'000}, {}, true, at_ms(0));
     CHECK(limiter.gateways() == 2);
     limiter.charge("a", burst, at_ms(25'000));
     CHECK(limiter.gateways() == 1);
@@ -246,7 +246,7 @@
             for (std::size_t to = 0; to < count; ++to) {
                 if (from != to && all[to]) {
                     all[to]->on_peer_usage(std::to_string(from), lives[from],
-                                           duration{ms - began[from]}, all[from]->own_usage(),
+                                           duration{ms - began[from]}, all[from]->own_usage(), true,
                                            at_ms(ms));
                 }
             }
