Watch the store from two gateways of each data centre in large fleets

Where reports go through relays, the relays watch; the others ask one of them in turn every 0.5 s for the registered servers, with the store's revision, so that a peer that is behind undoes nothing, and drop what a settled list lacks. Whoever hears no list for 1.5 s watches itself again. A newer catalogue is fetched as soon as a list names one.

--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -42,6 +42,8 @@
                    {}, std::hash<std::string>{}(settings.node_name), listener) {}
 
     void start() override { watcher_.start(); }
+    void pause() override { watcher_.pause(); }
+    void resume() override { watcher_.resume(); }
 
 private:
     platform::fleet_watcher watcher_;
--- a/libs/entry/include/entry/entry_process.h
+++ b/libs/entry/include/entry/entry_process.h
@@ -43,6 +43,10 @@
     virtual ~fleet_source() = default;
 
     virtual void start() = 0;
+    /** Asks the store no more until it is resumed. */
+    virtual void pause() = 0;
+    /** Reads everything anew and follows on. */
+    virtual void resume() = 0;
 };
 
 /** Makes the source when the process has its loop and connections. */
--- a/libs/entry/src/fleet_knowledge.cpp
+++ b/libs/entry/src/fleet_knowledge.cpp
@@ -2,6 +2,7 @@
 
 #include <serving/store_contacts.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace camphorgrade::entry {
@@ -78,31 +79,66 @@
            serving::store_contacts_settings{}.is_in_touch(store_age());
 }
 
-std::vector<serving::backend_server> fleet_knowledge::registered() const {
-    std::vector<serving::backend_server> out;
+peering::registration_page fleet_knowledge::registrations() const {
+    peering::registration_page out;
     for (const auto& [id, view] : dispatcher_.board().all()) {
         if (!view.is_gone) {
-            out.push_back(view.server);
+            out.servers.push_back(view.server);
         }
     }
+    const auto* known = dispatcher_.catalogue();
+    out.revision = registrations_revision_;
+    out.is_settled = registrations_.is_settled(clock_.now());
+    out.store_age = store_age();
+    out.catalogue_version = known == nullptr ? 0 : known->catalogue().version;
     return out;
 }
 
-void fleet_knowledge::on_peer_registrations(const std::vector<serving::backend_server>& servers,
-                                            const std::string& peer) {
-    log_.line("registrations_learned")
-        .text("peer", peer)
-        .number("backend_servers", static_cast<std::int64_t>(servers.size()))
-        .number("store_age_ms", store_age().count());
+void fleet_knowledge::on_registrations_revision(std::uint64_t revision) {
+    registrations_revision_ = std::max(registrations_revision_, revision);
+}
+
+void fleet_knowledge::on_watch_duty(bool watches) {
+    log_.line("store_watch").flag("watches", watches).number("store_age_ms", store_age().count());
+    news_.on_watch_duty(watches);
+}
+
+void fleet_knowledge::on_peer_page(const peering::registration_page& page,
+                                   const std::string& peer) {
+    if (page.revision < registrations_revision_) {
+        return; // the other watching peer was ahead
+    }
+    const auto now = clock_.now();
+    if (page.revision > registrations_revision_) {
+        log_.line("registrations_learned")
+            .text("peer", peer)
+            .number("backend_servers", static_cast<std::int64_t>(page.servers.size()))
+            .number("revision", static_cast<std::int64_t>(page.revision))
+            .flag("settled", page.is_settled)
+            .number("peer_store_age_ms", page.store_age.count())
+            .number("store_age_ms", store_age().count());
+    }
+    registrations_revision_ = page.revision;
+    last_known_ = std::max(last_known_, now - page.store_age);
     has_registrations_ = true;
-    registrations_.on_relayed(servers, clock_.now());
-    for (const auto& each : servers) {
-        const auto* known = dispatcher_.board().find(each.id);
-        const bool has_left =
-            known != nullptr && known->server.is_draining && known->server.born == each.born;
-        if (!has_left) {
-            apply(each); // a server that leaves doesn't return: the peer's view is older
+    if (page.is_settled) {
+        for (const auto& id : registrations_.on_settled_peer(page.servers)) {
+            remove(id, "not_registered_at_peer");
         }
+    } else {
+        registrations_.on_relayed(page.servers, now);
+    }
+    for (const auto& each : page.servers) {
+        apply_from_peer(each);
+    }
+}
+
+void fleet_knowledge::apply_from_peer(const serving::backend_server& server) {
+    const auto* known = dispatcher_.board().find(server.id);
+    const bool has_left =
+        known != nullptr && known->server.is_draining && known->server.born == server.born;
+    if (!has_left) {
+        apply(server); // a server that leaves doesn't return: the peer's view is older
     }
 }
 
@@ -143,6 +179,7 @@
     dispatcher_.outlook().on_contact(reachable, clock_.now());
     if (reachable) {
         last_store_answer_ = clock_.now();
+        last_known_ = last_store_answer_;
         has_store_answer_ = true;
     }
     if (reachable != is_store_reachable_) {
@@ -155,6 +192,10 @@
     return has_store_answer_ ? clock_.now() - last_store_answer_ : duration{-1};
 }
 
+duration fleet_knowledge::knowledge_age() const {
+    return last_known_ == time_point{} ? duration{-1} : clock_.now() - last_known_;
+}
+
 void fleet_knowledge::on_bad_record(const std::string& key, const std::string& reason) {
     log_.line("record_passed_over").text("key", key).text("reason", reason);
 }
--- a/libs/entry/src/fleet_knowledge.h
+++ b/libs/entry/src/fleet_knowledge.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "registration_relay.h"
+#include "store_follower.h"
 
 #include <edge/caller_server.h>
 #include <kernel/clock.h>
@@ -26,13 +26,15 @@
     virtual void on_caller_limits(const edge::caller_limits& limits) = 0;
     /** Catalogue or servers changed, so that agents and peers have news to hear. */
     virtual void on_fleet_changed() = 0;
+    /** From now on this gateway watches the store, or no longer. */
+    virtual void on_watch_duty(bool watches) = 0;
 };
 
 /**
  * What one gateway knows of the fleet, from the store or from its peers: hands it on to the
  * dispatcher, logs each change of it, and knows how old it is. Not thread safe.
  */
-class fleet_knowledge final : public serving::fleet_listener, public relay_host {
+class fleet_knowledge final : public serving::fleet_listener, public follower_host {
 public:
     fleet_knowledge(const clock& clock, event_log& log, serving::dispatcher& dispatcher,
                     const serving::catalogue_reader& reader, fleet_news& news);
@@ -42,13 +44,14 @@
     void on_registrations(const std::vector<serving::backend_server>& servers) override;
     void on_registration(const serving::backend_server& server) override;
     void on_deregistration(const std::string& id) override;
+    void on_registrations_revision(std::uint64_t revision) override;
     void on_contact(bool reachable) override;
     void on_bad_record(const std::string& key, const std::string& reason) override;
 
     bool is_in_touch() const override;
-    std::vector<serving::backend_server> registered() const override;
-    void on_peer_registrations(const std::vector<serving::backend_server>& servers,
-                               const std::string& peer) override;
+    peering::registration_page registrations() const override;
+    void on_peer_page(const peering::registration_page& page, const std::string& peer) override;
+    void on_watch_duty(bool watches) override;
 
     /** A catalogue in its stored form, from a peer. */
     void on_peer_catalogue(const std::string& text);
@@ -56,9 +59,12 @@
     /** Stored form of the newest catalogue; empty when none is known. */
     const std::string& catalogue_text() const noexcept { return catalogue_text_; }
 
-    /** Since the store answered last; -1 ms when it never has. */
+    /** Since the store answered this process last; -1 ms when it never has. */
     duration store_age() const;
 
+    /** Age of what is known of the store, from itself or from peers; -1 ms when nothing is. */
+    duration knowledge_age() const;
+
     /** Whether enough is known to serve callers. */
     bool is_complete() const;
 
@@ -67,6 +73,7 @@
 
 private:
     void apply(const serving::backend_server& server);
+    void apply_from_peer(const serving::backend_server& server);
     void remove(const std::string& id, const char* reason);
 
     const clock& clock_;
@@ -76,7 +83,9 @@
     fleet_news& news_;
     serving::registration_book registrations_;
     std::string catalogue_text_;
+    std::uint64_t registrations_revision_ = 0;
     time_point last_store_answer_;
+    time_point last_known_; /**< When the store said what is known now. */
     bool has_store_answer_ = false;
     bool is_store_reachable_ = false;
     bool has_registrations_ = false;
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -249,7 +249,7 @@
         .text("account", dispatcher_.account_of(effect.request))
         .number("retry_after_ms", effect.retry_after.count())
         .number("open_requests", static_cast<std::int64_t>(flows_.size()))
-        .number("store_age_ms", fleet_.store_age().count());
+        .number("store_age_ms", fleet_.knowledge_age().count());
     metrics_.count("camphor_ended_requests_total",
                    {{"reason", std::string(to_string(effect.reason))}});
     found->second->end(effect);
@@ -290,11 +290,19 @@
     peers_.demand_changed();
 }
 
+void gateway_node::on_watch_duty(bool watches) {
+    if (watches) {
+        source_->resume();
+    } else {
+        source_->pause();
+    }
+}
+
 std::string gateway_node::metrics_text() {
     metrics_.set("camphor_open_requests", {}, static_cast<double>(flows_.size()));
     metrics_.set("camphor_waiting_requests", {},
                  static_cast<double>(dispatcher_.waiting_requests()));
-    metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.store_age().count()));
+    metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.knowledge_age().count()));
     metrics_.set("camphor_unreadable_peer_datagrams", {},
                  static_cast<double>(peers_.unreadable_datagrams()));
     return metrics_.prometheus_text();
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -39,6 +39,7 @@
 
     void on_caller_limits(const edge::caller_limits& limits) override;
     void on_fleet_changed() override;
+    void on_watch_duty(bool watches) override;
 
     time_point now() const override { return clock_.now(); }
     edge::upstream_pool& pool() override { return pool_; }
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -27,7 +27,13 @@
           loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life, identity, seeds,
           [this](const peering::peer_message& message) { on_message(message); }, settings.exchange),
       named_(settings.max_named), recent_(settings.usage_repeat), server_(loop, clock, *this),
-      relay_(loop, clock, pool, fleet, own.port, {}), demand_timer_(loop), report_timer_(loop) {}
+      follower_(
+          loop, clock, pool, fleet, own.port, [this] { return exchange_.watchers(); },
+          [this](const std::string& peer, std::uint64_t version) {
+              fetch_catalogue(peer, version, duration::zero());
+          },
+          {}),
+      demand_timer_(loop), report_timer_(loop) {}
 
 void gateway_peers::start() {
     started_ = clock_.now();
@@ -36,7 +42,7 @@
     exchange_.start();
     schedule_demands(settings_.demand_heartbeat);
     schedule_reports();
-    relay_.start();
+    follower_.start();
 }
 
 void gateway_peers::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
@@ -44,8 +50,8 @@
     std::string body;
     if (target == catalogue_path) {
         body = fleet_.catalogue_text();
-    } else if (target == registration_relay::path) {
-        body = relay_.answer();
+    } else if (target == store_follower::path) {
+        body = follower_.answer();
     }
     exchange->answer({body.empty() ? status_not_found : status_ok, {}}, body);
 }
@@ -62,7 +68,7 @@
                          const peering::gateway_report& report) {
     const auto now = clock_.now();
     exchange_.learn(report.gateways);
-    relay_.on_peer(sender, report.store_age);
+    follower_.on_peer(sender, report.store_age);
     dispatcher_.limiter().on_peer_usage(sender, life, report.process_age, report.usage,
                                         report.has_all_usage, now);
     for (const auto& each : report.crashes) {
@@ -76,11 +82,12 @@
     for (const auto& [weights, version] : report.versions) {
         dispatcher_.set_adapter_version(weights, version);
     }
+    fetch_catalogue(sender, report.catalogue_version, settings_.fetch_delay);
+}
+
+std::uint64_t gateway_peers::catalogue_version() const {
     const auto* known = dispatcher_.catalogue();
-    const auto own_version = known == nullptr ? 0 : known->catalogue().version;
-    if (report.catalogue_version > own_version) {
-        fetch_catalogue(sender, report.catalogue_version);
-    }
+    return known == nullptr ? 0 : known->catalogue().version;
 }
 
 void gateway_peers::take(const peering::engine_report& report) {
@@ -89,16 +96,16 @@
     host_.effects_due();
 }
 
-void gateway_peers::fetch_catalogue(const std::string& from, std::uint64_t version) {
-    if (is_fetching_) {
+void gateway_peers::fetch_catalogue(const std::string& from, std::uint64_t version,
+                                    duration delay) {
+    if (is_fetching_ || version <= catalogue_version()) {
         return;
     }
     is_fetching_ = true;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_); // lives as long as its wait
-    timer->expires_after(settings_.fetch_delay);
+    timer->expires_after(delay);
     timer->async_wait([this, timer, from, version](const boost::system::error_code& error) {
-        const auto* known = dispatcher_.catalogue();
-        if (error || (known != nullptr && known->catalogue().version >= version)) {
+        if (error || version <= catalogue_version()) {
             is_fetching_ = false;
             return;
         }
@@ -237,9 +244,8 @@
     const auto now = clock_.now();
     const bool is_full = now - full_report_at_ >= settings_.full_report_interval;
     const auto& usage = dispatcher_.limiter().own_usage();
-    const auto* known = dispatcher_.catalogue();
     peering::gateway_report report;
-    report.catalogue_version = known == nullptr ? 0 : known->catalogue().version;
+    report.catalogue_version = catalogue_version();
     const bool is_news =
         usage != reported_usage_ || report.catalogue_version != reported_catalogue_;
     // Relays add to the time until a report is heard, so none is left out there.
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -2,7 +2,7 @@
 
 #include "fleet_knowledge.h"
 #include "peer_exchange.h"
-#include "registration_relay.h"
+#include "store_follower.h"
 
 #include <adapters/adapter_keeper.h>
 #include <edge/buffered_calls.h>
@@ -105,7 +105,9 @@
     void send_reports(bool is_urgent);
     void schedule_demands(duration after);
     void schedule_reports();
-    void fetch_catalogue(const std::string& from, std::uint64_t version);
+    /** Fetches it after `delay` if it is still newer than what is known then. */
+    void fetch_catalogue(const std::string& from, std::uint64_t version, duration delay);
+    std::uint64_t catalogue_version() const;
 
     boost::asio::io_context& loop_;
     const clock& clock_;
@@ -119,7 +121,7 @@
     peering::name_rotation named_;
     peering::recent_usage recent_;
     edge::caller_server server_;
-    registration_relay relay_;
+    store_follower follower_;
     boost::asio::steady_timer demand_timer_;
     boost::asio::steady_timer report_timer_;
     bool is_demand_soon_ = false;
--- a/libs/entry/src/peer_exchange.cpp
+++ b/libs/entry/src/peer_exchange.cpp
@@ -30,9 +30,19 @@
     const auto now = clock_.now();
     directory_.forget_silent(now);
     is_direct_ = directory_.tells_directly(now);
+    local_relays_.clear();
+    if (!is_direct_) {
+        local_relays_ = directory_.use_relays(data_centre_, now);
+    }
     wishes_.clear();
 }
 
+std::vector<std::string> peer_exchange::watchers() const {
+    const bool is_relay =
+        std::find(local_relays_.begin(), local_relays_.end(), own_address()) != local_relays_.end();
+    return is_relay ? std::vector<std::string>{} : local_relays_;
+}
+
 adapters::report_wish peer_exchange::wish_for(const std::string& data_centre) {
     if (is_direct_) {
         return adapters::report_wish::for_itself;
--- a/libs/entry/src/peer_exchange.h
+++ b/libs/entry/src/peer_exchange.h
@@ -58,6 +58,9 @@
     /** Whether reports go to all peers without relays. */
     bool tells_directly() const noexcept { return is_direct_; }
 
+    /** Peers that watch the store for this gateway; empty when it has to watch itself. */
+    std::vector<std::string> watchers() const;
+
     /** What this gateway has to hear of engines in a data centre. */
     adapters::report_wish wish_for(const std::string& data_centre);
 
@@ -83,6 +86,7 @@
     time_point hand_on_at_;
     bool is_urgent_ = false; /**< One of the gathered reports is. */
     bool is_direct_ = true;
+    std::vector<std::string> local_relays_;               /**< Empty while reports go directly. */
     std::map<std::string, adapters::report_wish> wishes_; /**< By data centre. */
     std::map<std::string, time_point> named_;
     std::vector<std::string> seeds_;
--- a/libs/peering/include/peering/registrations.h
+++ b/libs/peering/include/peering/registrations.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <kernel/clock.h>
 #include <serving/backend_server.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -9,10 +11,21 @@
 
 namespace camphorgrade::peering {
 
-/** Bytes of a list of registered servers, which one gateway gives another. Pure. */
-std::string encode_registrations(const std::vector<serving::backend_server>& servers);
+/** What a gateway that watches the store tells another of registered servers. A value type. */
+struct registration_page {
+    std::vector<serving::backend_server> servers;
+    std::uint64_t revision = 0;          /**< Of the store; an older page replaces no newer one. */
+    bool is_settled = false;             /**< What isn't in it is gone. */
+    duration store_age{};                /**< Since the store answered that gateway. */
+    std::uint64_t catalogue_version = 0; /**< Newest that it knows. */
 
-/** The servers of these bytes; nullopt when they are none. Pure. */
-std::optional<std::vector<serving::backend_server>> decode_registrations(std::string_view bytes);
+    friend bool operator==(const registration_page&, const registration_page&) = default;
+};
+
+/** Bytes of a page. Pure. */
+std::string encode_registrations(const registration_page& page);
+
+/** The page of these bytes; nullopt when they are none. Pure. */
+std::optional<registration_page> decode_registrations(std::string_view bytes);
 
 } // namespace camphorgrade::peering
--- a/libs/peering/src/registrations.cpp
+++ b/libs/peering/src/registrations.cpp
@@ -39,23 +39,31 @@
 
 } // namespace
 
-std::string encode_registrations(const std::vector<serving::backend_server>& servers) {
+std::string encode_registrations(const registration_page& page) {
     wire::registration_list out;
-    for (const auto& each : servers) {
+    for (const auto& each : page.servers) {
         write(each, *out.add_servers());
     }
+    out.set_revision(page.revision);
+    out.set_is_settled(page.is_settled);
+    out.set_store_age_ms(static_cast<std::uint64_t>(page.store_age.count()));
+    out.set_catalogue_version(page.catalogue_version);
     return out.SerializeAsString();
 }
 
-std::optional<std::vector<serving::backend_server>> decode_registrations(std::string_view bytes) {
+std::optional<registration_page> decode_registrations(std::string_view bytes) {
     wire::registration_list in;
     if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
         return std::nullopt;
     }
-    std::vector<serving::backend_server> out;
+    registration_page out;
     for (const auto& each : in.servers()) {
-        out.push_back(read(each));
+        out.servers.push_back(read(each));
     }
+    out.revision = in.revision();
+    out.is_settled = in.is_settled();
+    out.store_age = duration{static_cast<duration::rep>(in.store_age_ms())};
+    out.catalogue_version = in.catalogue_version();
     return out;
 }
 
--- a/libs/peering/tests/test_registrations.cpp
+++ b/libs/peering/tests/test_registrations.cpp
@@ -25,8 +25,13 @@
 
 TEST_CASE("registrations are read as they were written") {
     rc::prop("encode and decode", [] {
-        const std::vector<serving::backend_server> servers{any_server(), {}};
-        RC_ASSERT(peering::decode_registrations(peering::encode_registrations(servers)) == servers);
+        peering::registration_page page;
+        page.servers = {any_server(), {}};
+        page.revision = *rc::gen::arbitrary<std::uint64_t>();
+        page.is_settled = *rc::gen::arbitrary<bool>();
+        page.store_age = duration{*rc::gen::inRange(0, 5'000)};
+        page.catalogue_version = *rc::gen::arbitrary<std::uint64_t>();
+        RC_ASSERT(peering::decode_registrations(peering::encode_registrations(page)) == page);
     });
 }
 
--- a/libs/serving/include/serving/fleet_source.h
+++ b/libs/serving/include/serving/fleet_source.h
@@ -25,6 +25,8 @@
     virtual void on_registrations(const std::vector<backend_server>& servers) = 0;
     virtual void on_registration(const backend_server& server) = 0;
     virtual void on_deregistration(const std::string& id) = 0;
+    /** What was told of registrations is the store's state as of this revision. */
+    virtual void on_registrations_revision(std::uint64_t revision) = 0;
     /** Contact with the store was lost or regained, or proved to last. */
     virtual void on_contact(bool reachable) = 0;
     /** A record that can't be used, with the reason; it is passed over. */
--- a/libs/serving/include/serving/registration_book.h
+++ b/libs/serving/include/serving/registration_book.h
@@ -40,6 +40,13 @@
         it lacks is gone once it has lacked it for the time that servers take to register again. */
     void on_relayed(const std::vector<backend_server>& servers, time_point now);
 
+    /** Registrations as a peer knows them whose own book is settled; returns the ids that are gone
+        now. */
+    std::vector<std::string> on_settled_peer(const std::vector<backend_server>& servers);
+
+    /** Whether all live servers had time to register since the store could be reached. */
+    bool is_settled(time_point now) const;
+
     void on_registration(const std::string& id);
 
     /** Returns whether the server is gone now. */
@@ -59,6 +66,7 @@
     std::set<std::string> known_;
     std::map<std::string, time_point> missing_;
     bool has_failed_ = false; /**< A call failed since the last answer. */
+    std::optional<time_point> first_answer_;
     std::optional<time_point> last_answer_;
     std::optional<time_point> returned_; /**< When the last outage ended. */
 };
--- a/libs/serving/src/registration_book.cpp
+++ b/libs/serving/src/registration_book.cpp
@@ -15,6 +15,7 @@
     if (last_answer_ && is_out(now)) {
         returned_ = now;
     }
+    first_answer_ = first_answer_.value_or(now);
     has_failed_ = false;
     last_answer_ = now;
 }
@@ -63,6 +64,20 @@
     }
 }
 
+std::vector<std::string>
+registration_book::on_settled_peer(const std::vector<backend_server>& servers) {
+    auto gone = take_present(servers);
+    for (const auto& id : gone) {
+        known_.erase(id);
+        missing_.erase(id);
+    }
+    return gone;
+}
+
+bool registration_book::is_settled(time_point now) const {
+    return first_answer_ && !is_in_doubt(now) && now - *first_answer_ >= settings_.return_time;
+}
+
 void registration_book::on_registration(const std::string& id) {
     known_.insert(id);
     missing_.erase(id);
--- /dev/null
+++ b/libs/serving/src/watch_duty.cpp
@@ -0,0 +1,17 @@
+#include <serving/watch_duty.h>
+
+namespace camphorgrade::serving {
+
+bool watch_duty::watches(bool has_watchers, time_point now) {
+    const bool is_told = has_watchers && last_page_ && now - *last_page_ < settings_.page_expiry;
+    if (!is_told) {
+        steady_since_.reset();
+        return true;
+    }
+    if (!steady_since_) {
+        steady_since_ = now;
+    }
+    return now - *steady_since_ < settings_.steady;
+}
+
+} // namespace camphorgrade::serving
--- /dev/null
+++ b/libs/serving/tests/test_watch_duty.cpp
@@ -0,0 +1,58 @@
+#include "serving_fixture.h"
+
+#include <serving/registration_book.h>
+#include <serving/watch_duty.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <vector>
+
+using namespace camphorgrade;
+using namespace camphorgrade::testing;
+
+TEST_CASE("a gateway without peers that watch for it watches the store") {
+    watch_duty duty({});
+    CHECK(duty.watches(false, at_ms(0)));
+    duty.on_page(at_ms(100));
+    CHECK(duty.watches(false, at_ms(10'000)));
+}
+
+TEST_CASE("the own watch is dropped after steady news, and taken up soon after they stop") {
+    watch_duty duty({});
+    std::int64_t ms = 0;
+    for (; ms < 3'000; ms += 500) {
+        duty.on_page(at_ms(ms));
+        CHECK(duty.watches(true, at_ms(ms)));
+    }
+    for (; ms < 8'000; ms += 500) {
+        duty.on_page(at_ms(ms));
+        CHECK_FALSE(duty.watches(true, at_ms(ms)));
+    }
+    CHECK_FALSE(duty.watches(true, at_ms(ms + 900)));
+    CHECK(duty.watches(true, at_ms(ms + 1'000)));
+    duty.on_page(at_ms(ms + 1'100));
+    CHECK(duty.watches(true, at_ms(ms + 1'200)));
+}
+
+TEST_CASE("a book is settled once servers had time to register again") {
+    registration_book book({});
+    CHECK_FALSE(book.is_settled(at_ms(0)));
+    book.on_contact(true, at_ms(100));
+    CHECK_FALSE(book.is_settled(at_ms(2'200)));
+    book.on_contact(true, at_ms(2'300));
+    CHECK(book.is_settled(at_ms(2'300)));
+    book.on_contact(false, at_ms(3'000));
+    book.on_contact(true, at_ms(6'000));
+    CHECK_FALSE(book.is_settled(at_ms(8'100)));
+    CHECK(book.is_settled(at_ms(8'200)));
+}
+
+TEST_CASE("what a settled peer's list lacks is gone at once") {
+    registration_book book({});
+    book.on_all({server_of("desk-1", "desk"), server_of("desk-2", "desk")}, at_ms(0));
+    CHECK(book.on_settled_peer({server_of("desk-2", "desk"), server_of("desk-3", "desk")}) ==
+          std::vector<std::string>{"desk-1"});
+    CHECK(book.on_settled_peer({}) == std::vector<std::string>{"desk-2", "desk-3"});
+    CHECK(book.on_settled_peer({}).empty());
+}
