Learn from loads how many the weight store carries at full speed

Cause: the estimate of a load's time assumed 8 loads at full speed over the fleet.

Agents measure each load from the weight store; gateways learn from the times, and from how many were under way, the time of a load alone and the loads at full speed. The first guess is as before. Engines are ranked for an adapter by xxHash, the same in all builds. Relays of two data centres speak in pairs, and agents tell relays at most each 240 ms: each report crossed between two data centres four times.

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -171,6 +172,8 @@
     };
 
     void recount(time_point now);
+    /** Notes which loads the newest snapshot shows as done, and how long they took. */
+    void note_loads(time_point now);
     /** Records what is wanted now; each request that wasn't there `before` is one more use. */
     void note_uses(const std::map<serving::held_weights, total>& before, time_point now);
     /** Where an adapter that nobody wants stands in the order of eviction; the least goes first. */
@@ -196,6 +199,10 @@
     std::string backend_id_;
     std::map<serving::held_weights, total> wanted_;
     std::map<serving::held_weights, time_point> replacing_; /**< Until when each isn't ordered. */
+    std::map<std::string, time_point> ordered_; /**< Loads from the weight store under way. */
+    std::set<std::string> held_before_; /**< Adapters that load from the engine's own memory. */
+    std::uint64_t cold_loads_ = 0;
+    duration last_cold_load_{};
     std::map<std::string, use_record> used_; /**< Also of adapters that aren't held. */
     std::uint64_t queued_prompt_tokens_ = 0;
     bool is_order_open_ = false;
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -96,14 +96,31 @@
         model_paused_until_ = now;
         replacing_.clear();
         used_.clear();
+        ordered_.clear();
+        held_before_.clear();
         gateways_.clear();
         backend_id_.clear();
     }
     needs_snapshot_ = false;
     snapshot_ = std::move(snapshot);
+    note_loads(now);
     recount(now);
 }
 
+void adapter_keeper::note_loads(time_point now) {
+    for (const auto& each : snapshot_->adapters) {
+        const auto found = ordered_.find(each.name);
+        if (found != ordered_.end()) {
+            ++cold_loads_;
+            last_cold_load_ = now - found->second;
+            ordered_.erase(found);
+        }
+        held_before_.insert(each.name);
+    }
+    // What is neither held nor loading has failed.
+    std::erase_if(ordered_, [&](const auto& each) { return !is_loading(each.first); });
+}
+
 void adapter_keeper::on_order_result(const engine_order& order, order_result result,
                                      time_point now) {
     is_order_open_ = false;
@@ -113,6 +130,9 @@
         paused_until_ = now + settings_.refused_pause;
     } else if (order.kind == order_kind::load) {
         used_[order.weights.name].last = now;
+        if (is_adapter(order.weights.name) && held_before_.count(order.weights.name) == 0) {
+            ordered_[order.weights.name] = now;
+        }
     }
 }
 
@@ -282,6 +302,8 @@
     out.kv_used = snapshot_->kv_used;
     out.kv_total = snapshot_->kv_total;
     out.queued_prompt_tokens = queued_prompt_tokens_;
+    out.cold_loads = cold_loads_;
+    out.last_cold_load = last_cold_load_;
     return out;
 }
 
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -360,3 +360,21 @@
             }
         });
 }
+
+TEST_CASE("the time of a load from the weight store is measured, that of a warm one isn't") {
+    fixture with;
+    with.want("g1", {waits_for("m/a1")}, 100);
+    REQUIRE(loads_of(with.settle(100)).size() == 1);
+    with.see(200);
+    CHECK(with.keeper.state().cold_loads == 0);
+    with.engine.finish_loads();
+    with.see(410);
+    CHECK(with.keeper.state().cold_loads == 1);
+    CHECK(with.keeper.state().last_cold_load == duration{310});
+    with.engine.resident.clear();
+    with.see(500);
+    REQUIRE(loads_of(with.settle(500)).size() == 1);
+    with.engine.finish_loads();
+    with.see(525);
+    CHECK(with.keeper.state().cold_loads == 1);
+}
--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -23,8 +23,9 @@
     duration active_poll{15};         /**< While an adapter is loading or waited for. */
     duration heartbeat{400};          /**< Reports to gateways, at least. */
     duration report_delay{4};         /**< Changes within it are told together. */
-    duration report_interval{120};    /**< Changes are told to gateways that don't wait for any. */
-    std::size_t max_named = 8;        /**< Addresses of gateways in one report. */
+    duration report_interval{120}; /**< Changes are told to gateways that don't wait for any, ... */
+    duration relayed_interval{240}; /**< ... and to those that hand them on. */
+    std::size_t max_named = 8;      /**< Addresses of gateways in one report. */
 
     friend bool operator==(const agent_settings&, const agent_settings&) = default;
 };
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -238,15 +238,17 @@
     const auto relays = keeper_.gateways(adapters::report_wish::to_relay, now);
     out.gateways = named_.next(listeners.empty() ? relays : listeners);
     const bool is_for_all = now - told_all_at_ >= settings_.report_interval;
-    is_owed_ = !is_for_all;
-    if (is_for_all) {
-        told_all_at_ = now;
-    }
+    const bool is_for_relays = now - told_relays_at_ >= settings_.relayed_interval;
+    is_owed_ = !is_for_all || !is_for_relays;
+    told_all_at_ = is_for_all ? now : told_all_at_;
+    told_relays_at_ = is_for_relays ? now : told_relays_at_;
     reported_ = out.state;
     log_state(out.state);
     auto to = keeper_.waiting_gateways();
-    if (is_for_all) {
+    if (is_for_relays) {
         socket_.send(relays, out, {true, false});
+    }
+    if (is_for_all) {
         to.insert(to.end(), listeners.begin(), listeners.end());
     }
     std::sort(to.begin(), to.end());
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -66,6 +66,7 @@
     bool is_report_soon_ = false;
     bool is_owed_ = false; /**< Gateways that don't wait have yet to hear of the last change. */
     time_point told_all_at_;
+    time_point told_relays_at_;
     bool is_engine_reachable_ = false;
     std::optional<serving::engine_state> reported_;
     time_point state_logged_;
--- a/libs/entry/src/peer_exchange.cpp
+++ b/libs/entry/src/peer_exchange.cpp
@@ -143,11 +143,7 @@
         return;
     }
     const peering::relay_options options{false, std::exchange(is_urgent_, false)};
-    std::vector<std::string> relays;
-    for (const auto& each : directory_.other_centres(now)) {
-        const auto chosen = directory_.use_relays(each, now);
-        relays.insert(relays.end(), chosen.begin(), chosen.end());
-    }
+    const auto relays = directory_.use_partners(now);
     auto outwards = bundler_.for_other_centres();
     auto inwards = bundler_.for_own_centre();
     bundler_.clear();
--- a/libs/peering/include/peering/relay_directory.h
+++ b/libs/peering/include/peering/relay_directory.h
@@ -53,13 +53,14 @@
         although it was sent to is replaced. May name this gateway, for its own data centre. */
     std::vector<std::string> use_relays(const std::string& data_centre, time_point now);
 
+    /** Relays of the other data centres to hand on to: the first relays of two data centres speak
+        with each other, and so do the second ones. A gateway that is no relay speaks with all. */
+    std::vector<std::string> use_partners(time_point now);
+
     /** Whether this gateway hands on reports of what stands in a data centre: one of its own, or
         one where no gateway lives. */
     bool is_relay_for(const std::string& data_centre, time_point now) const;
 
-    /** Other data centres where gateways live. */
-    std::set<std::string> other_centres(time_point now) const;
-
     /** Live gateways of the own data centre, without this one. */
     std::vector<std::string> local_peers(time_point now) const;
 
@@ -78,6 +79,8 @@
     };
     using candidate = std::map<std::string, gateway>::value_type;
 
+    /** Other data centres where gateways live. */
+    std::set<std::string> other_centres(time_point now) const;
     bool is_live(const gateway& which, time_point now) const;
     /** The best `relays` of the live gateways that `is_wanted` takes, in order. */
     template <typename Predicate>
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -82,6 +82,8 @@
     out.set_kv_total(state.kv_total);
     out.set_queued_prompt_tokens(state.queued_prompt_tokens);
     out.set_is_unreachable(!state.is_reachable);
+    out.set_cold_loads(state.cold_loads);
+    out.set_last_cold_load_ms(static_cast<std::uint32_t>(state.last_cold_load.count()));
     for (const auto& each : report.gateways) {
         out.add_gateways(each);
     }
@@ -106,6 +108,8 @@
     state.kv_total = in.kv_total();
     state.queued_prompt_tokens = in.queued_prompt_tokens();
     state.is_reachable = !in.is_unreachable();
+    state.cold_loads = in.cold_loads();
+    state.last_cold_load = duration{in.last_cold_load_ms()};
     report.gateways.assign(in.gateways().begin(), in.gateways().end());
     return report;
 }
--- a/libs/peering/src/relay_directory.cpp
+++ b/libs/peering/src/relay_directory.cpp
@@ -108,6 +108,22 @@
     return has_silent ? choose(data_centre, now) : chosen;
 }
 
+std::vector<std::string> relay_directory::use_partners(time_point now) {
+    const auto local = choose(gateways_.at(own_).identity.data_centre, now);
+    const auto self = std::find(local.begin(), local.end(), own_);
+    std::vector<std::string> out;
+    for (const auto& each : other_centres(now)) {
+        const auto relays = use_relays(each, now);
+        if (self == local.end() || relays.empty()) {
+            out.insert(out.end(), relays.begin(), relays.end());
+        } else {
+            const auto rank = static_cast<std::size_t>(self - local.begin());
+            out.push_back(relays[rank % relays.size()]);
+        }
+    }
+    return out;
+}
+
 bool relay_directory::tells_directly(time_point now) {
     const auto live = std::count_if(gateways_.begin(), gateways_.end(),
                                     [&](const auto& each) { return is_live(each.second, now); });
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -41,6 +41,8 @@
     report.state.kv_total = 90'000;
     report.state.queued_prompt_tokens = 12;
     report.state.is_reachable = false;
+    report.state.cold_loads = 17;
+    report.state.last_cold_load = duration{260};
     report.gateways = {"10.0.0.1:7600"};
     return {"10.0.0.2:7600", 6, 1, report, {}, {}};
 }
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -2,6 +2,7 @@
 
 #include <kernel/clock.h>
 #include <serving/backend_server.h>
+#include <serving/load_pace.h>
 #include <serving/prompt_cache.h>
 #include <serving/request_profile.h>
 #include <serving/service_catalogue.h>
@@ -31,6 +32,7 @@
                                    yet: another server, or this one without what it held. */
     std::optional<engine_state> engine; /**< From the agent beside it; empty before its first. */
     time_point engine_heard;
+    std::uint32_t loading = 0; /**< Adapters that the engine is loading. */
     std::uint32_t in_flight = 0;
     std::uint64_t queued_prompt_tokens = 0; /**< To be read for own requests without an event. */
     std::uint64_t queued_at_report = 0;     /**< The same when the engine's last report came. */
@@ -50,6 +52,7 @@
     duration engine_silence{1'500}; /**< Reports older than this are no longer relied on. */
     duration first_avoidance{300};  /**< After a failure to connect; doubles with each further. */
     duration longest_avoidance{3'000};
+    load_pace_settings loads;
 
     friend bool operator==(const backend_board_settings&, const backend_board_settings&) = default;
 };
@@ -100,6 +103,12 @@
     /** Prompt tokens that the engine has yet to read, of all gateways, as far as known. */
     std::uint64_t queued_prompt_tokens(const backend_view& view, time_point now) const;
 
+    /** Adapters that all engines are loading, as far as known. */
+    std::uint32_t loads_under_way() const;
+
+    /** How fast the weight store loads adapters. */
+    const load_pace& pace() const noexcept { return pace_; }
+
     /** The server answered; `failed` tells whether with an error of its own. */
     void on_answer(const std::string& id, bool failed);
 
@@ -114,7 +123,11 @@
                time_point now) const;
 
 private:
+    /** Learns from a report that tells of one more load. */
+    void note_load(const std::optional<engine_state>& before, const engine_state& now);
+
     backend_board_settings settings_;
+    load_pace pace_;
     std::map<std::string, backend_view> views_;
 };
 
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -68,6 +68,8 @@
     std::uint64_t kv_total = 0;
     std::uint64_t queued_prompt_tokens = 0; /**< To be read for requests that gave no event yet. */
     bool is_reachable = true;               /**< The agent gets answers from the engine. */
+    std::uint64_t cold_loads = 0; /**< Adapters that it has loaded from the weight store. */
+    duration last_cold_load{};    /**< How long the last of them took. */
 
     friend bool operator==(const engine_state&, const engine_state&) = default;
 };
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -14,10 +14,8 @@
 
 /** Speeds and penalties by which a placement is estimated. */
 struct placement_settings {
-    double prefill_tokens_per_ms = 30;  /**< Of one engine, with some room below its best. */
-    duration cold_load{250};            /**< An adapter from the weight store, few under way. */
-    duration warm_load{40};             /**< An adapter that the engine held before. */
-    std::uint32_t full_speed_loads = 8; /**< Fleet-wide; beyond it each takes longer. */
+    double prefill_tokens_per_ms = 30; /**< Of one engine, with some room below its best. */
+    duration warm_load{40};            /**< An adapter that the engine held before. */
     duration store_fetch{400}; /**< What fetching an adapter once more from the weight store, which
                                     all engines share, is worth beside the wait for it. */
     duration replace_wait{1'500}; /**< Until the runs on an older version of an adapter end. */
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -24,7 +24,8 @@
 
 } // namespace
 
-backend_board::backend_board(backend_board_settings settings) : settings_(settings) {}
+backend_board::backend_board(backend_board_settings settings)
+    : settings_(settings), pace_(settings.loads) {}
 
 void backend_board::put(const backend_server& server) {
     auto& view = views_[server.id];
@@ -33,6 +34,7 @@
     if (is_new_process) {
         view.is_replaced = false;
         view.engine.reset();
+        view.loading = 0;
         view.prompts.clear();
         view.seen_adapters.clear();
         view.failures = 0;
@@ -80,12 +82,32 @@
     for (const auto& each : state.adapters) {
         view->seen_adapters.insert(each.weights.name);
     }
+    note_load(old, state);
+    view->loading = static_cast<std::uint32_t>(
+        std::count_if(state.adapters.begin(), state.adapters.end(),
+                      [](const adapter_place& each) { return each.is_loading; }));
     view->is_replaced = view->server.born != 0 && state.born > view->server.born;
     view->engine = std::move(state);
     view->engine_heard = now;
     view->queued_at_report = view->queued_prompt_tokens;
 }
 
+void backend_board::note_load(const std::optional<engine_state>& before, const engine_state& now) {
+    const bool is_news = before && before->agent_life == now.agent_life &&
+                         before->born == now.born && now.cold_loads > before->cold_loads;
+    if (is_news) {
+        pace_.on_load(now.last_cold_load, loads_under_way());
+    }
+}
+
+std::uint32_t backend_board::loads_under_way() const {
+    std::uint32_t loads = 0;
+    for (const auto& each : views_) {
+        loads += each.second.loading;
+    }
+    return loads;
+}
+
 backend_view* backend_board::find(const std::string& id) {
     const auto found = views_.find(id);
     return found == views_.end() ? nullptr : &found->second;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -1,8 +1,9 @@
 #include <serving/placement.h>
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <cmath>
-#include <functional>
 #include <string_view>
 
 namespace camphorgrade::serving {
@@ -17,11 +18,8 @@
 
 /** Rank of a server for an adapter, about uniform in [0, servers). */
 double rendezvous_rank(std::string_view weights, std::string_view server, std::size_t servers) {
-    std::uint64_t hash = std::hash<std::string_view>{}(weights);
-    hash ^= std::hash<std::string_view>{}(server)*0x9e3779b97f4a7c15ULL;
-    hash ^= hash >> 32U;
-    hash *= 0xd6e8feb86659fd93ULL;
-    hash ^= hash >> 32U;
+    const auto seed = XXH64(weights.data(), weights.size(), 0);
+    const auto hash = XXH64(server.data(), server.size(), seed);
     return static_cast<double>(hash) / hash_range * static_cast<double>(servers);
 }
 
@@ -39,19 +37,6 @@
     return unmet;
 }
 
-std::uint32_t loads_under_way(const backend_board& board) {
-    std::uint32_t loads = 0;
-    for (const auto& [id, view] : board.all()) {
-        if (!view.engine) {
-            continue;
-        }
-        for (const auto& each : view.engine->adapters) {
-            loads += each.is_loading ? 1 : 0;
-        }
-    }
-    return loads;
-}
-
 } // namespace
 
 placement_chooser::placement_chooser(placement_settings settings, std::string own_data_centre)
@@ -79,10 +64,7 @@
     const bool any_reachable =
         std::any_of(candidates.begin(), candidates.end(),
                     [&](const backend_view* each) { return !is_avoided(each); });
-    const double loads = loads_under_way(board);
-    const auto load_cold =
-        from_ms(static_cast<double>(settings_.cold_load.count()) *
-                std::max(1.0, (loads + 1) / static_cast<double>(settings_.full_speed_loads)));
+    const auto load_cold = board.pace().estimate(board.loads_under_way());
     estimate best;
     for (auto* each : candidates) {
         if (any_reachable && is_avoided(each)) {
