Pass over a relay of another data centre only when it is the one spoken with

Cause: the change before marked both relays of a data centre as used though only one is sent to and heard from, so the other was passed over again and again, and test_relays sent 4107 datagrams where 2600 are allowed.

--- a/libs/peering/include/peering/relay_directory.h
+++ b/libs/peering/include/peering/relay_directory.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -86,6 +87,9 @@
     template <typename Predicate>
     std::vector<std::string> best(Predicate is_wanted, time_point now) const;
     std::vector<std::string> choose(const std::string& data_centre, time_point now) const;
+    /** The relay of this rank of another data centre; a silent one is replaced. */
+    std::optional<std::string> use_partner(const std::string& data_centre, std::size_t rank,
+                                           time_point now);
     /** Notes that a relay is sent to; returns whether it has been silent for too long. */
     bool is_silent_relay(gateway& which, time_point now) const;
 
--- a/libs/peering/src/relay_directory.cpp
+++ b/libs/peering/src/relay_directory.cpp
@@ -113,17 +113,37 @@
     const auto self = std::find(local.begin(), local.end(), own_);
     std::vector<std::string> out;
     for (const auto& each : other_centres(now)) {
-        const auto relays = use_relays(each, now);
-        if (self == local.end() || relays.empty()) {
+        if (self == local.end()) {
+            const auto relays = choose(each, now);
             out.insert(out.end(), relays.begin(), relays.end());
-        } else {
-            const auto rank = static_cast<std::size_t>(self - local.begin());
-            out.push_back(relays[rank % relays.size()]);
+            continue;
+        }
+        const auto rank = static_cast<std::size_t>(self - local.begin());
+        if (auto partner = use_partner(each, rank, now)) {
+            out.push_back(std::move(*partner));
         }
     }
     return out;
 }
 
+std::optional<std::string> relay_directory::use_partner(const std::string& data_centre,
+                                                        std::size_t rank, time_point now) {
+    const auto pick = [&]() -> std::optional<std::string> {
+        const auto relays = choose(data_centre, now);
+        return relays.empty() ? std::nullopt : std::optional(relays[rank % relays.size()]);
+    };
+    const auto partner = pick();
+    if (!partner) {
+        return std::nullopt;
+    }
+    auto& which = gateways_.at(*partner);
+    if (!is_silent_relay(which, now)) {
+        return partner;
+    }
+    which.passed_over_until = now + settings_.passed_over;
+    return pick();
+}
+
 bool relay_directory::tells_directly(time_point now) {
     const auto live = std::count_if(gateways_.begin(), gateways_.end(),
                                     [&](const auto& each) { return is_live(each.second, now); });
