--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -74,7 +74,12 @@
 
 /** Times and bounds of an adapter_keeper. */
 struct adapter_keeper_settings {
-    std::uint32_t max_loading = 2;   /**< At once; the weight store slows down with more. */
+    std::uint32_t max_loading = 4;      /**< At once, as engines allow. */
+    std::uint32_t max_cold_loading = 2; /**< Of these from the weight store, ... */
+    std::uint32_t max_cold_busy = 1;    /**< ... and while it is busy: more would only be slower. */
+    duration usual_load{250};           /**< Of one from the weight store, until others are seen. */
+    double busy_load = 1.5;   /**< The weight store is busy when a load takes so many usual ones. */
+    double load_drift = 0.02; /**< Weight of a slow load in what is usual. */
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
     duration refused_pause{200};     /**< After an order that was refused or not answered. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
@@ -172,6 +177,12 @@
     };
 
     void recount(time_point now);
+    /** How many adapters may be loading from the weight store. */
+    std::uint32_t cold_limit() const;
+    /** Adapters that are loading from the weight store. */
+    std::size_t cold_loading() const;
+    bool is_warm(const std::string& name) const { return held_before_.count(name) != 0; }
+    void note_load(duration took);
     /** Notes which loads the newest snapshot shows as done, and how long they took. */
     void note_loads(time_point now);
     /** Records what is wanted now; each request that wasn't there `before` is one more use. */
@@ -203,6 +214,7 @@
     std::set<std::string> held_before_; /**< Adapters that load from the engine's own memory. */
     std::uint64_t cold_loads_ = 0;
     duration last_cold_load_{};
+    double usual_load_ms_;
     std::map<std::string, use_record> used_; /**< Also of adapters that aren't held. */
     std::uint64_t queued_prompt_tokens_ = 0;
     bool is_order_open_ = false;
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -27,7 +27,8 @@
 
 } // namespace
 
-adapter_keeper::adapter_keeper(adapter_keeper_settings settings) : settings_(settings) {}
+adapter_keeper::adapter_keeper(adapter_keeper_settings settings)
+    : settings_(settings), usual_load_ms_(static_cast<double>(settings.usual_load.count())) {}
 
 demand_result adapter_keeper::on_demand(const std::string& gateway, engine_demand demand,
                                         time_point now) {
@@ -111,8 +112,7 @@
     for (const auto& each : snapshot_->adapters) {
         const auto found = ordered_.find(each.name);
         if (found != ordered_.end()) {
-            ++cold_loads_;
-            last_cold_load_ = now - found->second;
+            note_load(now - found->second);
             ordered_.erase(found);
         }
         held_before_.insert(each.name);
@@ -130,12 +130,32 @@
         paused_until_ = now + settings_.refused_pause;
     } else if (order.kind == order_kind::load) {
         used_[order.weights.name].last = now;
-        if (is_adapter(order.weights.name) && held_before_.count(order.weights.name) == 0) {
+        if (is_adapter(order.weights.name) && !is_warm(order.weights.name)) {
             ordered_[order.weights.name] = now;
         }
     }
 }
 
+void adapter_keeper::note_load(duration took) {
+    ++cold_loads_;
+    last_cold_load_ = took;
+    const auto ms = static_cast<double>(took.count());
+    usual_load_ms_ =
+        ms < usual_load_ms_ ? ms : usual_load_ms_ + settings_.load_drift * (ms - usual_load_ms_);
+}
+
+std::uint32_t adapter_keeper::cold_limit() const {
+    const bool is_busy = cold_loads_ == 0 || static_cast<double>(last_cold_load_.count()) >
+                                                 usual_load_ms_ * settings_.busy_load;
+    return is_busy ? settings_.max_cold_busy : settings_.max_cold_loading;
+}
+
+std::size_t adapter_keeper::cold_loading() const {
+    const auto count = std::count_if(snapshot_->loading.begin(), snapshot_->loading.end(),
+                                     [&](const held_weights& each) { return !is_warm(each.name); });
+    return static_cast<std::size_t>(count);
+}
+
 std::uint64_t adapter_keeper::newest_wanted(const std::string& weights) const {
     std::uint64_t newest = 0;
     for (const auto& [each, demand] : wanted_) {
@@ -221,11 +241,13 @@
     if (snapshot_->loading.size() >= settings_.max_loading) {
         return std::nullopt;
     }
+    const bool may_load_cold = cold_loading() < cold_limit();
     const held_weights* chosen = nullptr;
     const total* best = nullptr;
     for (const auto& [weights, demand] : wanted_) {
         const bool needs_load =
-            needs_place(weights, demand) && weights.version >= newest_wanted(weights.name) &&
+            (may_load_cold || is_warm(weights.name)) && needs_place(weights, demand) &&
+            weights.version >= newest_wanted(weights.name) &&
             names(snapshot_->models, model_of(weights.name)) && !is_replacing(weights, now);
         if (needs_load && (best == nullptr || std::tie(demand.urgency, demand.since) <
                                                   std::tie(best->urgency, best->since))) {
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -148,6 +148,17 @@
         return given;
     }
 
+    /** Loads an adapter from the weight store in that time, and drops it again. */
+    void load_one(std::int64_t took) {
+        want("g0", {waits_for("m/first")}, 0);
+        settle(0);
+        engine.finish_loads();
+        see(took);
+        want("g0", {}, took);
+        engine.resident.clear();
+        see(took);
+    }
+
     fake_engine engine;
     adapter_keeper keeper;
 };
@@ -166,6 +177,7 @@
 
 TEST_CASE("adapters are loaded by urgency, then by waiting time, a few at once") {
     fixture with;
+    with.load_one(250);
     with.want("g1", {waits_for("m/a1", 5, 100), waits_for("m/a2", 5, 300), waits_for("m/a3", 1, 0)},
               400);
     CHECK(loads_of(with.settle(400)) == std::vector<std::string>{"m/a3", "m/a2"});
@@ -378,3 +390,28 @@
     with.see(525);
     CHECK(with.keeper.state().cold_loads == 1);
 }
+
+TEST_CASE("load: while the weight store is busy, an engine loads one adapter at a time from it") {
+    fixture with;
+    with.load_one(250);
+    with.want("g1", {waits_for("m/a1"), waits_for("m/a2"), waits_for("m/a3")}, 300);
+    CHECK(loads_of(with.settle(300)).size() == 2);
+    with.engine.finish_loads();
+    with.see(1'300); // many engines load at once
+    CHECK(loads_of(with.settle(1'300)).size() == 1);
+    with.engine.finish_loads();
+    with.see(1'560);
+    with.want("g1", {waits_for("m/a4"), waits_for("m/a5"), waits_for("m/a6")}, 1'600);
+    CHECK(loads_of(with.settle(1'600)).size() == 2); // it is as quick as usual again
+}
+
+TEST_CASE("load: adapters in the engine's own memory don't wait for those from the weight store") {
+    fixture with;
+    with.load_one(250);
+    with.want("g1", {waits_for("m/a0")}, 300);
+    REQUIRE(with.settle(300).size() == 1);
+    with.engine.finish_loads();
+    with.see(1'300); // the weight store is busy
+    with.want("g1", {waits_for("m/a1"), waits_for("m/a2"), waits_for("m/first")}, 1'400);
+    CHECK(loads_of(with.settle(1'400)) == std::vector<std::string>{"m/a1", "m/first"});
+}
