Believe two peers that avoid a backend server

Gateways tell in their reports whom they avoid because it failed for them. A server that two peers avoid is avoided while others are there, unless it answered this gateway within the last second.

--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -71,6 +71,7 @@
     follower_.on_peer(sender, report.store_age);
     dispatcher_.limiter().on_peer_usage(sender, life, report.process_age, report.usage,
                                         report.has_all_usage, now);
+    dispatcher_.board().on_peer_troubles(sender, report.troubles, now);
     for (const auto& each : report.crashes) {
         if (dispatcher_.crashes().add(each, now)) {
             host_.log()
@@ -258,6 +259,7 @@
     report.usage = is_full ? usage : recent;
     report.store_age = fleet_.store_age();
     report.process_age = now - started_;
+    report.troubles = dispatcher_.board().troubles(now);
     if (is_full) {
         full_report_at_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_marks);
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -39,6 +39,7 @@
     duration store_age{};   /**< Since it last heard from the store. */
     duration process_age{}; /**< Since it started. */
     serving::adapter_versions versions;
+    std::vector<serving::server_trouble> troubles;
     bool has_all_usage = true; /**< Else `usage` has only the accounts that changed lately. */
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -139,6 +139,11 @@
         named.set_version(version);
     }
     out.set_has_all_usage(report.has_all_usage);
+    for (const auto& each : report.troubles) {
+        auto& trouble = *out.add_troubles();
+        trouble.set_backend_id(each.id);
+        trouble.set_born(each.born);
+    }
 }
 
 gateway_report read(const wire::gateway_report& in) {
@@ -157,6 +162,9 @@
         report.versions[each.weights()] = each.version();
     }
     report.has_all_usage = in.has_all_usage();
+    for (const auto& each : in.troubles()) {
+        report.troubles.push_back({each.backend_id(), each.born()});
+    }
     return report;
 }
 
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -57,6 +57,7 @@
     report.process_age = duration{7'000};
     report.versions = {{"m/a1", 3}};
     report.has_all_usage = false;
+    report.troubles = {{"e2", 99}};
     return {"10.0.0.1:7600", 5, 10, report, {"dc-2", 90}, {}};
 }
 
--- a/libs/serving/include/serving/backend_board.h
+++ b/libs/serving/include/serving/backend_board.h
@@ -41,6 +41,8 @@
     prompt_cache prompts;
     std::uint32_t failures = 0; /**< In a row. */
     time_point avoid_until;
+    time_point last_answer;
+    std::map<std::string, time_point> avoided_by; /**< Peers, and when each said so. */
     bool is_leaving = false;   /**< It said so in an answer; true until its next process. */
     time_point hold_off_until; /**< It wants nothing before. */
     double failure_share = 0;  /**< Moving average over the answers of this server. */
@@ -52,6 +54,9 @@
     duration engine_silence{1'500}; /**< Reports older than this are no longer relied on. */
     duration first_avoidance{300};  /**< After a failure to connect; doubles with each further. */
     duration longest_avoidance{3'000};
+    std::size_t avoiding_peers = 2; /**< So many peers that avoid a server are believed, ... */
+    duration peer_word{700};        /**< ... each for so long after it said so, ... */
+    duration own_word{1'000};       /**< ... but for so long after it answered here. */
     load_pace_settings loads;
 
     friend bool operator==(const backend_board_settings&, const backend_board_settings&) = default;
@@ -97,6 +102,17 @@
     /** The server could not be reached, or its connection broke. */
     void on_failure(const std::string& id, time_point now);
 
+    /** Servers that this gateway avoids because they failed for it. */
+    std::vector<server_trouble> troubles(time_point now) const;
+
+    /** A peer avoids these servers. */
+    void on_peer_troubles(const std::string& peer, const std::vector<server_trouble>& troubles,
+                          time_point now);
+
+    /** Whether a server is better not used while others are there: it failed for this gateway, or
+       for several peers and not for this one. */
+    bool is_avoided(const backend_view& view, time_point now) const;
+
     /** A first answer took `measured` where `expected` would be usual. */
     void on_speed(const std::string& id, duration measured, duration expected);
 
@@ -110,7 +126,7 @@
     const load_pace& pace() const noexcept { return pace_; }
 
     /** The server answered; `failed` tells whether with an error of its own. */
-    void on_answer(const std::string& id, bool failed);
+    void on_answer(const std::string& id, bool failed, time_point now);
 
     /** The server said that it doesn't hold these weights in this version. */
     void on_missing(const std::string& id, const held_weights& weights);
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -44,6 +44,14 @@
     friend bool operator==(const backend_server&, const backend_server&) = default;
 };
 
+/** A process of a backend server that a gateway avoids because it failed for it. A value type. */
+struct server_trouble {
+    std::string id;
+    std::uint64_t born = 0;
+
+    friend bool operator==(const server_trouble&, const server_trouble&) = default;
+};
+
 /** How an adapter stands on an engine. */
 struct adapter_place {
     held_weights weights;
--- a/libs/serving/src/backend_board.cpp
+++ b/libs/serving/src/backend_board.cpp
@@ -39,6 +39,8 @@
         view.seen_adapters.clear();
         view.failures = 0;
         view.avoid_until = {};
+        view.last_answer = {};
+        view.avoided_by.clear();
         view.failure_share = 0;
         view.slowness = 1;
         view.is_leaving = false;
@@ -156,6 +158,41 @@
     view->failure_share += average_weight * (1 - view->failure_share);
 }
 
+std::vector<server_trouble> backend_board::troubles(time_point now) const {
+    std::vector<server_trouble> out;
+    for (const auto& [id, view] : views_) {
+        if (view.avoid_until > now && !view.is_gone) {
+            out.push_back({id, view.server.born});
+        }
+    }
+    return out;
+}
+
+void backend_board::on_peer_troubles(const std::string& peer,
+                                     const std::vector<server_trouble>& troubles, time_point now) {
+    for (const auto& each : troubles) {
+        auto* view = find(each.id);
+        if (view != nullptr && view->server.born == each.born) {
+            view->avoided_by[peer] = now;
+        }
+    }
+}
+
+bool backend_board::is_avoided(const backend_view& view, time_point now) const {
+    if (view.avoid_until > now) {
+        return true;
+    }
+    const bool has_own_word =
+        view.last_answer != time_point{} && now - view.last_answer < settings_.own_word;
+    if (has_own_word || view.avoided_by.empty()) {
+        return false;
+    }
+    const auto peers =
+        std::count_if(view.avoided_by.begin(), view.avoided_by.end(),
+                      [&](const auto& each) { return now - each.second < settings_.peer_word; });
+    return static_cast<std::size_t>(peers) >= settings_.avoiding_peers;
+}
+
 void backend_board::on_speed(const std::string& id, duration measured, duration expected) {
     auto* view = find(id);
     if (view == nullptr || expected < shortest_expected) {
@@ -178,13 +215,14 @@
     return std::max(reported + sent_since, view.queued_prompt_tokens);
 }
 
-void backend_board::on_answer(const std::string& id, bool failed) {
+void backend_board::on_answer(const std::string& id, bool failed, time_point now) {
     auto* view = find(id);
     if (view == nullptr) {
         return;
     }
     view->failures = 0;
     view->avoid_until = {};
+    view->last_answer = now;
     view->failure_share += average_weight * ((failed ? 1.0 : 0.0) - view->failure_share);
 }
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -274,8 +274,9 @@
     if (could_not_use) {
         board_.on_failure(backend, now);
     } else {
-        board_.on_answer(backend, outcome == attempt_outcome::own_error ||
-                                      outcome == attempt_outcome::refused);
+        board_.on_answer(
+            backend, outcome == attempt_outcome::own_error || outcome == attempt_outcome::refused,
+            now);
     }
     if (outcome == attempt_outcome::whole) {
         of.at = phase::ended;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -59,7 +59,7 @@
     const auto servers = candidates.size();
     const auto is_avoided = [&](const backend_view* each) {
         const bool is_dead = board.has_fresh_engine(*each, now) && !each->engine->is_reachable;
-        return each->avoid_until > now || is_dead || each->is_replaced;
+        return board.is_avoided(*each, now) || is_dead || each->is_replaced;
     };
     const bool any_reachable =
         std::any_of(candidates.begin(), candidates.end(),
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -405,3 +405,46 @@
         CHECK(view.queued_prompt_tokens == 0);
     }
 }
+
+TEST_CASE("load: a server that failed for two gateways is avoided by one that hasn't tried it") {
+    dispatcher_fixture with;
+    auto& board = with.decisions.board();
+    const std::vector<server_trouble> trouble{{"desk-1", 1'000}};
+    const auto sent_to = [&](std::int64_t ms) {
+        const auto id = with.arrive(profile_of("/read/x"), ms);
+        REQUIRE(with.only<send_attempt>() != nullptr);
+        const auto where = with.only<send_attempt>()->backend_id;
+        with.ended(id, attempt_outcome::whole, ms);
+        return where;
+    };
+    const auto uses_of_first = [&](std::int64_t from) {
+        int uses = 0;
+        for (std::int64_t ms = from; ms < from + 200; ms += 10) {
+            uses += sent_to(ms) == "desk-1" ? 1 : 0;
+        }
+        return uses;
+    };
+    board.on_peer_troubles("g1", trouble, at_ms(0));
+    board.on_peer_troubles("g1", trouble, at_ms(5));
+    CHECK(sent_to(10) == "desk-1"); // one peer's word may be the peer's own trouble
+    board.on_peer_troubles("g2", trouble, at_ms(1'500));
+    board.on_peer_troubles("g3", trouble, at_ms(1'500));
+    CHECK(uses_of_first(1'500) == 0);
+    CHECK(uses_of_first(2'300) > 0); // nobody says so any more
+    board.on_peer_troubles("g2", trouble, at_ms(2'600));
+    board.on_peer_troubles("g3", trouble, at_ms(2'600));
+    CHECK(uses_of_first(2'600) > 0); // it answered this gateway just now
+    board.on_peer_troubles("g2", {{"desk-1", 999}}, at_ms(9'000));
+    board.on_peer_troubles("g3", {{"desk-1", 999}}, at_ms(9'000));
+    CHECK(uses_of_first(9'000) > 0); // that was an earlier process
+}
+
+TEST_CASE("a gateway tells peers of servers that failed for it, not of what it has from them") {
+    dispatcher_fixture with;
+    auto& board = with.decisions.board();
+    board.on_peer_troubles("g1", {{"desk-2", 1'000}}, at_ms(0));
+    board.on_peer_troubles("g2", {{"desk-2", 1'000}}, at_ms(0));
+    board.on_failure("desk-1", at_ms(1));
+    CHECK(board.troubles(at_ms(2)) == std::vector<server_trouble>{{"desk-1", 1'000}});
+    CHECK(board.troubles(at_ms(400)).empty());
+}
