Make late and few-knowing gateways known to all, and judge peers' pages by the age of what they know

And followers of two relays that were both cut from the store learned of departures after 3.1 s.

Who hears a gateway's direct report while it uses relays names others to it, 16 at a time; test_relays starts fleets that know three seeds alone (failed before: 15,000 ms without news). A page counts by the time at which the store answered the peer, for 2 s. How reports travel is logged.

--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -25,7 +25,11 @@
       host_(host), settings_(settings), own_(own),
       exchange_(
           loop, clock, {boost::asio::ip::make_address(own.ip), own.port}, life, identity, seeds,
-          [this](const peering::peer_message& message) { on_message(message); }, settings.exchange),
+          [this](const peering::peer_message& message) { on_message(message); },
+          [this](bool is_direct, const std::vector<std::string>& relays) {
+              log_travel(is_direct, relays);
+          },
+          settings.exchange),
       named_(settings.max_named), recent_(settings.usage_repeat), server_(loop, clock, *this),
       follower_(
           loop, clock, pool, fleet, own.port, [this] { return exchange_.watchers(); },
@@ -56,6 +60,18 @@
     exchange->answer({body.empty() ? status_not_found : status_ok, {}}, body);
 }
 
+void gateway_peers::log_travel(bool is_direct, const std::vector<std::string>& relays) {
+    std::string names;
+    for (const auto& each : relays) {
+        names += names.empty() ? each : ',' + each;
+    }
+    host_.log()
+        .line("report_relays")
+        .flag("direct", is_direct)
+        .text("relays", names)
+        .number("peers", static_cast<std::int64_t>(exchange_.peers().size()));
+}
+
 void gateway_peers::on_message(const peering::peer_message& message) {
     if (const auto* report = std::get_if<peering::gateway_report>(&message.body)) {
         take(message.sender, message.life, *report);
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -91,6 +91,7 @@
     };
 
     void on_message(const peering::peer_message& message);
+    void log_travel(bool is_direct, const std::vector<std::string>& relays);
     void take(const std::string& sender, std::uint64_t life, const peering::gateway_report& report);
     void take(const peering::engine_report& report);
     void send_demands();
--- a/libs/entry/src/peer_exchange.cpp
+++ b/libs/entry/src/peer_exchange.cpp
@@ -9,9 +9,9 @@
 peer_exchange::peer_exchange(boost::asio::io_context& loop, const clock& clock,
                              const boost::asio::ip::udp::endpoint& own, std::uint64_t life,
                              peering::peer_identity identity, const std::vector<std::string>& seeds,
-                             taker take, peer_exchange_settings settings)
+                             taker take, travel_news on_travel, peer_exchange_settings settings)
     : clock_(clock), settings_(settings), data_centre_(identity.data_centre),
-      take_(std::move(take)),
+      take_(std::move(take)), on_travel_(std::move(on_travel)),
       socket_(loop, clock, own, life, identity,
               [this](const peering::peer_message& message, const peering::arrival& how) {
                   on_message(message, how);
@@ -29,12 +29,15 @@
 void peer_exchange::review_relays() {
     const auto now = clock_.now();
     directory_.forget_silent(now);
-    is_direct_ = directory_.tells_directly(now);
-    local_relays_.clear();
+    const bool was_direct = std::exchange(is_direct_, directory_.tells_directly(now));
+    const auto before = std::exchange(local_relays_, {});
     if (!is_direct_) {
         local_relays_ = directory_.use_relays(data_centre_, now);
     }
     wishes_.clear();
+    if (is_direct_ != was_direct || local_relays_ != before) {
+        on_travel_(is_direct_, local_relays_);
+    }
 }
 
 std::vector<std::string> peer_exchange::watchers() const {
@@ -102,10 +105,25 @@
         directory_.on_heard(message.sender, message.from, how.is_direct, clock_.now());
         named_.erase(message.sender);
     }
+    const bool is_told_directly = kind == peering::message_kind::gateway && how.is_direct &&
+                                  !message.options.is_to_be_relayed;
+    if (is_told_directly && !is_direct_) {
+        introduce(message.sender);
+    }
     gather(message, how);
     take_(message);
 }
 
+void peer_exchange::introduce(const std::string& newcomer) {
+    peering::gateway_report names;
+    names.gateways = directory_.introduction(newcomer, clock_.now());
+    if (!names.gateways.empty()) {
+        names.has_all_usage = false;
+        names.store_age = duration{-1};
+        socket_.send({newcomer}, std::move(names));
+    }
+}
+
 void peer_exchange::gather(const peering::peer_message& message, const peering::arrival& how) {
     const bool is_asked = how.is_direct && message.options.is_to_be_relayed;
     if (!is_asked && !how.is_for_data_centre) {
--- a/libs/entry/src/peer_exchange.h
+++ b/libs/entry/src/peer_exchange.h
@@ -34,12 +34,14 @@
 class peer_exchange {
 public:
     using taker = std::function<void(const peering::peer_message&)>;
+    /** Hears how this gateway's reports travel from now on: directly, or to these relays. */
+    using travel_news = std::function<void(bool is_direct, const std::vector<std::string>& relays)>;
 
     /** Throws boost::system::system_error when the address can't be had. */
     peer_exchange(boost::asio::io_context& loop, const clock& clock,
                   const boost::asio::ip::udp::endpoint& own, std::uint64_t life,
                   peering::peer_identity identity, const std::vector<std::string>& seeds,
-                  taker take, peer_exchange_settings settings);
+                  taker take, travel_news on_travel, peer_exchange_settings settings);
 
     void start();
 
@@ -69,6 +71,8 @@
 
 private:
     void on_message(const peering::peer_message& message, const peering::arrival& how);
+    /** Names other gateways to one that tells directly. */
+    void introduce(const std::string& newcomer);
     void gather(const peering::peer_message& message, const peering::arrival& how);
     /** Decides anew who relays; what was decided holds until the next time. */
     void review_relays();
@@ -79,6 +83,7 @@
     peer_exchange_settings settings_;
     std::string data_centre_;
     taker take_;
+    travel_news on_travel_;
     peering::peer_socket socket_;
     peering::relay_directory directory_;
     peering::report_bundler bundler_;
--- a/libs/entry/src/store_follower.cpp
+++ b/libs/entry/src/store_follower.cpp
@@ -65,7 +65,7 @@
     if (!page) {
         return;
     }
-    duty_.on_page(clock_.now());
+    duty_.on_page(clock_.now() - page->store_age);
     on_catalogue_(peer, page->catalogue_version);
     if (!is_watching_ || !host_.is_in_touch()) {
         host_.on_peer_page(*page, peer);
--- a/libs/peering/include/peering/relay_directory.h
+++ b/libs/peering/include/peering/relay_directory.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <kernel/clock.h>
+#include <peering/name_rotation.h>
 #include <peering/peer_messages.h>
 
 #include <cstddef>
@@ -21,7 +22,10 @@
     duration peer_expiry{10'000}; /**< A gateway not heard for so long is forgotten. */
     duration relay_silence{400}; /**< A relay in use that isn't heard directly for so long is passed
                                       over, ... */
-    duration passed_over{1'000}; /**< ... for so long. */
+    duration introduction_pause{
+        500}; /**< A gateway that tells directly is told of others again, ... */
+    std::size_t introduced_at_once = 16; /**< ... of so many beside its relays. */
+    duration passed_over{1'000};         /**< ... for so long. */
 
     friend bool operator==(const relay_directory_settings&,
                            const relay_directory_settings&) = default;
@@ -62,6 +66,11 @@
         one where no gateway lives. */
     bool is_relay_for(const std::string& data_centre, time_point now) const;
 
+    /** Gateways to name to one that tells this one directly, because it knows few or hears no
+       relay: the relays of its data centre and some others, all in turn. Empty when it was told
+       just now. */
+    std::vector<std::string> introduction(const std::string& newcomer, time_point now);
+
     /** Live gateways of the own data centre, without this one. */
     std::vector<std::string> local_peers(time_point now) const;
 
@@ -77,6 +86,7 @@
         time_point used_since; /**< Since when it is sent to as a relay. */
         time_point used_last;
         time_point passed_over_until;
+        time_point introduced;
     };
     using candidate = std::map<std::string, gateway>::value_type;
 
@@ -95,6 +105,7 @@
 
     std::string own_;
     relay_directory_settings settings_;
+    name_rotation introduced_;
     std::map<std::string, gateway> gateways_; // this one, too
 };
 
--- a/libs/peering/src/relay_directory.cpp
+++ b/libs/peering/src/relay_directory.cpp
@@ -10,7 +10,7 @@
 
 relay_directory::relay_directory(std::string own, peer_identity identity,
                                  relay_directory_settings settings)
-    : own_(std::move(own)), settings_(settings) {
+    : own_(std::move(own)), settings_(settings), introduced_(settings.introduced_at_once) {
     auto& self = gateways_[own_];
     self.identity = std::move(identity);
     self.rank = XXH64(own_.data(), own_.size(), 0);
@@ -156,6 +156,25 @@
     });
 }
 
+std::vector<std::string> relay_directory::introduction(const std::string& newcomer,
+                                                       time_point now) {
+    const auto found = gateways_.find(newcomer);
+    if (found == gateways_.end()) {
+        return {};
+    }
+    auto& known = found->second;
+    const bool was_told =
+        known.introduced != time_point{} && now - known.introduced < settings_.introduction_pause;
+    if (was_told) {
+        return {};
+    }
+    known.introduced = now;
+    auto names = choose(known.identity.data_centre, now);
+    const auto others = introduced_.next(peers(now));
+    names.insert(names.end(), others.begin(), others.end());
+    return names;
+}
+
 bool relay_directory::is_relay_for(const std::string& data_centre, time_point now) const {
     auto chosen = choose(data_centre, now);
     if (chosen.empty()) {
--- a/libs/serving/include/serving/watch_duty.h
+++ b/libs/serving/include/serving/watch_duty.h
@@ -2,13 +2,15 @@
 
 #include <kernel/clock.h>
 
+#include <algorithm>
 #include <optional>
 
 namespace camphorgrade::serving {
 
 /** Times of a watch_duty. */
 struct watch_duty_settings {
-    duration page_expiry{1'500}; /**< Without news from peers for so long, the store is watched. */
+    duration page_expiry{2'000}; /**< When what peers know is so old, the store is watched; servers
+                                      that leave must be known before they are gone. */
     duration steady{3'000}; /**< News must have come for so long before the watch is dropped. */
 
     friend bool operator==(const watch_duty_settings&, const watch_duty_settings&) = default;
@@ -22,15 +24,17 @@
 public:
     explicit watch_duty(watch_duty_settings settings) : settings_(settings) {}
 
-    /** A peer that is in touch with the store told what it knows. */
-    void on_page(time_point now) { last_page_ = now; }
+    /** A peer told what it knows; the store had answered it at `known_at`. */
+    void on_page(time_point known_at) {
+        known_at_ = std::max(known_at_.value_or(known_at), known_at);
+    }
 
     /** Whether to watch; `has_watchers` tells whether peers watch for this gateway. */
     bool watches(bool has_watchers, time_point now);
 
 private:
     watch_duty_settings settings_;
-    std::optional<time_point> last_page_;
+    std::optional<time_point> known_at_;
     std::optional<time_point> steady_since_;
 };
 
--- a/libs/serving/src/watch_duty.cpp
+++ b/libs/serving/src/watch_duty.cpp
@@ -3,7 +3,7 @@
 namespace camphorgrade::serving {
 
 bool watch_duty::watches(bool has_watchers, time_point now) {
-    const bool is_told = has_watchers && last_page_ && now - *last_page_ < settings_.page_expiry;
+    const bool is_told = has_watchers && known_at_ && now - *known_at_ < settings_.page_expiry;
     if (!is_told) {
         steady_since_.reset();
         return true;
