--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -282,8 +282,7 @@
         .text("backend_server", effect.backend_id)
         .number("estimate_ms", effect.first_answer.count())
         .number("loads_under_way", dispatcher_.board().loads_under_way())
-        .number("full_speed_loads",
-                std::llround(dispatcher_.board().pace().full_speed_loads()));
+        .number("full_speed_loads", std::llround(dispatcher_.board().pace().full_speed_loads()));
 }
 
 void gateway_node::on_caller_limits(const edge::caller_limits& limits) {
