--- a/libs/peering/include/peering/relay_directory.h
+++ b/libs/peering/include/peering/relay_directory.h
@@ -16,16 +16,15 @@
 
 /** Times and sizes of a relay_directory. */
 struct relay_directory_settings {
-    std::size_t relays = 2;       /**< In each data centre. */
-    std::size_t most_direct = 16; /**< Gateways; up to so many tell each other directly. */
-    duration peer_live{1'500};    /**< A gateway not heard for so long doesn't relay. */
-    duration peer_expiry{10'000}; /**< A gateway not heard for so long is forgotten. */
-    duration relay_silence{400}; /**< A relay in use that isn't heard directly for so long is passed
-                                      over, ... */
-    duration introduction_pause{
-        500}; /**< A gateway that tells directly is told of others again, ... */
-    std::size_t introduced_at_once = 16; /**< ... of so many beside its relays. */
-    duration passed_over{1'000};         /**< ... for so long. */
+    std::size_t relays = 2;           /**< In each data centre. */
+    std::size_t most_direct = 16;     /**< Gateways; up to so many tell each other directly. */
+    duration peer_live{1'500};        /**< A gateway not heard for so long doesn't relay. */
+    duration peer_expiry{10'000};     /**< A gateway not heard for so long is forgotten. */
+    duration relay_silence{400};      /**< A relay in use that isn't heard directly for so long is
+                                           passed over, ... */
+    duration passed_over{1'000};      /**< ... for so long. */
+    duration introduction_pause{500}; /**< Between two introductions of one gateway, ... */
+    std::size_t introduced_at_once = 16; /**< ... each to so many beside its relays. */
 
     friend bool operator==(const relay_directory_settings&,
                            const relay_directory_settings&) = default;
@@ -100,8 +99,8 @@
     /** The relay of this rank of another data centre; a silent one is replaced. */
     std::optional<std::string> use_partner(const std::string& data_centre, std::size_t rank,
                                            time_point now);
-    /** Notes that a relay is sent to; returns whether it has been silent for too long. */
-    bool is_silent_relay(gateway& which, time_point now) const;
+    /** Notes that a relay is sent to; returns false when it has been silent for too long. */
+    bool note_use(gateway& which, time_point now) const;
 
     std::string own_;
     relay_directory_settings settings_;
--- a/libs/peering/src/relay_directory.cpp
+++ b/libs/peering/src/relay_directory.cpp
@@ -82,16 +82,16 @@
     return chosen;
 }
 
-bool relay_directory::is_silent_relay(gateway& which, time_point now) const {
+bool relay_directory::note_use(gateway& which, time_point now) const {
     if (&which == &gateways_.at(own_)) {
-        return false;
+        return true;
     }
     if (now - which.used_last >= settings_.relay_silence) {
         which.used_since = now;
     }
     which.used_last = now;
-    return now - which.used_since >= settings_.relay_silence &&
-           now - which.heard_directly >= settings_.relay_silence;
+    return now - which.used_since < settings_.relay_silence ||
+           now - which.heard_directly < settings_.relay_silence;
 }
 
 std::vector<std::string> relay_directory::use_relays(const std::string& data_centre,
@@ -100,7 +100,7 @@
     bool has_silent = false;
     for (const auto& each : chosen) {
         auto& which = gateways_.at(each);
-        if (is_silent_relay(which, now)) {
+        if (!note_use(which, now)) {
             which.passed_over_until = now + settings_.passed_over;
             has_silent = true;
         }
@@ -137,7 +137,7 @@
         return std::nullopt;
     }
     auto& which = gateways_.at(*partner);
-    if (!is_silent_relay(which, now)) {
+    if (note_use(which, now)) {
         return partner;
     }
     which.passed_over_until = now + settings_.passed_over;
