Pass over a silent relay in one place, and read the newest catalogue's version in one

Cause: a last read of the change. use_relays and use_partner each marked a silent relay, and two classes looked up the version of the newest catalogue. note_use now marks it, and fleet_knowledge gives the version.

--- a/libs/entry/src/fleet_knowledge.cpp
+++ b/libs/entry/src/fleet_knowledge.cpp
@@ -86,14 +86,18 @@
             out.servers.push_back(view.server);
         }
     }
-    const auto* known = dispatcher_.catalogue();
     out.revision = registrations_revision_;
     out.is_settled = registrations_.is_settled(clock_.now());
     out.store_age = store_age();
-    out.catalogue_version = known == nullptr ? 0 : known->catalogue().version;
+    out.catalogue_version = catalogue_version();
     return out;
 }
 
+std::uint64_t fleet_knowledge::catalogue_version() const {
+    const auto* known = dispatcher_.catalogue();
+    return known == nullptr ? 0 : known->catalogue().version;
+}
+
 void fleet_knowledge::on_registrations_revision(std::uint64_t revision) {
     registrations_revision_ = std::max(registrations_revision_, revision);
 }
--- a/libs/entry/src/fleet_knowledge.h
+++ b/libs/entry/src/fleet_knowledge.h
@@ -56,6 +56,9 @@
     /** A catalogue in its stored form, from a peer. */
     void on_peer_catalogue(const std::string& text);
 
+    /** Version of the newest catalogue; 0 when none is known. */
+    std::uint64_t catalogue_version() const;
+
     /** Stored form of the newest catalogue; empty when none is known. */
     const std::string& catalogue_text() const noexcept { return catalogue_text_; }
 
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -102,11 +102,6 @@
     fetch_catalogue(sender, report.catalogue_version, settings_.fetch_delay);
 }
 
-std::uint64_t gateway_peers::catalogue_version() const {
-    const auto* known = dispatcher_.catalogue();
-    return known == nullptr ? 0 : known->catalogue().version;
-}
-
 void gateway_peers::take(const peering::engine_report& report) {
     exchange_.learn(report.gateways);
     dispatcher_.on_engine_state(report.backend_id, report.state, clock_.now());
@@ -115,14 +110,14 @@
 
 void gateway_peers::fetch_catalogue(const std::string& from, std::uint64_t version,
                                     duration delay) {
-    if (is_fetching_ || version <= catalogue_version()) {
+    if (is_fetching_ || version <= fleet_.catalogue_version()) {
         return;
     }
     is_fetching_ = true;
     auto timer = std::make_shared<boost::asio::steady_timer>(loop_); // lives as long as its wait
     timer->expires_after(delay);
     timer->async_wait([this, timer, from, version](const boost::system::error_code& error) {
-        if (error || version <= catalogue_version()) {
+        if (error || version <= fleet_.catalogue_version()) {
             is_fetching_ = false;
             return;
         }
@@ -262,7 +257,7 @@
     const bool is_full = now - full_report_at_ >= settings_.full_report_interval;
     const auto& usage = dispatcher_.limiter().own_usage();
     peering::gateway_report report;
-    report.catalogue_version = catalogue_version();
+    report.catalogue_version = fleet_.catalogue_version();
     const bool is_news =
         usage != reported_usage_ || report.catalogue_version != reported_catalogue_;
     // Relays add to the time until a report is heard, so none is left out there.
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -108,7 +108,6 @@
     void schedule_reports();
     /** Fetches it after `delay` if it is still newer than what is known then. */
     void fetch_catalogue(const std::string& from, std::uint64_t version, duration delay);
-    std::uint64_t catalogue_version() const;
 
     boost::asio::io_context& loop_;
     const clock& clock_;
--- a/libs/peering/include/peering/relay_directory.h
+++ b/libs/peering/include/peering/relay_directory.h
@@ -99,7 +99,8 @@
     /** The relay of this rank of another data centre; a silent one is replaced. */
     std::optional<std::string> use_partner(const std::string& data_centre, std::size_t rank,
                                            time_point now);
-    /** Notes that a relay is sent to; returns false when it has been silent for too long. */
+    /** Notes that a relay is sent to; passes it over and returns false when it has been silent for
+        too long. */
     bool note_use(gateway& which, time_point now) const;
 
     std::string own_;
--- a/libs/peering/src/relay_directory.cpp
+++ b/libs/peering/src/relay_directory.cpp
@@ -90,8 +90,12 @@
         which.used_since = now;
     }
     which.used_last = now;
-    return now - which.used_since < settings_.relay_silence ||
-           now - which.heard_directly < settings_.relay_silence;
+    const bool is_in_time = now - which.used_since < settings_.relay_silence ||
+                            now - which.heard_directly < settings_.relay_silence;
+    if (!is_in_time) {
+        which.passed_over_until = now + settings_.passed_over;
+    }
+    return is_in_time;
 }
 
 std::vector<std::string> relay_directory::use_relays(const std::string& data_centre,
@@ -99,11 +103,7 @@
     auto chosen = choose(data_centre, now);
     bool has_silent = false;
     for (const auto& each : chosen) {
-        auto& which = gateways_.at(each);
-        if (!note_use(which, now)) {
-            which.passed_over_until = now + settings_.passed_over;
-            has_silent = true;
-        }
+        has_silent = !note_use(gateways_.at(each), now) || has_silent;
     }
     return has_silent ? choose(data_centre, now) : chosen;
 }
@@ -133,15 +133,8 @@
         return relays.empty() ? std::nullopt : std::optional(relays[rank % relays.size()]);
     };
     auto partner = pick();
-    if (!partner) {
-        return std::nullopt;
-    }
-    auto& which = gateways_.at(*partner);
-    if (note_use(which, now)) {
-        return partner;
-    }
-    which.passed_over_until = now + settings_.passed_over;
-    return pick();
+    const bool is_silent = partner && !note_use(gateways_.at(*partner), now);
+    return is_silent ? pick() : partner;
 }
 
 bool relay_directory::tells_directly(time_point now) {
