Bring back no server that is gone because a peer still waits for it

Cause: after an outage of the store a gateway keeps servers whose registrations lapsed until they had time to register again. Its page listed them like registered ones, so a peer that a settled gateway had told of their end took them for new, and sent requests to servers that had left; asked in turn, two relays let them come and go each half second. Ruled out: catalogue, adapter versions and crash marks only ever grow, whatever the order of messages.

A page now says which of its servers are only waited for. They count at a peer that still has them, or that has no list of its own yet, never for a process that is known to be gone.

Before: the property test over pages in any order fails (a server that is gone is used again).

--- a/libs/entry/src/fleet_knowledge.cpp
+++ b/libs/entry/src/fleet_knowledge.cpp
@@ -7,6 +7,25 @@
 
 namespace camphorgrade::entry {
 
+namespace {
+
+/** The servers of a page, by what its sender knows of them. */
+struct page_parts {
+    std::vector<serving::backend_server> registered;
+    std::vector<serving::backend_server> awaited;
+};
+
+page_parts split(const peering::registration_page& page) {
+    page_parts out;
+    for (const auto& each : page.servers) {
+        auto& part = page.awaited.count(each.id) == 0 ? out.registered : out.awaited;
+        part.push_back(each);
+    }
+    return out;
+}
+
+} // namespace
+
 fleet_knowledge::fleet_knowledge(const clock& clock, event_log& log,
                                  serving::dispatcher& dispatcher,
                                  const serving::catalogue_reader& reader, fleet_news& news)
@@ -86,6 +105,9 @@
             out.servers.push_back(view.server);
         }
     }
+    for (const auto& id : registrations_.awaited()) {
+        out.awaited.insert(id);
+    }
     out.revision = registrations_revision_;
     out.is_settled = registrations_.is_settled(clock_.now());
     out.store_age = store_age();
@@ -125,16 +147,22 @@
     registrations_revision_ = page.revision;
     last_known_ = std::max(last_known_, now - page.store_age);
     has_registrations_ = true;
+    const auto [registered, awaited] = split(page);
     if (page.is_settled) {
-        for (const auto& id : registrations_.on_settled_peer(page.servers)) {
+        for (const auto& id : registrations_.on_settled_peer(registered, now)) {
             remove(id, "not_registered_at_peer");
         }
     } else {
-        registrations_.on_relayed(page.servers, now);
+        registrations_.on_relayed(registered, now);
     }
-    for (const auto& each : page.servers) {
+    for (const auto& each : registered) {
         apply_from_peer(each);
     }
+    for (const auto& each : awaited) {
+        if (registrations_.on_awaited_by_peer(each, now)) {
+            apply_from_peer(each);
+        }
+    }
 }
 
 void fleet_knowledge::apply_from_peer(const serving::backend_server& server) {
@@ -147,7 +175,7 @@
 }
 
 void fleet_knowledge::on_registration(const serving::backend_server& server) {
-    registrations_.on_registration(server.id);
+    registrations_.on_registration(server);
     apply(server);
 }
 
--- a/libs/entry/tests/test_fleet_knowledge_pages.cpp
+++ b/libs/entry/tests/test_fleet_knowledge_pages.cpp
@@ -1,7 +1,11 @@
 #include "fleet_knowledge.h"
 
 #include <catch2/catch.hpp>
+#include <rapidcheck.h>
+#include <rapidcheck/catch.h>
 
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,8 +81,96 @@
 
 using ids = std::vector<std::string>;
 
+/** Registrations of the store at each of its revisions. */
+class store_history {
+public:
+    store_history() : at_(1) {}
+
+    void change(const std::string& id) {
+        auto next = at_.back();
+        if (next.erase(id) == 0) {
+            next.insert(id);
+        }
+        ever_.insert(id);
+        at_.push_back(std::move(next));
+    }
+
+    std::uint64_t newest() const { return at_.size() - 1; }
+    const std::set<std::string>& at(std::uint64_t revision) const { return at_[revision]; }
+    const std::set<std::string>& ever() const noexcept { return ever_; }
+
+private:
+    std::vector<std::set<std::string>> at_;
+    std::set<std::string> ever_;
+};
+
+/** The page of a peer that has heard of the store up to `revision` and, unless it is settled, waits
+    for some servers that aren't registered any more. */
+peering::registration_page any_page(const store_history& store, std::uint64_t revision) {
+    auto out = page_of({}, revision, *rc::gen::arbitrary<bool>());
+    for (const auto& id : store.at(revision)) {
+        out.servers.push_back(server_of(id));
+    }
+    for (const auto& id : store.ever()) {
+        const bool is_waited_for = !out.is_settled && *rc::gen::arbitrary<bool>();
+        if (is_waited_for && store.at(revision).count(id) == 0) {
+            out.servers.push_back(server_of(id));
+            out.awaited.insert(id);
+        }
+    }
+    return out;
+}
+
 } // namespace
 
+TEST_CASE("pages in any order bring back no server that is gone, and hold back none that is there") {
+    rc::prop("settled and unsettled peers, each ahead or behind", [] {
+        fixture with;
+        store_history store;
+        std::map<std::string, std::uint64_t> heard{{"p1", 0}, {"p2", 0}};
+        std::uint64_t newest = 0;
+        std::set<std::string> gone;
+        const auto steps = *rc::gen::inRange(1, 60);
+        for (int i = 0; i < steps; ++i) {
+            store.change("s" + std::to_string(*rc::gen::inRange(0, 4)));
+            auto& [peer, revision] = *std::next(heard.begin(), *rc::gen::inRange(0, 2));
+            revision = *rc::gen::inRange(revision, store.newest() + 1);
+            const auto page = any_page(store, revision);
+            with.fleet.on_peer_page(page, peer);
+            if (revision < newest) {
+                continue;
+            }
+            newest = revision;
+            for (const auto& id : store.ever()) {
+                if (store.at(revision).count(id) != 0) {
+                    gone.erase(id);
+                } else if (page.is_settled) {
+                    gone.insert(id);
+                }
+            }
+            const auto usable = with.usable();
+            for (const auto& id : usable) {
+                RC_ASSERT(gone.count(id) == 0U);
+            }
+            for (const auto& id : store.at(revision)) {
+                RC_ASSERT(std::count(usable.begin(), usable.end(), id) == 1);
+            }
+        }
+    });
+}
+
+TEST_CASE("a gateway that has just started uses servers that its peer waits for") {
+    fixture with;
+    auto page = page_of({server_of("a"), server_of("b")}, 5, false);
+    page.awaited = {"b"};
+    with.fleet.on_peer_page(page, "p1");
+    CHECK(with.usable() == ids{"a", "b"});
+    CHECK(with.fleet.registrations().awaited == std::set<std::string>{"b"});
+    with.clock.advance_to(time_point{duration{12'200}});
+    with.fleet.expire();
+    CHECK(with.usable() == ids{"a"});
+}
+
 TEST_CASE("servers are learned from a peer that watches the store, and dropped with its list") {
     fixture with;
     with.fleet.on_peer_page(page_of({server_of("a"), server_of("b")}, 5), "p1");
--- a/libs/peering/include/peering/registrations.h
+++ b/libs/peering/include/peering/registrations.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -14,6 +15,8 @@
 /** What a gateway that watches the store tells another of registered servers. A value type. */
 struct registration_page {
     std::vector<serving::backend_server> servers;
+    std::set<std::string> awaited; /**< Those of them that aren't registered: they may have lapsed
+                                        in an outage only, and are waited for. */
     std::uint64_t revision = 0;          /**< Of the store; an older page replaces no newer one. */
     bool is_settled = false;             /**< What isn't in it is gone. */
     duration store_age{};                /**< Since the store answered that gateway. */
--- a/libs/peering/src/registrations.cpp
+++ b/libs/peering/src/registrations.cpp
@@ -42,7 +42,9 @@
 std::string encode_registrations(const registration_page& page) {
     wire::registration_list out;
     for (const auto& each : page.servers) {
-        write(each, *out.add_servers());
+        auto& listed = *out.add_servers();
+        write(each, listed);
+        listed.set_is_awaited(page.awaited.count(each.id) != 0);
     }
     out.set_revision(page.revision);
     out.set_is_settled(page.is_settled);
@@ -59,6 +61,9 @@
     registration_page out;
     for (const auto& each : in.servers()) {
         out.servers.push_back(read(each));
+        if (each.is_awaited()) {
+            out.awaited.insert(each.id());
+        }
     }
     out.revision = in.revision();
     out.is_settled = in.is_settled();
--- a/libs/peering/tests/test_registrations.cpp
+++ b/libs/peering/tests/test_registrations.cpp
@@ -28,6 +28,9 @@
         peering::registration_page page;
         page.servers = {any_server(), {}};
         page.revision = *rc::gen::arbitrary<std::uint64_t>();
+        if (*rc::gen::arbitrary<bool>()) {
+            page.awaited = {page.servers.front().id};
+        }
         page.is_settled = *rc::gen::arbitrary<bool>();
         page.store_age = duration{*rc::gen::inRange(0, 5'000)};
         page.catalogue_version = *rc::gen::arbitrary<std::uint64_t>();
--- a/libs/serving/src/registration_book.cpp
+++ b/libs/serving/src/registration_book.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 
 namespace camphorgrade::serving {
 
@@ -49,15 +50,27 @@
     std::set<std::string> present;
     for (const auto& each : servers) {
         present.insert(each.id);
-        missing_.erase(each.id);
+        on_registration(each);
     }
     std::vector<std::string> absent;
-    std::set_difference(known_.begin(), known_.end(), present.begin(), present.end(),
-                        std::back_inserter(absent));
-    known_.merge(present);
+    for (const auto& [id, born] : known_) {
+        if (present.count(id) == 0) {
+            absent.push_back(id);
+        }
+    }
     return absent;
 }
 
+void registration_book::note_gone(const std::string& id, time_point now) {
+    std::erase_if(gone_, [&](const auto& each) {
+        return now - each.second.since >= settings_.gone_memory;
+    });
+    if (const auto found = known_.find(id); found != known_.end()) {
+        gone_[id] = {found->second, now};
+    }
+    missing_.erase(id);
+}
+
 void registration_book::on_relayed(const std::vector<backend_server>& servers, time_point now) {
     for (const auto& id : take_present(servers)) {
         missing_.try_emplace(id, now + settings_.return_time);
@@ -65,22 +78,48 @@
 }
 
 std::vector<std::string>
-registration_book::on_settled_peer(const std::vector<backend_server>& servers) {
+registration_book::on_settled_peer(const std::vector<backend_server>& servers, time_point now) {
     auto gone = take_present(servers);
     for (const auto& id : gone) {
+        note_gone(id, now);
         known_.erase(id);
-        missing_.erase(id);
     }
+    has_settled_list_ = true;
     return gone;
 }
 
+bool registration_book::on_awaited_by_peer(const backend_server& server, time_point now) {
+    const auto gone = gone_.find(server.id);
+    if (gone != gone_.end() && gone->second.born >= server.born) {
+        return false;
+    }
+    const auto known = known_.find(server.id);
+    const bool is_known = known != known_.end() && known->second >= server.born;
+    if (!is_known) {
+        if (has_settled_list_) {
+            return false;
+        }
+        known_[server.id] = server.born;
+        missing_.try_emplace(server.id, now + settings_.return_time);
+    }
+    return true;
+}
+
+std::vector<std::string> registration_book::awaited() const {
+    std::vector<std::string> out;
+    std::transform(missing_.begin(), missing_.end(), std::back_inserter(out),
+                   [](const auto& each) { return each.first; });
+    return out;
+}
+
 bool registration_book::is_settled(time_point now) const {
     return first_answer_ && !is_in_doubt(now) && now - *first_answer_ >= settings_.return_time;
 }
 
-void registration_book::on_registration(const std::string& id) {
-    known_.insert(id);
-    missing_.erase(id);
+void registration_book::on_registration(const backend_server& server) {
+    known_[server.id] = server.born;
+    missing_.erase(server.id);
+    gone_.erase(server.id);
 }
 
 bool registration_book::on_deregistration(const std::string& id, time_point now) {
@@ -88,7 +127,7 @@
         missing_.try_emplace(id, due(now));
         return false;
     }
-    missing_.erase(id);
+    note_gone(id, now);
     return true;
 }
 
@@ -100,7 +139,7 @@
         }
     }
     for (const auto& id : gone) {
-        missing_.erase(id);
+        note_gone(id, now);
         known_.erase(id);
     }
     return gone;
--- a/libs/serving/tests/test_fleet_knowledge.cpp
+++ b/libs/serving/tests/test_fleet_knowledge.cpp
@@ -26,7 +26,7 @@
     book.on_contact(false, at_ms(500));
     book.on_contact(true, at_ms(5'000));
     CHECK(book.on_all({}, at_ms(5'000)).empty());
-    book.on_registration("desk-2");
+    book.on_registration(server_of("desk-2", "desk"));
     CHECK(book.expire(at_ms(7'100)).empty());
     CHECK(book.expire(at_ms(7'200)) == std::vector<std::string>{"desk-1"});
     CHECK(book.expire(at_ms(9'000)).empty());
--- a/libs/serving/tests/test_watch_duty.cpp
+++ b/libs/serving/tests/test_watch_duty.cpp
@@ -66,8 +66,37 @@
 TEST_CASE("what a settled peer's list lacks is gone at once") {
     registration_book book({});
     book.on_all({server_of("desk-1", "desk"), server_of("desk-2", "desk")}, at_ms(0));
-    CHECK(book.on_settled_peer({server_of("desk-2", "desk"), server_of("desk-3", "desk")}) ==
-          std::vector<std::string>{"desk-1"});
-    CHECK(book.on_settled_peer({}) == std::vector<std::string>{"desk-2", "desk-3"});
-    CHECK(book.on_settled_peer({}).empty());
+    CHECK(book.on_settled_peer({server_of("desk-2", "desk"), server_of("desk-3", "desk")},
+                               at_ms(0)) == std::vector<std::string>{"desk-1"});
+    CHECK(book.on_settled_peer({}, at_ms(1)) == std::vector<std::string>{"desk-2", "desk-3"});
+    CHECK(book.on_settled_peer({}, at_ms(2)).empty());
+}
+
+TEST_CASE("a peer that waits for a server brings back no process that is gone") {
+    registration_book book({});
+    auto server = server_of("desk-1", "desk");
+    server.born = 5;
+    book.on_contact(true, at_ms(0));
+    book.on_all({server}, at_ms(0));
+    CHECK(book.on_awaited_by_peer(server, at_ms(1)));
+    CHECK(book.awaited().empty()); // it is registered here
+    REQUIRE(book.on_deregistration("desk-1", at_ms(2)));
+    CHECK_FALSE(book.on_awaited_by_peer(server, at_ms(3)));
+
+    auto next = server;
+    next.born = 6;
+    CHECK(book.on_awaited_by_peer(next, at_ms(4)));
+    CHECK(book.awaited() == std::vector<std::string>{"desk-1"});
+    CHECK(book.expire(at_ms(4 + 2'200)) == std::vector<std::string>{"desk-1"});
+
+    book.on_registration(server); // the store has the last word
+    CHECK(book.on_awaited_by_peer(server, at_ms(3'000)));
+}
+
+TEST_CASE("once a settled peer told all registrations, a peer's waiting adds none to them") {
+    registration_book book({});
+    CHECK(book.on_awaited_by_peer(server_of("desk-1", "desk"), at_ms(0)));
+    book.on_settled_peer({server_of("desk-1", "desk")}, at_ms(1));
+    CHECK(book.on_awaited_by_peer(server_of("desk-1", "desk"), at_ms(2)));
+    CHECK_FALSE(book.on_awaited_by_peer(server_of("desk-2", "desk"), at_ms(3)));
 }
