--- a/libs/entry/tests/test_fleet_knowledge_pages.cpp
+++ b/libs/entry/tests/test_fleet_knowledge_pages.cpp
@@ -123,7 +123,8 @@
 
 } // namespace
 
-TEST_CASE("pages in any order bring back no server that is gone, and hold back none that is there") {
+TEST_CASE(
+    "pages in any order bring back no server that is gone, and hold back none that is there") {
     rc::prop("settled and unsettled peers, each ahead or behind", [] {
         fixture with;
         store_history store;
--- a/libs/peering/include/peering/registrations.h
+++ b/libs/peering/include/peering/registrations.h
@@ -17,9 +17,9 @@
     std::vector<serving::backend_server> servers;
     std::set<std::string> awaited; /**< Those of them that aren't registered: they may have lapsed
                                         in an outage only, and are waited for. */
-    std::uint64_t revision = 0;          /**< Of the store; an older page replaces no newer one. */
-    bool is_settled = false;             /**< What isn't in it is gone. */
-    duration store_age{};                /**< Since the store answered that gateway. */
+    std::uint64_t revision = 0;    /**< Of the store; an older page replaces no newer one. */
+    bool is_settled = false;       /**< What isn't in it is gone. */
+    duration store_age{};          /**< Since the store answered that gateway. */
     std::uint64_t catalogue_version = 0; /**< Newest that it knows. */
 
     friend bool operator==(const registration_page&, const registration_page&) = default;
--- a/libs/serving/include/serving/registration_book.h
+++ b/libs/serving/include/serving/registration_book.h
@@ -15,7 +15,7 @@
 struct registration_book_settings {
     duration outage{1'200}; /**< With failed calls and no answer for so long, registrations may have
                                  lapsed only because their servers could not renew them. */
-    duration return_time{2'200}; /**< Live servers register again within this after an outage. */
+    duration return_time{2'200};   /**< Live servers register again within this after an outage. */
     duration gone_memory{600'000}; /**< A peer that was cut off for longer knows no process that is
                                         gone here. */
 
@@ -86,7 +86,7 @@
     std::map<std::string, time_point> missing_;
     std::map<std::string, gone_process> gone_;
     bool has_settled_list_ = false; /**< A settled peer told all registrations. */
-    bool has_failed_ = false; /**< A call failed since the last answer. */
+    bool has_failed_ = false;       /**< A call failed since the last answer. */
     std::optional<time_point> first_answer_;
     std::optional<time_point> last_answer_;
     std::optional<time_point> returned_; /**< When the last outage ended. */
--- a/libs/serving/src/registration_book.cpp
+++ b/libs/serving/src/registration_book.cpp
@@ -62,9 +62,8 @@
 }
 
 void registration_book::note_gone(const std::string& id, time_point now) {
-    std::erase_if(gone_, [&](const auto& each) {
-        return now - each.second.since >= settings_.gone_memory;
-    });
+    std::erase_if(
+        gone_, [&](const auto& each) { return now - each.second.since >= settings_.gone_memory; });
     if (const auto found = known_.find(id); found != known_.end()) {
         gone_[id] = {found->second, now};
     }
