Let requests wait for a base model that an engine is loading

Cause: after a loss of all power engines have no base model for 1.3 s.

Hypothesis: an engine that loads its model is a place to wait, with the rest of the load in the estimate; what can't be in time there is refused as before. The rest is expected from a copy on the engine's disk first, then from the weight store, then as long again as it is overdue.

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -83,6 +83,9 @@
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
     duration refused_pause{200};     /**< After an order that was refused or not answered. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
+    double local_load_part = 0.5; /**< Of a load from the weight store that one from the engine's
+                                       own disk takes, where a restarted engine has a copy. */
+    duration shortest_rest{100};  /**< Of a base model's load; of an overdue one, too. */
     duration replace_pause{1'000};  /**< A replacement waits for runs on the old version; so long it
                                          isn't ordered again. */
     duration kept_for_reuse{2'000}; /**< Longer that an adapter is kept for each time that it was
@@ -135,7 +138,7 @@
     std::optional<engine_order> next_order(time_point now);
 
     /** What gateways are told. Precondition: a snapshot was seen. */
-    serving::engine_state state() const;
+    serving::engine_state state(time_point now) const;
 
     /** Id of the engine's process, as gateways know it; empty while none has told it. */
     const std::string& backend_id() const noexcept { return backend_id_; }
@@ -198,6 +201,10 @@
     /** Whether requests wait for an adapter that the engine neither holds nor loads. */
     bool needs_place(const serving::held_weights& weights, const total& demand) const;
     std::optional<engine_order> model_order(time_point now);
+    /** The base model to load; null when none fits. */
+    const serving::base_model* wanted_model() const;
+    /** The base model's load that is under way. */
+    std::optional<serving::model_load> coming_model(time_point now) const;
     std::optional<engine_order> adapter_order(time_point now);
     bool is_replacing(const serving::held_weights& weights, time_point now) const;
     std::optional<serving::held_weights> victim() const;
@@ -222,6 +229,7 @@
     std::uint64_t results_seen_ = 0;
     time_point paused_until_;
     time_point model_paused_until_;
+    std::optional<time_point> model_ordered_; /**< When the engine accepted the last such order. */
 };
 
 } // namespace camphorgrade::adapters
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -25,6 +25,10 @@
     return weights.find('/') != std::string::npos;
 }
 
+duration scaled(duration time, double by) {
+    return duration{static_cast<duration::rep>(static_cast<double>(time.count()) * by)};
+}
+
 } // namespace
 
 adapter_keeper::adapter_keeper(adapter_keeper_settings settings)
@@ -95,6 +99,7 @@
     if (snapshot_ && snapshot_->born != snapshot.born) {
         paused_until_ = now;
         model_paused_until_ = now;
+        model_ordered_.reset();
         replacing_.clear();
         used_.clear();
         ordered_.clear();
@@ -130,6 +135,9 @@
         paused_until_ = now + settings_.refused_pause;
     } else if (order.kind == order_kind::load) {
         used_[order.weights.name].last = now;
+        if (!is_adapter(order.weights.name)) {
+            model_ordered_ = now;
+        }
         if (is_adapter(order.weights.name) && !is_warm(order.weights.name)) {
             ordered_[order.weights.name] = now;
         }
@@ -227,14 +235,33 @@
     if (!snapshot_->models.empty() || snapshot_->is_busy || now < model_paused_until_) {
         return std::nullopt;
     }
+    const auto* model = wanted_model();
+    if (model == nullptr) {
+        return std::nullopt;
+    }
+    model_paused_until_ = now + settings_.model_pause;
+    return make(order_kind::load, {model->name, 0});
+}
+
+const serving::base_model* adapter_keeper::wanted_model() const {
     const auto fits =
         std::find_if(shape_.models.begin(), shape_.models.end(),
                      [&](const auto& each) { return each.weights_mb <= shape_.weights_mb; });
-    if (fits == shape_.models.end()) {
+    return fits == shape_.models.end() ? nullptr : &*fits;
+}
+
+std::optional<serving::model_load> adapter_keeper::coming_model(time_point now) const {
+    const auto* model = wanted_model();
+    if (!snapshot_->models.empty() || model == nullptr) {
         return std::nullopt;
     }
-    model_paused_until_ = now + settings_.model_pause;
-    return make(order_kind::load, {fits->name, 0});
+    const auto whole = model->load_time;
+    const auto local = scaled(whole, settings_.local_load_part);
+    const auto passed = model_ordered_ ? now - *model_ordered_ : duration::zero();
+    const auto rest = passed < local ? local - passed
+                      : passed < whole ? whole - passed
+                                       : passed - whole; // as long again as it is overdue
+    return serving::model_load{model->name, std::max(rest, settings_.shortest_rest)};
 }
 
 std::optional<engine_order> adapter_keeper::adapter_order(time_point now) {
@@ -299,11 +326,12 @@
     return {kind, weights, snapshot_->order_sequence, snapshot_->born};
 }
 
-serving::engine_state adapter_keeper::state() const {
+serving::engine_state adapter_keeper::state(time_point now) const {
     CAMPHOR_PRECONDITION(snapshot_.has_value());
     serving::engine_state out;
     out.born = snapshot_->born;
     out.models = snapshot_->models;
+    out.coming_model = coming_model(now);
     const auto in_use = [&](const std::string& name) {
         std::uint32_t users = 0;
         for (const auto& [weights, demand] : wanted_) {
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -251,8 +251,8 @@
     with.want("g1", {uses("m/a1"), uses("m/a2")}, 0);
     with.want("g2", {waits_for("m/a3"), waits_for("m/a9")}, 0);
     CHECK(with.settle(0).empty());
-    CHECK(with.keeper.state().evictable == 0);
-    CHECK(with.keeper.state().unplaced == 1);
+    CHECK(with.keeper.state(at_ms(600)).evictable == 0);
+    CHECK(with.keeper.state(at_ms(600)).unplaced == 1);
 }
 
 TEST_CASE("what a silent gateway wanted stops counting") {
@@ -378,17 +378,17 @@
     with.want("g1", {waits_for("m/a1")}, 100);
     REQUIRE(loads_of(with.settle(100)).size() == 1);
     with.see(200);
-    CHECK(with.keeper.state().cold_loads == 0);
+    CHECK(with.keeper.state(at_ms(600)).cold_loads == 0);
     with.engine.finish_loads();
     with.see(410);
-    CHECK(with.keeper.state().cold_loads == 1);
-    CHECK(with.keeper.state().last_cold_load == duration{310});
+    CHECK(with.keeper.state(at_ms(600)).cold_loads == 1);
+    CHECK(with.keeper.state(at_ms(600)).last_cold_load == duration{310});
     with.engine.resident.clear();
     with.see(500);
     REQUIRE(loads_of(with.settle(500)).size() == 1);
     with.engine.finish_loads();
     with.see(525);
-    CHECK(with.keeper.state().cold_loads == 1);
+    CHECK(with.keeper.state(at_ms(600)).cold_loads == 1);
 }
 
 TEST_CASE("load: while the weight store is busy, an engine loads one adapter at a time from it") {
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -23,6 +23,7 @@
 /** Whether gateways decide otherwise on `b` than on `a`; load figures alone can wait. */
 bool differs_in_adapters(const serving::engine_state& a, const serving::engine_state& b) {
     return a.born != b.born || a.models != b.models || a.adapters != b.adapters ||
+           a.coming_model.has_value() != b.coming_model.has_value() ||
            a.evictable != b.evictable || a.is_reachable != b.is_reachable;
 }
 
@@ -221,7 +222,7 @@
 }
 
 serving::engine_state agent_node::present_state() const {
-    auto state = keeper_.state();
+    auto state = keeper_.state(clock_.now());
     state.is_reachable = is_engine_reachable_;
     return state;
 }
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -74,6 +74,10 @@
         adapter.set_is_loading(each.is_loading);
         adapter.set_in_use(each.in_use);
     }
+    if (state.coming_model) {
+        out.set_coming_model(state.coming_model->name);
+        out.set_coming_model_ms(static_cast<std::uint32_t>(state.coming_model->time_left.count()));
+    }
     out.set_evictable(state.evictable);
     out.set_unplaced(state.unplaced);
     out.set_waiting(state.waiting);
@@ -100,6 +104,9 @@
     for (const auto& each : in.adapters()) {
         state.adapters.push_back({{each.name(), each.version()}, each.is_loading(), each.in_use()});
     }
+    if (!in.coming_model().empty()) {
+        state.coming_model = {in.coming_model(), duration{in.coming_model_ms()}};
+    }
     state.evictable = in.evictable();
     state.unplaced = in.unplaced();
     state.waiting = in.waiting();
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -89,6 +89,10 @@
     /** Adapters that other requests wait for at an engine and that have no place there yet. */
     static std::uint32_t others_unplaced(const backend_view& view,
                                          const placement_request& request);
+    /** Until the engine has the base model; empty when nothing is known to bring it there. */
+    std::optional<duration> model_wait(const backend_board& board, const backend_view& view,
+                                       const placement_request& request, time_point now) const;
+    /** Until the engine that has the base model has the adapter, too. */
     duration load_wait(const backend_view& view, const placement_request& request,
                        duration load_cold) const;
     bool is_fetched(const backend_view& view, const placement_request& request) const;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -112,6 +112,9 @@
 
 duration placement_chooser::load_wait(const backend_view& view, const placement_request& request,
                                       duration load_cold) const {
+    if (request.weights == request.base_model) {
+        return duration::zero();
+    }
     const auto& places = view.engine->adapters;
     const bool is_coming =
         std::any_of(places.begin(), places.end(), [&](const adapter_place& each) {
@@ -137,6 +140,23 @@
     return load + settings_.place_wait * ahead;
 }
 
+std::optional<duration> placement_chooser::model_wait(const backend_board& board,
+                                                      const backend_view& view,
+                                                      const placement_request& request,
+                                                      time_point now) const {
+    if (!board.has_fresh_engine(view, now)) {
+        return std::nullopt;
+    }
+    if (board.holds(view, request.base_model, 0, now)) {
+        return duration::zero();
+    }
+    const auto& coming = view.engine->coming_model;
+    if (!coming || coming->name != request.base_model) {
+        return std::nullopt;
+    }
+    return std::max(coming->time_left - (now - view.engine_heard), duration::zero());
+}
+
 bool placement_chooser::is_fetched(const backend_view& view,
                                    const placement_request& request) const {
     return view.seen_adapters.count(request.weights) != 0;
@@ -149,7 +169,9 @@
                                                             time_point now) const {
     const bool is_ready = board.holds(view, request.weights, request.version, now);
     const bool is_fresh = board.has_fresh_engine(view, now);
-    if (!is_ready && (!is_fresh || !board.holds(view, request.base_model, 0, now))) {
+    const auto model_due =
+        is_ready ? std::optional(duration::zero()) : model_wait(board, view, request, now);
+    if (!model_due) {
         return {};
     }
     const auto cached = view.prompts.known_tokens(request.weights, request.prompt_parts);
@@ -159,7 +181,7 @@
                          settings_.prefill_tokens_per_ms);
     auto cost = common_penalty(view, request);
     if (!is_ready) {
-        first += load_wait(view, request, load_cold);
+        first += *model_due + load_wait(view, request, load_cold);
         const auto rank = rendezvous_rank(request.weights, view.server.id, servers);
         cost += from_ms(rank * static_cast<double>(settings_.rank_step.count()));
         cost += is_fetched(view, request) ? duration::zero() : settings_.store_fetch;
