Load first what can still be in time, then what most wait for

Cause: an engine that came back empty loads adapters in the order in which they were first asked for. While there are more than it can load, all who wait are late by the same backlog.

Hypothesis: within one urgency, adapters for which somebody can still be answered in time go first, of these the ones that most wait for; gateways tell how long that is with what they want.

--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -21,6 +21,7 @@
     std::uint32_t in_use = 0;
     duration oldest_wait{};
     std::uint32_t urgency = 0;
+    duration time_to_objective{}; /**< Of the waiting request that has most left; 0: too late. */
 
     friend bool operator==(const adapter_want&, const adapter_want&) = default;
 };
@@ -171,6 +172,7 @@
         std::uint32_t in_use = 0;
         std::uint32_t urgency = 0;
         time_point since;
+        time_point in_time_until; /**< A load that ends later is too late for all who wait. */
 
         std::uint32_t requests() const { return waiting + in_use; }
     };
@@ -206,6 +208,9 @@
     /** The base model's load that is under way. */
     std::optional<serving::model_load> coming_model(time_point now) const;
     std::optional<engine_order> adapter_order(time_point now);
+    /** Order of loads: the more urgent, those that some can still be answered in time with, those
+        that more wait for, those waited for longest. */
+    bool goes_before(const total& a, const total& b, time_point now) const;
     bool is_replacing(const serving::held_weights& weights, time_point now) const;
     std::optional<serving::held_weights> victim() const;
     engine_order make(order_kind kind, const serving::held_weights& weights) const;
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -3,6 +3,7 @@
 #include <kernel/check.h>
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -59,11 +60,13 @@
         queued_prompt_tokens_ += view.demand.queued_prompt_tokens;
         for (const auto& each : view.demand.wants) {
             const auto since = view.heard - each.oldest_wait;
-            auto [at, is_new] = wanted_.try_emplace(each.weights, total{0, 0, each.urgency, since});
+            auto [at, is_new] = wanted_.try_emplace(each.weights, total{0, 0, each.urgency, since, {}});
             at->second.waiting += each.waiting;
             at->second.in_use += each.in_use;
             at->second.urgency = std::min(at->second.urgency, each.urgency);
             at->second.since = std::min(at->second.since, since);
+            at->second.in_time_until =
+                std::max(at->second.in_time_until, view.heard + each.time_to_objective);
         }
     }
     note_uses(before, now);
@@ -276,8 +279,7 @@
             (may_load_cold || is_warm(weights.name)) && needs_place(weights, demand) &&
             weights.version >= newest_wanted(weights.name) &&
             names(snapshot_->models, model_of(weights.name)) && !is_replacing(weights, now);
-        if (needs_load && (best == nullptr || std::tie(demand.urgency, demand.since) <
-                                                  std::tie(best->urgency, best->since))) {
+        if (needs_load && (best == nullptr || goes_before(demand, *best, now))) {
             chosen = &weights;
             best = &demand;
         }
@@ -298,6 +300,15 @@
     return std::nullopt;
 }
 
+bool adapter_keeper::goes_before(const total& a, const total& b, time_point now) const {
+    const auto done = now + duration{std::llround(usual_load_ms_)};
+    const auto rank = [&](const total& of) {
+        const bool is_late = of.in_time_until < done;
+        return std::tuple(of.urgency, is_late, -static_cast<std::int64_t>(of.waiting), of.since);
+    };
+    return rank(a) < rank(b);
+}
+
 bool adapter_keeper::is_replacing(const held_weights& weights, time_point now) const {
     const auto found = replacing_.find(weights);
     return found != replacing_.end() && now < found->second;
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -207,7 +207,7 @@
     demand.wish = exchange_.wish_for(view.server.data_centre);
     for (const auto& each : works) {
         demand.wants.push_back({each.weights, each.waiting, each.in_use, each.oldest_wait,
-                                static_cast<std::uint32_t>(each.urgency)});
+                                static_cast<std::uint32_t>(each.urgency), each.time_to_objective});
     }
     return demand;
 }
@@ -223,7 +223,8 @@
     }
     auto comparable = demand;
     for (auto& each : comparable.wants) {
-        each.oldest_wait = {}; // it grows by itself
+        each.oldest_wait = {}; // these two change by themselves
+        each.time_to_objective = {};
     }
     const bool is_due = last.at == time_point{} || now - last.at >= settings_.demand_heartbeat;
     if (!is_due && comparable == last.demand) {
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -17,6 +17,7 @@
         want.set_in_use(each.in_use);
         want.set_oldest_wait_ms(static_cast<std::uint32_t>(each.oldest_wait.count()));
         want.set_urgency(each.urgency);
+        want.set_time_to_objective_ms(static_cast<std::uint32_t>(each.time_to_objective.count()));
     }
     out.set_queued_prompt_tokens(demand.queued_prompt_tokens);
     out.set_adapter_places(demand.shape.adapter_places);
@@ -46,7 +47,8 @@
                                 each.waiting(),
                                 each.in_use(),
                                 duration{each.oldest_wait_ms()},
-                                each.urgency()});
+                                each.urgency(),
+                                duration{each.time_to_objective_ms()}});
     }
     demand.queued_prompt_tokens = in.queued_prompt_tokens();
     demand.shape.adapter_places = in.adapter_places();
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -100,6 +100,7 @@
     std::uint32_t in_use = 0;
     duration oldest_wait{};
     int urgency = 0; /**< Of the most urgent. */
+    duration time_to_objective{}; /**< Of the waiting one that has most left; 0: too late. */
 
     friend bool operator==(const open_work&, const open_work&) = default;
 };
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -379,12 +379,15 @@
             return work.weights == each.waits_for;
         });
         if (found == works.end()) {
-            found = works.insert(works.end(), {each.waits_for, 0, 0, {}, each.urgency});
+            found = works.insert(works.end(), {each.waits_for, 0, 0, {}, each.urgency, {}});
         }
         found->urgency = std::min(found->urgency, each.urgency);
         if (each.at == phase::waiting) {
             ++found->waiting;
             found->oldest_wait = std::max(found->oldest_wait, now - each.arrived);
+            found->time_to_objective =
+                std::max(found->time_to_objective,
+                         each.arrived + each.on_route->latency_objective - now);
         } else {
             ++found->in_use;
         }
