--- a/libs/serving/src/store_outlook.cpp
+++ b/libs/serving/src/store_outlook.cpp
@@ -24,8 +24,10 @@
 }
 
 time_point store_outlook::complete_by(time_point now) const {
-    if (out_since_) {
-        return now + std::clamp(now - *out_since_, settings_.start_time, settings_.longest_guess);
+    // A call may go unanswered for long before it fails.
+    const auto out_since = out_since_ || last_answer_ ? out_since_ : began_;
+    if (out_since) {
+        return now + std::clamp(now - *out_since, settings_.start_time, settings_.longest_guess);
     }
     const auto known = returned_ ? *returned_ + settings_.return_time
                                  : began_.value_or(now) + settings_.start_time;
