Hold requests through short gaps of knowledge

Hypothesis: while a gateway lacks the catalogue, or any usable server, for a short time, a caller is served better by waiting for up to half of its time than by a refusal that is likely followed by another.

--- a/libs/serving/include/serving/store_outlook.h
+++ b/libs/serving/include/serving/store_outlook.h
@@ -36,7 +36,12 @@
     /** When everything should be known; not before `now`. */
     time_point complete_by(time_point now) const;
 
+    /** Since when something is missing; `now` when all should be known. */
+    time_point incomplete_since(time_point now) const;
+
 private:
+    std::optional<time_point> out_since() const;
+
     store_outlook_settings settings_;
     std::optional<time_point> began_;
     std::optional<time_point> out_since_;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -39,16 +39,34 @@
     auto& added = requests_[id];
     added.profile = std::move(profile);
     added.content = content;
-    added.catalogue = catalogue_;
     added.arrived = now;
+    admit(id, added, now);
+    return id;
+}
+
+void dispatcher::admit(ticket id, request& of, time_point now) {
+    of.catalogue = catalogue_;
+    if (!of.catalogue && hold(of, now)) {
+        return;
+    }
     duration wait{};
-    if (const auto reason = check(added, wait, now)) {
-        end(id, added, *reason, wait);
-        return id;
+    if (const auto reason = check(of, wait, now)) {
+        end(id, of, *reason, wait);
+        return;
     }
-    retries_.on_request(added.service, now);
-    place(id, added, now);
-    return id;
+    retries_.on_request(of.service, now);
+    place(id, of, now);
+}
+
+bool dispatcher::hold(request& of, time_point now) {
+    const auto time = of.profile.deadline.value_or(duration::zero());
+    const bool is_long = now - outlook_.incomplete_since(now) >= settings_.longest_gap;
+    const bool has_time = now - of.arrived < scaled(time, settings_.held_share);
+    if (is_long || !has_time) {
+        return false;
+    }
+    of.at = phase::held;
+    return true;
 }
 
 duration dispatcher::patience(const request& of) const {
@@ -111,7 +129,10 @@
                         : why.open_at   ? end_reason::no_capacity
                                         : end_reason::no_backend;
     if (!why.open_at) {
-        end(id, of, reason, retry_when_complete(now));
+        const bool may_come = of.refusals == 0 && outlook_.complete_by(now) > now;
+        if (!may_come || !hold(of, now)) {
+            end(id, of, reason, retry_when_complete(now));
+        }
         return;
     }
     // Never sooner than the servers said.
@@ -346,6 +367,15 @@
 
 void dispatcher::tick(time_point now) {
     for (auto& [id, each] : requests_) {
+        if (each.at == phase::held) {
+            each.at = phase::placing;
+            if (each.catalogue) {
+                place(id, each, now);
+            } else {
+                admit(id, each, now);
+            }
+            continue;
+        }
         if (each.at != phase::waiting && each.at != phase::sent) {
             continue;
         }
--- a/libs/serving/src/store_outlook.cpp
+++ b/libs/serving/src/store_outlook.cpp
@@ -23,11 +23,21 @@
     last_answer_ = now;
 }
 
-time_point store_outlook::complete_by(time_point now) const {
+std::optional<time_point> store_outlook::out_since() const {
     // A call may go unanswered for long before it fails.
-    const auto out_since = out_since_ || last_answer_ ? out_since_ : began_;
-    if (out_since) {
-        return now + std::clamp(now - *out_since, settings_.start_time, settings_.longest_guess);
+    return out_since_ || last_answer_ ? out_since_ : began_;
+}
+
+time_point store_outlook::incomplete_since(time_point now) const {
+    if (const auto since = out_since()) {
+        return *since;
+    }
+    return complete_by(now) > now ? returned_.value_or(began_.value_or(now)) : now;
+}
+
+time_point store_outlook::complete_by(time_point now) const {
+    if (const auto since = out_since()) {
+        return now + std::clamp(now - *since, settings_.start_time, settings_.longest_guess);
     }
     const auto known = returned_ ? *returned_ + settings_.return_time
                                  : began_.value_or(now) + settings_.start_time;
