Hold requests only where the end of the gap is known

A gap ends at a known time when the process has just started, or when servers register again after an outage. In an outage of unknown length callers are refused at once, as before.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -115,8 +115,6 @@
     duration place_again{350};      /**< A request that waits longer is placed anew. */
     double held_share = 0.5; /**< Of a caller's time that may pass until the catalogue or the first
                                   usable server is there. */
-    duration longest_gap{3'000}; /**< What has been missing for longer is waited for no more. */
-    std::size_t max_held = 500;  /**< Requests that wait so. */
     std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
--- a/libs/serving/include/serving/store_outlook.h
+++ b/libs/serving/include/serving/store_outlook.h
@@ -36,8 +36,8 @@
     /** When everything should be known; not before `now`. */
     time_point complete_by(time_point now) const;
 
-    /** Since when something is missing; `now` when all should be known. */
-    time_point incomplete_since(time_point now) const;
+    /** The same where it is sure enough to wait for: empty in an outage of unknown length. */
+    std::optional<time_point> due(time_point now) const;
 
 private:
     std::optional<time_point> out_since() const;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -60,13 +60,13 @@
 
 bool dispatcher::hold(request& of, time_point now) {
     const auto time = of.profile.deadline.value_or(duration::zero());
-    const bool is_long = now - outlook_.incomplete_since(now) >= settings_.longest_gap;
-    const bool has_time = now - of.arrived < scaled(time, settings_.held_share);
-    if (is_long || !has_time) {
-        return false;
+    const auto due = outlook_.due(now);
+    const bool is_worth_it =
+        due && *due > now && *due - of.arrived <= scaled(time, settings_.held_share);
+    if (is_worth_it) {
+        of.at = phase::held;
     }
-    of.at = phase::held;
-    return true;
+    return is_worth_it;
 }
 
 duration dispatcher::patience(const request& of) const {
@@ -129,8 +129,7 @@
                         : why.open_at   ? end_reason::no_capacity
                                         : end_reason::no_backend;
     if (!why.open_at) {
-        const bool may_come = of.refusals == 0 && outlook_.complete_by(now) > now;
-        if (!may_come || !hold(of, now)) {
+        if (of.refusals > 0 || !hold(of, now)) {
             end(id, of, reason, retry_when_complete(now));
         }
         return;
--- a/libs/serving/src/store_outlook.cpp
+++ b/libs/serving/src/store_outlook.cpp
@@ -28,11 +28,12 @@
     return out_since_ || last_answer_ ? out_since_ : began_;
 }
 
-time_point store_outlook::incomplete_since(time_point now) const {
-    if (const auto since = out_since()) {
-        return *since;
+std::optional<time_point> store_outlook::due(time_point now) const {
+    const bool is_starting = !last_answer_ && began_ && now - *began_ < settings_.start_time;
+    if (is_starting) {
+        return *began_ + settings_.start_time;
     }
-    return complete_by(now) > now ? returned_.value_or(began_.value_or(now)) : now;
+    return out_since() ? std::nullopt : std::optional(complete_by(now));
 }
 
 time_point store_outlook::complete_by(time_point now) const {
