Replay the load of a restart in tests: models that load, held requests, the order of loads

Half of a caller's time is of its route's timeout where the route is known; a process that hasn't begun waits for nothing; a call that failed ends the time in which a start is expected to be quick.

--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -415,3 +415,55 @@
     with.want("g1", {waits_for("m/a1"), waits_for("m/a2"), waits_for("m/first")}, 1'400);
     CHECK(loads_of(with.settle(1'400)) == std::vector<std::string>{"m/a1", "m/first"});
 }
+
+TEST_CASE("an engine without its base model tells when it will have it") {
+    fixture with;
+    with.engine.restart();
+    with.see(1'000);
+    with.want("g1", {waits_for("m/a1")}, 1'000);
+    REQUIRE(loads_of({*with.keeper.next_order(at_ms(1'000))}) == std::vector<std::string>{"m"});
+    with.keeper.on_order_result({order_kind::load, {"m", 0}, 0, 2}, order_result::accepted,
+                                at_ms(1'000));
+    with.see(1'010);
+    const auto left = [&](std::int64_t ms) {
+        return with.keeper.state(at_ms(ms)).coming_model->time_left;
+    };
+    CHECK(left(1'100) == duration{400}); // half of the declared time, from a copy on its disk
+    CHECK(left(1'600) == duration{400}); // else all of it, from the weight store
+    CHECK(left(1'950) == duration{100});
+    CHECK(left(2'500) == duration{500}); // overdue: as long again
+    with.engine.has_model = true;
+    with.see(2'600);
+    CHECK_FALSE(with.keeper.state(at_ms(2'600)).coming_model);
+}
+
+TEST_CASE("load: an empty engine loads what serves most in time, and what is late last") {
+    fixture with;
+    with.load_one(250);
+    const auto want = [](const std::string& name, std::uint32_t waiting, std::int64_t oldest,
+                         std::int64_t to_objective) {
+        return adapter_want{{name, 0}, waiting, 0, duration{oldest}, 5, duration{to_objective}};
+    };
+    with.want("g1",
+              {want("m/late", 9, 2'000, 100), want("m/rare", 1, 300, 500),
+               want("m/popular", 4, 200, 600), want("m/urgent", 1, 0, 0)},
+              1'000);
+    with.want("g2", {want("m/popular", 3, 100, 700), want("m/later", 2, 3'000, 0)}, 1'000);
+    std::vector<std::string> order;
+    for (std::int64_t ms = 1'000; ms < 3'000; ms += 250) {
+        const auto loads = loads_of(with.settle(ms));
+        order.insert(order.end(), loads.begin(), loads.end());
+        with.engine.finish_loads();
+        with.see(ms + 240);
+        for (const auto& each : loads) {
+            with.engine.resident.erase({each, 1}); // makes room for the next
+        }
+        with.see(ms + 245);
+        if (order.size() >= 5) {
+            break;
+        }
+    }
+    REQUIRE(order.size() >= 2);
+    CHECK(order[0] == "m/popular");
+    CHECK(order[1] == "m/rare");
+}
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -59,7 +59,8 @@
 }
 
 bool dispatcher::hold(request& of, time_point now) {
-    const auto time = of.profile.deadline.value_or(duration::zero());
+    const auto time = of.on_route != nullptr ? of.deadline - of.arrived
+                                             : of.profile.deadline.value_or(duration::zero());
     const auto due = outlook_.due(now);
     const bool is_worth_it =
         due && *due > now && *due - of.arrived <= scaled(time, settings_.held_share);
--- a/libs/serving/src/store_outlook.cpp
+++ b/libs/serving/src/store_outlook.cpp
@@ -29,11 +29,12 @@
 }
 
 std::optional<time_point> store_outlook::due(time_point now) const {
-    const bool is_starting = !last_answer_ && began_ && now - *began_ < settings_.start_time;
+    const bool is_starting =
+        !last_answer_ && !out_since_ && began_ && now - *began_ < settings_.start_time;
     if (is_starting) {
         return *began_ + settings_.start_time;
     }
-    return out_since() ? std::nullopt : std::optional(complete_by(now));
+    return out_since() || !began_ ? std::nullopt : std::optional(complete_by(now));
 }
 
 time_point store_outlook::complete_by(time_point now) const {
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -448,3 +448,74 @@
     CHECK(board.troubles(at_ms(2)) == std::vector<server_trouble>{{"desk-1", 1'000}});
     CHECK(board.troubles(at_ms(400)).empty());
 }
+
+namespace {
+
+/** An engine that has just started and loads its base model. */
+engine_state restarted(std::int64_t model_in_ms, std::uint64_t sequence = 2) {
+    auto out = engine_with({}, sequence);
+    out.models.clear();
+    out.coming_model = model_load{"m", duration{model_in_ms}};
+    return out;
+}
+
+} // namespace
+
+TEST_CASE("load: after a loss of all power, requests wait for engines that load their model") {
+    dispatcher_fixture with;
+    for (const auto* id : {"engine-1", "engine-2"}) {
+        with.decisions.on_engine_state(id, restarted(1'000), at_ms(100));
+    }
+    std::vector<ticket> waiting;
+    for (std::int64_t ms = 100; ms < 500; ms += 50) {
+        waiting.push_back(with.arrive(profile_of("/plan/1", "a1"), ms));
+        const auto* wait = with.only<wait_for_weights>();
+        REQUIRE(wait != nullptr);
+        CHECK(wait->first_answer >= duration{1'100 - ms}); // no sooner than the model
+        CHECK(wait->first_answer <= duration{1'100 - ms + 1'000});
+    }
+    std::size_t sent = 0;
+    for (const auto* engine : {"engine-1", "engine-2"}) {
+        with.decisions.on_engine_state(engine, engine_with({}, 3), at_ms(1'200));
+        CHECK(with.decisions.take_effects().empty()); // the model alone isn't enough
+        const auto loaded = engine_with({{{"m/a1", 1}, false, 0}}, 4);
+        with.decisions.on_engine_state(engine, loaded, at_ms(1'400));
+        sent += with.decisions.take_effects().size();
+    }
+    CHECK(sent == waiting.size());
+}
+
+TEST_CASE("load: a model that comes too late for a request is no reason to wait") {
+    dispatcher_fixture with;
+    for (const auto* id : {"engine-1", "engine-2"}) {
+        with.decisions.on_engine_state(id, restarted(8'000), at_ms(100));
+    }
+    with.arrive(profile_of("/plan/1", "a1"), 100);
+    const auto* ended = with.only<end_request>();
+    REQUIRE(ended != nullptr);
+    CHECK(ended->reason == end_reason::no_capacity);
+    CHECK(ended->retry_after >= duration{1'000});
+}
+
+TEST_CASE("an engine that has its model goes before one that loads it") {
+    dispatcher_fixture with;
+    with.decisions.on_engine_state("engine-1", restarted(600), at_ms(100));
+    for (int i = 0; i < 2; ++i) {
+        const auto id = with.arrive(profile_of("/plan/1", "a" + std::to_string(i)), 100);
+        CHECK(with.decisions.backend_of(id) == "engine-2");
+    }
+}
+
+TEST_CASE("what waits at an engine tells how long it can still be answered in time") {
+    dispatcher_fixture with;
+    with.decisions.board().remove("engine-2");
+    with.arrive(profile_of("/plan/1", "a1"), 0);
+    const auto id = with.arrive(profile_of("/plan/1", "a1"), 310);
+    const auto engine = with.decisions.backend_of(id);
+    const auto open = with.decisions.open_by_backend(at_ms(400)).at(engine);
+    REQUIRE(open.size() == 1);
+    CHECK(open.front().waiting == 2);
+    CHECK(open.front().time_to_objective == duration{910});
+    CHECK(with.decisions.open_by_backend(at_ms(2'000)).at(engine).front().time_to_objective ==
+          duration{0});
+}
