--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -84,9 +84,9 @@
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
     duration refused_pause{200};     /**< After an order that was refused or not answered. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
-    double local_load_part = 0.5; /**< Of a load from the weight store that one from the engine's
-                                       own disk takes, where a restarted engine has a copy. */
-    duration shortest_rest{100};  /**< Of a base model's load; of an overdue one, too. */
+    double local_load_part = 0.5;    /**< Of a load from the weight store that one from the engine's
+                                          own disk takes, where a restarted engine has a copy. */
+    duration shortest_rest{100};     /**< Of a base model's load; of an overdue one, too. */
     duration replace_pause{1'000};  /**< A replacement waits for runs on the old version; so long it
                                          isn't ordered again. */
     duration kept_for_reuse{2'000}; /**< Longer that an adapter is kept for each time that it was
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -60,7 +60,8 @@
         queued_prompt_tokens_ += view.demand.queued_prompt_tokens;
         for (const auto& each : view.demand.wants) {
             const auto since = view.heard - each.oldest_wait;
-            auto [at, is_new] = wanted_.try_emplace(each.weights, total{0, 0, each.urgency, since, {}});
+            auto [at, is_new] =
+                wanted_.try_emplace(each.weights, total{0, 0, each.urgency, since, {}});
             at->second.waiting += each.waiting;
             at->second.in_use += each.in_use;
             at->second.urgency = std::min(at->second.urgency, each.urgency);
@@ -261,7 +262,7 @@
     const auto whole = model->load_time;
     const auto local = scaled(whole, settings_.local_load_part);
     const auto passed = model_ordered_ ? now - *model_ordered_ : duration::zero();
-    const auto rest = passed < local ? local - passed
+    const auto rest = passed < local   ? local - passed
                       : passed < whole ? whole - passed
                                        : passed - whole; // as long again as it is overdue
     return serving::model_load{model->name, std::max(rest, settings_.shortest_rest)};
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -23,8 +23,8 @@
 /** Whether gateways decide otherwise on `b` than on `a`; load figures alone can wait. */
 bool differs_in_adapters(const serving::engine_state& a, const serving::engine_state& b) {
     return a.born != b.born || a.models != b.models || a.adapters != b.adapters ||
-           a.coming_model.has_value() != b.coming_model.has_value() ||
-           a.evictable != b.evictable || a.is_reachable != b.is_reachable;
+           a.coming_model.has_value() != b.coming_model.has_value() || a.evictable != b.evictable ||
+           a.is_reachable != b.is_reachable;
 }
 
 } // namespace
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -99,7 +99,7 @@
     std::uint32_t waiting = 0;
     std::uint32_t in_use = 0;
     duration oldest_wait{};
-    int urgency = 0; /**< Of the most urgent. */
+    int urgency = 0;              /**< Of the most urgent. */
     duration time_to_objective{}; /**< Of the waiting one that has most left; 0: too late. */
 
     friend bool operator==(const open_work&, const open_work&) = default;
@@ -112,7 +112,7 @@
     int patience_objectives = 4;       /**< ... this many objectives, ... */
     int patience_pauses = 8;           /**< ... or this many pauses, whichever is longest. */
     duration silent{2'000}; /**< Without a first answer for so long, a server counts as failed. */
-    duration place_again{350};      /**< A request that waits longer is placed anew. */
+    duration place_again{350}; /**< A request that waits longer is placed anew. */
     double held_share = 0.5; /**< Of a caller's time that may pass until the catalogue or the first
                                   usable server is there. */
     std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -415,9 +415,8 @@
         if (each.at == phase::waiting) {
             ++found->waiting;
             found->oldest_wait = std::max(found->oldest_wait, now - each.arrived);
-            found->time_to_objective =
-                std::max(found->time_to_objective,
-                         each.arrived + each.on_route->latency_objective - now);
+            found->time_to_objective = std::max(
+                found->time_to_objective, each.arrived + each.on_route->latency_objective - now);
         } else {
             ++found->in_use;
         }
