--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -82,7 +82,7 @@
     double busy_load = 1.5;   /**< The weight store is busy when a load takes so many usual ones. */
     double load_drift = 0.02; /**< Weight of a slow load in what is usual. */
     duration gateway_silence{2'000}; /**< From here on a gateway's demand no longer counts. */
-    duration refused_pause{200};     /**< After an order that was refused or not answered. */
+    duration refused_pause{200};     /**< After an order that was refused. */
     duration model_pause{1'000};     /**< Between orders to load a base model. */
     double local_load_part = 0.5;    /**< Of a load from the weight store that one from the engine's
                                           own disk takes, where a restarted engine has a copy. */
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -135,8 +135,10 @@
     is_order_open_ = false;
     needs_snapshot_ = true;
     ++results_seen_;
-    if (result != order_result::accepted) {
+    if (result == order_result::refused) {
         paused_until_ = now + settings_.refused_pause;
+    } else if (result == order_result::unanswered) {
+        // The next snapshot shows whether it was accepted.
     } else if (order.kind == order_kind::load) {
         used_[order.weights.name].last = now;
         if (!is_adapter(order.weights.name)) {
