--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -307,7 +307,7 @@
     const auto done = now + duration{std::llround(usual_load_ms_)};
     const auto rank = [&](const total& of) {
         const bool is_late = of.in_time_until < done;
-        return std::tuple(of.urgency, is_late, -static_cast<std::int64_t>(of.waiting), of.since);
+        return std::tuple(of.urgency, is_late, of.since);
     };
     return rank(a) < rank(b);
 }
