--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -208,8 +208,8 @@
     /** The base model's load that is under way. */
     std::optional<serving::model_load> coming_model(time_point now) const;
     std::optional<engine_order> adapter_order(time_point now);
-    /** Order of loads: the more urgent, those that some can still be answered in time with, those
-        that more wait for, those waited for longest. */
+    /** Order of loads: the more urgent, those with which somebody can still be answered in time,
+        those that were waited for longest. */
     bool goes_before(const total& a, const total& b, time_point now) const;
     bool is_replacing(const serving::held_weights& weights, time_point now) const;
     std::optional<serving::held_weights> victim() const;
--- a/libs/adapters/tests/test_adapter_keeper.cpp
+++ b/libs/adapters/tests/test_adapter_keeper.cpp
@@ -437,33 +437,55 @@
     CHECK_FALSE(with.keeper.state(at_ms(2'600)).coming_model);
 }
 
-TEST_CASE("load: an empty engine loads what serves most in time, and what is late last") {
+TEST_CASE("load: an empty engine loads first what can still be in time") {
     fixture with;
     with.load_one(250);
-    const auto want = [](const std::string& name, std::uint32_t waiting, std::int64_t oldest,
-                         std::int64_t to_objective) {
-        return adapter_want{{name, 0}, waiting, 0, duration{oldest}, 5, duration{to_objective}};
+    const auto want = [](const std::string& name, std::int64_t oldest, std::int64_t to_objective) {
+        return adapter_want{{name, 0}, 1, 0, duration{oldest}, 5, duration{to_objective}};
     };
     with.want("g1",
-              {want("m/late", 9, 2'000, 100), want("m/rare", 1, 300, 500),
-               want("m/popular", 4, 200, 600), want("m/urgent", 1, 0, 0)},
+              {want("m/late", 2'000, 100), want("m/rare", 300, 500), want("m/shared", 900, 0)},
               1'000);
-    with.want("g2", {want("m/popular", 3, 100, 700), want("m/later", 2, 3'000, 0)}, 1'000);
-    std::vector<std::string> order;
-    for (std::int64_t ms = 1'000; ms < 3'000; ms += 250) {
-        const auto loads = loads_of(with.settle(ms));
-        order.insert(order.end(), loads.begin(), loads.end());
-        with.engine.finish_loads();
-        with.see(ms + 240);
-        for (const auto& each : loads) {
-            with.engine.resident.erase({each, 1}); // makes room for the next
-        }
-        with.see(ms + 245);
-        if (order.size() >= 5) {
-            break;
-        }
-    }
-    REQUIRE(order.size() >= 2);
-    CHECK(order[0] == "m/popular");
-    CHECK(order[1] == "m/rare");
+    with.want("g2", {want("m/shared", 400, 600), want("m/later", 3'000, 0)}, 1'000);
+    // Somebody who waits for m/shared can be in time; its first caller has waited longest.
+    CHECK(loads_of(with.settle(1'000)) == std::vector<std::string>{"m/shared", "m/rare"});
+    with.engine.finish_loads();
+    with.want("g1", {want("m/late", 2'250, 0)}, 1'250);
+    with.want("g2", {want("m/later", 3'250, 0)}, 1'250);
+    with.engine.resident.clear();
+    with.see(1'250);
+    CHECK(loads_of(with.settle(1'250)) == std::vector<std::string>{"m/later", "m/late"});
+}
+
+TEST_CASE("load: what can be in time at one moment is late at another") {
+    fixture with;
+    with.load_one(250);
+    const adapter_want soon{{"m/soon", 0}, 1, 0, duration{100}, 5, duration{400}};
+    const adapter_want late{{"m/late", 0}, 1, 0, duration{900}, 5, duration{0}};
+    with.want("g1", {soon, late}, 1'000);
+    const auto first = with.keeper.next_order(at_ms(1'100)); // 300 ms are left, a load takes 250
+    REQUIRE(first);
+    CHECK(first->weights.name == "m/soon");
+    fixture other;
+    other.load_one(250);
+    other.want("g1", {soon, late}, 1'000);
+    const auto second = other.keeper.next_order(at_ms(1'200));
+    REQUIRE(second);
+    CHECK(second->weights.name == "m/late");
+}
+
+TEST_CASE("load: an order that is left unanswered holds up the next one no longer") {
+    fixture with;
+    with.want("g1", {waits_for("m/a1")}, 100);
+    const auto order = with.keeper.next_order(at_ms(100));
+    REQUIRE(order);
+    with.keeper.on_order_result(*order, order_result::unanswered, at_ms(220));
+    CHECK_FALSE(with.keeper.next_order(at_ms(220))); // the engine is looked at first
+    with.see(225);
+    const auto again = with.keeper.next_order(at_ms(225));
+    REQUIRE(again);
+    CHECK(*again == *order);
+    // The lost one arrives after all, behind the second: the engine refuses it.
+    CHECK(with.engine.take(*again) == order_result::accepted);
+    CHECK(with.engine.take(*order) == order_result::refused);
 }
