Keep the lines on failed requests under load, and say what a limiter decided on

Lines that tell of a failure have a bound of their own. The end of a request over its account's rate says its cost, the account's level and rate and how many peers are heard; a sent attempt names the account.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr duration tick_interval{50};
+constexpr int status_first = 200;
+constexpr int status_first_failed = 300;
 // Time for the platform's load balancer to see that this process is leaving. What comes later is
 // refused, because it might not be finished before the process must be gone.
 constexpr duration rotation_time{2'600};
@@ -150,7 +152,7 @@
 
 void gateway_node::refuse_late(edge::caller_exchange& exchange) {
     const auto& request = exchange.request();
-    log_.line("request_ended")
+    log_.line("request_ended", log_subject::failure)
         .text("request", codec_.decode(request.target, request.headers).id)
         .text("reason", to_string(serving::end_reason::shutting_down));
     const auto refusal = make_refusal({0, serving::end_reason::shutting_down, duration{100}});
@@ -167,7 +169,7 @@
     if (found == flows_.end()) {
         return;
     }
-    log_.line("caller_left").text("request", found->second->correlation_id());
+    log_.line("caller_left", log_subject::failure).text("request", found->second->correlation_id());
     metrics_.count("camphor_callers_left_total");
     found->second->give_up();
     finished(request, 0);
@@ -194,7 +196,7 @@
     dispatcher_.on_attempt_ended(request, outcome, now());
     if (outcome != serving::attempt_outcome::whole) {
         const auto found = flows_.find(request);
-        log_.line("attempt_failed")
+        log_.line("attempt_failed", log_subject::failure)
             .text("request", found == flows_.end() ? "" : found->second->correlation_id())
             .text("outcome", to_string(outcome));
         metrics_.count("camphor_failed_attempts_total",
@@ -209,7 +211,8 @@
         return;
     }
     const auto took = now() - found->second->exchange().request().received;
-    log_.line("request_finished")
+    const bool is_failure = status < status_first || status >= status_first_failed;
+    log_.line("request_finished", is_failure ? log_subject::failure : log_subject::routine)
         .text("request", found->second->correlation_id())
         .number("status", status)
         .number("first_answer_ms", found->second->first_answer().count())
@@ -244,16 +247,29 @@
     if (found == flows_.end()) {
         return;
     }
-    log_.line("request_ended")
-        .text("request", found->second->correlation_id())
+    log_end(effect, found->second->correlation_id());
+    metrics_.count("camphor_ended_requests_total",
+                   {{"reason", std::string(to_string(effect.reason))}});
+    found->second->end(effect);
+}
+
+void gateway_node::log_end(const serving::end_request& effect, const std::string& correlation) {
+    const auto account = dispatcher_.account_of(effect.request);
+    auto line = log_.line("request_ended", log_subject::failure);
+    line.text("request", correlation)
         .text("reason", to_string(effect.reason))
-        .text("account", dispatcher_.account_of(effect.request))
+        .text("account", account)
         .number("retry_after_ms", effect.retry_after.count())
         .number("open_requests", static_cast<std::int64_t>(flows_.size()))
         .number("store_age_ms", fleet_.knowledge_age().count());
-    metrics_.count("camphor_ended_requests_total",
-                   {{"reason", std::string(to_string(effect.reason))}});
-    found->second->end(effect);
+    if (effect.reason == serving::end_reason::over_rate) {
+        const auto standing = dispatcher_.limiter().standing(account);
+        line.number("cost", static_cast<std::int64_t>(effect.cost))
+            .number("level", static_cast<std::int64_t>(standing.level))
+            .number("rate_per_s", static_cast<std::int64_t>(standing.rate_per_s))
+            .number("audible_peers",
+                    static_cast<std::int64_t>(dispatcher_.limiter().audible_peers(now())));
+    }
 }
 
 void gateway_node::carry_out(const serving::send_attempt& effect) {
@@ -263,6 +279,7 @@
     }
     log_.line("attempt_sent")
         .text("request", found->second->correlation_id())
+        .text("account", dispatcher_.account_of(effect.request))
         .text("backend_server", effect.backend_id)
         .number("attempt", effect.number)
         .number("waited_ms", effect.waited.count())
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -61,6 +61,7 @@
 
     void carry_out_effects();
     void carry_out(const serving::end_request& effect);
+    void log_end(const serving::end_request& effect, const std::string& correlation);
     void carry_out(const serving::send_attempt& effect);
     void carry_out(const serving::wait_for_weights& effect);
     void caller_left(serving::ticket request);
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -21,6 +21,14 @@
 /** Counts of one gateway, by client account. */
 using account_usage = std::map<std::string, account_count>;
 
+/** How an account stands at one gateway. A value type. */
+struct account_standing {
+    double level = 0; /**< What it may use at once; below 0: peers used more than was there. */
+    double rate_per_s = 0;
+
+    friend bool operator==(const account_standing&, const account_standing&) = default;
+};
+
 /** Times of an account_limiter. */
 struct account_limiter_settings {
     bool is_restart = false; /**< What an earlier process admitted isn't known: only a part of
@@ -65,6 +73,9 @@
     /** Takes `cost` from the account, or says after how long there will be enough. */
     std::optional<duration> charge(const std::string& name, double cost, time_point now);
 
+    /** As of the last charge; all 0 for an account without a limit. */
+    account_standing standing(const std::string& name) const;
+
     /** Gives back what a request that didn't run was charged; peers hear of it too. */
     void credit(const std::string& name, double cost);
 
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -51,6 +51,7 @@
     ticket request = 0;
     end_reason reason = end_reason::no_route;
     duration retry_after{}; /**< 0: none is said. */
+    double cost = 0;        /**< What it would have been charged, where that was too much. */
 
     friend bool operator==(const end_request&, const end_request&) = default;
 };
@@ -204,7 +205,8 @@
         const route* on_route = nullptr;
         std::string service;
         std::string account;
-        double cost = 0;
+        double cost = 0;         /**< Charged. */
+        double refused_cost = 0; /**< Not charged: it was too much. */
         int urgency = 0;
         std::uint64_t version = 0;
         time_point arrived;
--- a/libs/serving/src/account_limiter.cpp
+++ b/libs/serving/src/account_limiter.cpp
@@ -111,6 +111,13 @@
     return std::nullopt;
 }
 
+account_standing account_limiter::standing(const std::string& name) const {
+    const auto found = buckets_.find(name);
+    return found == buckets_.end()
+               ? account_standing{}
+               : account_standing{found->second.level, found->second.rate_per_s};
+}
+
 bool account_limiter::is_report_due() const {
     return std::any_of(unreported_.begin(), unreported_.end(), [this](const auto& each) {
         const auto found = buckets_.find(each.first);
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -1,6 +1,7 @@
 #include <serving/dispatcher.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorgrade::serving {
 
@@ -66,7 +67,7 @@
     }
     of.service = pick_service(*of.on_route);
     if (const auto wait = limiter_.charge(of.account, of.cost, now)) {
-        of.cost = 0;
+        of.refused_cost = std::exchange(of.cost, 0);
         retry_after =
             std::clamp(*wait, settings_.shortest_retry_after, settings_.longest_retry_after);
         return end_reason::over_rate;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -255,7 +255,7 @@
         limiter_.credit(of.account, of.cost);
         of.cost = 0;
     }
-    effects_.emplace_back(end_request{id, reason, retry_after});
+    effects_.emplace_back(end_request{id, reason, retry_after, of.refused_cost});
 }
 
 void dispatcher::on_first_answer(ticket id, time_point now) {
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -292,6 +292,9 @@
     REQUIRE(end != nullptr);
     CHECK(end->reason == end_reason::over_rate);
     CHECK(end->retry_after == duration{1'000});
+    CHECK(end->cost == 100'000);
+    CHECK(with.decisions.limiter().standing("studio") == account_standing{0, 100'000});
+    CHECK(with.decisions.limiter().standing("nobody") == account_standing{});
     with.arrive(large, 1'000);
     CHECK(with.only<end_request>() == nullptr);
 }
--- a/libs/telemetry/include/telemetry/event_log.h
+++ b/libs/telemetry/include/telemetry/event_log.h
@@ -31,11 +31,15 @@
 /** Bounds of an event_log. */
 struct event_log_settings {
     std::uint32_t lines_per_kind = 60;           /**< In a second; more are counted, not written. */
+    std::uint32_t failures_per_kind = 300;       /**< The same, of lines that tell of failures. */
     std::size_t max_buffer_bytes = 256UL * 1024; /**< Unwritten; lines beyond it are counted. */
 
     friend bool operator==(const event_log_settings&, const event_log_settings&) = default;
 };
 
+/** What a line tells of; failures have a bound of their own, so that successes don't use it up. */
+enum class log_subject : std::uint8_t { routine, failure };
+
 class log_line;
 
 /**
@@ -55,7 +59,7 @@
     event_log& operator=(const event_log&) = delete;
 
     /** Starts a line; it is complete when the returned object dies. */
-    log_line line(std::string_view event);
+    log_line line(std::string_view event, log_subject subject = log_subject::routine);
 
     /** Writes out what is buffered, as far as the sink takes it. */
     void flush();
@@ -68,7 +72,10 @@
         std::uint32_t left_out = 0;
     };
 
-    bool admit(std::string_view event);
+    using counts = std::map<std::string, kind_count, std::less<>>;
+
+    static bool admit(counts& kinds, std::string_view event, std::uint32_t bound);
+    void tell_left_out(counts& kinds);
     void begin_second();
     std::string opening(std::string_view event) const;
     void append(std::string_view line);
@@ -77,7 +84,8 @@
     const clock& clock_;
     line_sink& sink_;
     event_log_settings settings_;
-    std::map<std::string, kind_count, std::less<>> kinds_;
+    counts routine_;
+    counts failures_;
     std::int64_t second_ = 0;
     std::uint64_t dropped_ = 0;
     std::string buffer_;
--- a/libs/telemetry/src/event_log.cpp
+++ b/libs/telemetry/src/event_log.cpp
@@ -51,9 +51,12 @@
                      event_log_settings settings)
     : node_(std::move(node)), clock_(clock), sink_(sink), settings_(settings) {}
 
-log_line event_log::line(std::string_view event) {
+log_line event_log::line(std::string_view event, log_subject subject) {
     begin_second();
-    return admit(event) ? log_line{this, opening(event)} : log_line{nullptr, {}};
+    const bool is_admitted = subject == log_subject::failure
+                                 ? admit(failures_, event, settings_.failures_per_kind)
+                                 : admit(routine_, event, settings_.lines_per_kind);
+    return is_admitted ? log_line{this, opening(event)} : log_line{nullptr, {}};
 }
 
 std::string event_log::opening(std::string_view event) const {
@@ -66,13 +69,13 @@
     return out;
 }
 
-bool event_log::admit(std::string_view event) {
-    auto found = kinds_.find(event);
-    if (found == kinds_.end()) {
-        found = kinds_.emplace(std::string(event), kind_count{}).first;
+bool event_log::admit(counts& kinds, std::string_view event, std::uint32_t bound) {
+    auto found = kinds.find(event);
+    if (found == kinds.end()) {
+        found = kinds.emplace(std::string(event), kind_count{}).first;
     }
     auto& count = found->second;
-    if (count.written >= settings_.lines_per_kind) {
+    if (count.written >= bound) {
         ++count.left_out;
         return false;
     }
@@ -86,7 +89,12 @@
         return;
     }
     second_ = second;
-    for (auto& [event, count] : kinds_) {
+    tell_left_out(routine_);
+    tell_left_out(failures_);
+}
+
+void event_log::tell_left_out(counts& kinds) {
+    for (auto& [event, count] : kinds) {
         if (count.left_out > 0) {
             auto line = opening("lines_left_out");
             line += ",\"of\":";
