--- a/tools/experiment/commands.cpp
+++ b/tools/experiment/commands.cpp
@@ -6,6 +6,7 @@
 #include "delivery_command.h"
 #include "limits_command.h"
 #include "load_command.h"
+#include "paired_command.h"
 #include "placement_command.h"
 #include "replay_command.h"
 
@@ -19,6 +20,7 @@
         delivery_command,      //
         limits_command,        //
         load_command,          //
+        paired_command,        //
         placement_command,     //
         replay_command,        //
     };
