Remove the holding of requests through gaps of knowledge

What it seemed to gain came from the Retry-After of a store that leaves a starting process without an answer, which stays.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -113,9 +113,7 @@
     int patience_objectives = 4;       /**< ... this many objectives, ... */
     int patience_pauses = 8;           /**< ... or this many pauses, whichever is longest. */
     duration silent{2'000}; /**< Without a first answer for so long, a server counts as failed. */
-    duration place_again{350}; /**< A request that waits longer is placed anew. */
-    double held_share = 0.5; /**< Of a caller's time that may pass until the catalogue or the first
-                                  usable server is there. */
+    duration place_again{350};      /**< A request that waits longer is placed anew. */
     std::uint32_t max_refusals = 3; /**< Backend servers that may refuse one request. */
     duration shortest_retry_after{100};
     duration longest_retry_after{5'000};
@@ -190,13 +188,7 @@
     std::size_t waiting_requests() const;
 
 private:
-    enum class phase : std::uint8_t {
-        held, /**< Until there is a catalogue, or a server that could take it. */
-        placing,
-        waiting,
-        sent,
-        ended
-    };
+    enum class phase : std::uint8_t { placing, waiting, sent, ended };
 
     struct request {
         request_profile profile;
@@ -225,10 +217,6 @@
         std::set<std::string> excluded;
     };
 
-    /** Checks the request and places it, or ends it. */
-    void admit(ticket id, request& of, time_point now);
-    /** Lets the request wait for what is missing, if that is likely there in time. */
-    bool hold(request& of, time_point now);
     std::optional<end_reason> check(request& of, duration& retry_after, time_point now);
     std::optional<end_reason> identify(request& of) const;
     std::string pick_service(const route& from);
--- a/libs/serving/include/serving/store_outlook.h
+++ b/libs/serving/include/serving/store_outlook.h
@@ -36,9 +36,6 @@
     /** When everything should be known; not before `now`. */
     time_point complete_by(time_point now) const;
 
-    /** The same where it is sure enough to wait for: empty in an outage of unknown length. */
-    std::optional<time_point> due(time_point now) const;
-
 private:
     std::optional<time_point> out_since() const;
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -39,35 +39,16 @@
     auto& added = requests_[id];
     added.profile = std::move(profile);
     added.content = content;
+    added.catalogue = catalogue_;
     added.arrived = now;
-    admit(id, added, now);
-    return id;
-}
-
-void dispatcher::admit(ticket id, request& of, time_point now) {
-    of.catalogue = catalogue_;
-    if (!of.catalogue && hold(of, now)) {
-        return;
-    }
     duration wait{};
-    if (const auto reason = check(of, wait, now)) {
-        end(id, of, *reason, wait);
-        return;
-    }
-    retries_.on_request(of.service, now);
-    place(id, of, now);
-}
-
-bool dispatcher::hold(request& of, time_point now) {
-    const auto time = of.on_route != nullptr ? of.deadline - of.arrived
-                                             : of.profile.deadline.value_or(duration::zero());
-    const auto due = outlook_.due(now);
-    const bool is_worth_it =
-        due && *due > now && *due - of.arrived <= scaled(time, settings_.held_share);
-    if (is_worth_it) {
-        of.at = phase::held;
+    if (const auto reason = check(added, wait, now)) {
+        end(id, added, *reason, wait);
+        return id;
     }
-    return is_worth_it;
+    retries_.on_request(added.service, now);
+    place(id, added, now);
+    return id;
 }
 
 duration dispatcher::patience(const request& of) const {
@@ -130,9 +111,7 @@
                         : why.open_at   ? end_reason::no_capacity
                                         : end_reason::no_backend;
     if (!why.open_at) {
-        if (of.refusals > 0 || !hold(of, now)) {
-            end(id, of, reason, retry_when_complete(now));
-        }
+        end(id, of, reason, retry_when_complete(now));
         return;
     }
     // Never sooner than the servers said.
@@ -367,15 +346,6 @@
 
 void dispatcher::tick(time_point now) {
     for (auto& [id, each] : requests_) {
-        if (each.at == phase::held) {
-            each.at = phase::placing;
-            if (each.catalogue) {
-                place(id, each, now);
-            } else {
-                admit(id, each, now);
-            }
-            continue;
-        }
         if (each.at != phase::waiting && each.at != phase::sent) {
             continue;
         }
--- a/libs/serving/src/store_outlook.cpp
+++ b/libs/serving/src/store_outlook.cpp
@@ -28,15 +28,6 @@
     return out_since_ || last_answer_ ? out_since_ : began_;
 }
 
-std::optional<time_point> store_outlook::due(time_point now) const {
-    const bool is_starting =
-        !last_answer_ && !out_since_ && began_ && now - *began_ < settings_.start_time;
-    if (is_starting) {
-        return *began_ + settings_.start_time;
-    }
-    return out_since() || !began_ ? std::nullopt : std::optional(complete_by(now));
-}
-
 time_point store_outlook::complete_by(time_point now) const {
     if (const auto since = out_since()) {
         return now + std::clamp(now - *since, settings_.start_time, settings_.longest_guess);
