--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -234,7 +234,7 @@
     std::uint64_t results_seen_ = 0;
     time_point paused_until_;
     time_point model_paused_until_;
-    std::optional<time_point> model_ordered_; /**< When the engine accepted the last such order. */
+    std::optional<time_point> model_ordered_; /**< When the engine was first told to load it. */
 };
 
 } // namespace camphorgrade::adapters
--- a/libs/adapters/src/adapter_keeper.cpp
+++ b/libs/adapters/src/adapter_keeper.cpp
@@ -1,6 +1,7 @@
 #include <adapters/adapter_keeper.h>
 
 #include <kernel/check.h>
+#include <kernel/scaled.h>
 
 #include <algorithm>
 #include <cmath>
@@ -26,10 +27,6 @@
     return weights.find('/') != std::string::npos;
 }
 
-duration scaled(duration time, double by) {
-    return duration{static_cast<duration::rep>(static_cast<double>(time.count()) * by)};
-}
-
 } // namespace
 
 adapter_keeper::adapter_keeper(adapter_keeper_settings settings)
@@ -137,13 +134,14 @@
     ++results_seen_;
     if (result == order_result::refused) {
         paused_until_ = now + settings_.refused_pause;
-    } else if (result == order_result::unanswered) {
-        // The next snapshot shows whether it was accepted.
-    } else if (order.kind == order_kind::load) {
+        return;
+    }
+    if (order.kind == order_kind::load && !is_adapter(order.weights.name)) {
+        model_ordered_ = model_ordered_.value_or(now); // one without an answer may be carried out
+    }
+    // Of an adapter's, the next snapshot shows whether it was accepted.
+    if (result == order_result::accepted && order.kind == order_kind::load) {
         used_[order.weights.name].last = now;
-        if (!is_adapter(order.weights.name)) {
-            model_ordered_ = now;
-        }
         if (is_adapter(order.weights.name) && !is_warm(order.weights.name)) {
             ordered_[order.weights.name] = now;
         }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -1,20 +1,13 @@
 #include <serving/dispatcher.h>
 
 #include <kernel/check.h>
+#include <kernel/scaled.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace camphorgrade::serving {
 
-namespace {
-
-duration scaled(duration time, double by) {
-    return duration{static_cast<duration::rep>(static_cast<double>(time.count()) * by)};
-}
-
-} // namespace
-
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
     : settings_(settings), random_(seed), board_({}), limiter_(settings.limits),
