--- a/libs/adapters/include/adapters/adapter_keeper.h
+++ b/libs/adapters/include/adapters/adapter_keeper.h
@@ -205,7 +205,7 @@
     std::optional<engine_order> model_order(time_point now);
     /** The base model to load; null when none fits. */
     const serving::base_model* wanted_model() const;
-    /** The base model's load that is under way. */
+    /** The base model that the engine lacks and is loading, or will be told to. */
     std::optional<serving::model_load> coming_model(time_point now) const;
     std::optional<engine_order> adapter_order(time_point now);
     /** Order of loads: the more urgent, those with which somebody can still be answered in time,
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -15,8 +15,8 @@
 namespace {
 
 constexpr duration tick_interval{50};
-constexpr int status_first = 200;
-constexpr int status_first_failed = 300;
+constexpr int lowest_success = 200;
+constexpr int lowest_redirection = 300;
 // Time for the platform's load balancer to see that this process is leaving. What comes later is
 // refused, because it might not be finished before the process must be gone.
 constexpr duration rotation_time{2'600};
@@ -211,7 +211,7 @@
         return;
     }
     const auto took = now() - found->second->exchange().request().received;
-    const bool is_failure = status < status_first || status >= status_first_failed;
+    const bool is_failure = status < lowest_success || status >= lowest_redirection;
     log_.line("request_finished", is_failure ? log_subject::failure : log_subject::routine)
         .text("request", found->second->correlation_id())
         .number("status", status)
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -61,7 +61,7 @@
     friend bool operator==(const adapter_place&, const adapter_place&) = default;
 };
 
-/** A base model that an engine is loading. */
+/** A base model that an engine lacks and is loading, or will be told to. */
 struct model_load {
     std::string name;
     duration time_left{}; /**< Estimate. */
@@ -75,7 +75,7 @@
     std::uint64_t agent_life = 0; /**< Start of the agent; larger is a later process. */
     std::uint64_t born = 0;       /**< Start of the engine, Unix milliseconds. */
     std::vector<held_weights> models;
-    std::optional<model_load> coming_model; /**< While it can run nothing, or little. */
+    std::optional<model_load> coming_model; /**< Empty once it has a base model. */
     std::vector<adapter_place> adapters;
     std::uint32_t evictable = 0; /**< Places that are free or whose adapter nobody uses. */
     std::uint32_t unplaced = 0;  /**< Adapters that gateways wait for and that have no place yet. */
--- a/libs/serving/include/serving/store_outlook.h
+++ b/libs/serving/include/serving/store_outlook.h
@@ -37,6 +37,7 @@
     time_point complete_by(time_point now) const;
 
 private:
+    /** Since when the store hasn't answered; empty while it does. */
     std::optional<time_point> out_since() const;
 
     store_outlook_settings settings_;
--- a/libs/serving/src/store_outlook.cpp
+++ b/libs/serving/src/store_outlook.cpp
@@ -24,7 +24,7 @@
 }
 
 std::optional<time_point> store_outlook::out_since() const {
-    // A call may go unanswered for long before it fails.
+    // A call of a process that starts may hang for long before it fails.
     return out_since_ || last_answer_ ? out_since_ : began_;
 }
 
