--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -183,28 +183,31 @@
 void gateway_node::on_response_head(serving::request_handle request,
                                     const serving::response_metadata& response) {
     const bool is_notable = response.is_shutting_down || response.retry_after.has_value() ||
-                            response.has_invalid_retry_after;
-    if (!is_notable) {
-        return;
+                            response.has_invalid_retry_after || response.has_invalid_request_limit;
+    if (is_notable) {
+        log_.line("backend_server_notice")
+            .text("request", correlation_id_of(request))
+            .text("backend_server", dispatcher_.backend_of(request))
+            .flag("leaving", response.is_shutting_down)
+            .number("hold_off_ms", response.retry_after.value_or(duration{-1}).count())
+            .flag("unreadable_time", response.has_invalid_retry_after)
+            .flag("unreadable_limit", response.has_invalid_request_limit);
     }
-    const auto found = flows_.find(request);
-    log_.line("backend_server_notice")
-        .text("request", found == flows_.end() ? "" : found->second->correlation_id())
-        .text("backend_server", dispatcher_.backend_of(request))
-        .flag("leaving", response.is_shutting_down)
-        .number("hold_off_ms", response.retry_after.value_or(duration{-1}).count())
-        .flag("unreadable_time", response.has_invalid_retry_after);
     dispatcher_.on_response_head(request, response, now());
     execute_effects();
 }
 
+std::string gateway_node::correlation_id_of(serving::request_handle request) const {
+    const auto found = flows_.find(request);
+    return found == flows_.end() ? std::string{} : found->second->correlation_id();
+}
+
 void gateway_node::on_attempt_ended(serving::request_handle request,
                                     serving::attempt_outcome outcome) {
     dispatcher_.on_attempt_ended(request, outcome, now());
     if (outcome != serving::attempt_outcome::completed) {
-        const auto found = flows_.find(request);
         log_.line("attempt_failed", log_category::failure)
-            .text("request", found == flows_.end() ? "" : found->second->correlation_id())
+            .text("request", correlation_id_of(request))
             .text("outcome", to_string(outcome));
         metrics_.count("camphor_failed_attempts_total",
                        {{"outcome", std::string(to_string(outcome))}});
@@ -284,8 +287,8 @@
     if (found == flows_.end()) {
         return;
     }
-    log_.line("attempt_sent")
-        .text("request", found->second->correlation_id())
+    auto line = log_.line("attempt_sent");
+    line.text("request", found->second->correlation_id())
         .text("account", dispatcher_.account_of(effect.request))
         .text("backend_server", effect.backend_id)
         .number("attempt", effect.attempt_number)
@@ -293,6 +296,11 @@
         .number("prompt_tokens", static_cast<std::int64_t>(effect.prompt_tokens))
         .number("urgency", effect.urgency)
         .number("weights_version", static_cast<std::int64_t>(effect.expected_version));
+    if (effect.limit) {
+        line.decimal("limit_per_s", effect.limit->requests_per_s)
+            .number("limit_age_ms", (now() - effect.limit->confirmed_at).count());
+        metrics_.count("camphor_limited_attempts_total");
+    }
     found->second->start_attempt(effect);
 }
 
@@ -310,6 +318,15 @@
                 std::llround(dispatcher_.backends().load_times().full_speed_loads()));
 }
 
+void gateway_node::execute(const serving::limit_changed& effect) {
+    constexpr double no_limit = -1;
+    log_.line("backend_server_limit")
+        .text("request", correlation_id_of(effect.request))
+        .text("backend_server", effect.change.server.id)
+        .decimal("limit_per_s", effect.change.after.value_or(no_limit))
+        .decimal("limit_before_per_s", effect.change.before.value_or(no_limit));
+}
+
 void gateway_node::on_caller_limits(const edge::caller_limits& limits) {
     caller_server_.set_limits(limits);
 }
@@ -331,6 +348,8 @@
     metrics_.set("camphor_waiting_requests", {},
                  static_cast<double>(dispatcher_.waiting_requests()));
     metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.data_age().count()));
+    metrics_.set("camphor_limited_backend_servers", {},
+                 static_cast<double>(dispatcher_.limits().all().size()));
     metrics_.set("camphor_unreadable_peer_datagrams", {},
                  static_cast<double>(peers_.unreadable_datagrams()));
     return metrics_.prometheus_text();
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -42,7 +42,7 @@
     duration store_age{};
     duration process_age{}; /**< Time since the sender's process started. */
     serving::adapter_versions versions;
-    std::vector<serving::avoided_server> avoided_servers;
+    std::vector<serving::server_process> avoided_servers;
     bool has_all_usage = true; /**< False: `usage` lists only recently changed accounts. */
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
--- a/libs/serving/include/serving/backend_registry.h
+++ b/libs/serving/include/serving/backend_registry.h
@@ -130,12 +130,12 @@
     void on_failure(const std::string& id, time_point now);
 
     /** Servers that this gateway avoids after its own failures to reach them. */
-    std::vector<avoided_server> avoided_servers(time_point now) const;
+    std::vector<server_process> avoided_servers(time_point now) const;
 
     /** A peer reports the servers that it avoids. Reports on processes other than the registered
         ones are ignored. */
     void on_peer_avoided_servers(const std::string& peer,
-                                 const std::vector<avoided_server>& servers, time_point now);
+                                 const std::vector<server_process>& servers, time_point now);
 
     /** Whether other servers are preferred: this one failed for this gateway, or it failed for
         several peers and has not responded to this gateway lately. */
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -30,6 +30,15 @@
     friend auto operator<=>(const versioned_weights&, const versioned_weights&) = default;
 };
 
+/** Identifies one process of a backend server. A value type. */
+struct server_process {
+    std::string id;                  /**< Id of the backend server; a restart may keep it. */
+    std::uint64_t started_at_ms = 0; /**< Start time of the process, Unix milliseconds. */
+
+    friend bool operator==(const server_process&, const server_process&) = default;
+    friend auto operator<=>(const server_process&, const server_process&) = default;
+};
+
 /** A backend server as described by its registration. A value type. */
 struct backend_server {
     std::string id;
@@ -42,15 +51,10 @@
     /** Base models and adapters that it holds; empty for a plain service. */
     std::vector<versioned_weights> held;
 
-    friend bool operator==(const backend_server&, const backend_server&) = default;
-};
-
-/** A process of a backend server that a gateway avoids after failures. A value type. */
-struct avoided_server {
-    std::string id;
-    std::uint64_t started_at_ms = 0; /**< Start time of the process, Unix milliseconds. */
+    /** The process that this registration describes. */
+    server_process process() const { return {id, started_at_ms}; }
 
-    friend bool operator==(const avoided_server&, const avoided_server&) = default;
+    friend bool operator==(const backend_server&, const backend_server&) = default;
 };
 
 /** State of one adapter on an engine. */
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -8,6 +8,7 @@
 #include <serving/placement.h>
 #include <serving/request_metadata.h>
 #include <serving/retry_limiter.h>
+#include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
 #include <serving/store_recovery_estimator.h>
 
@@ -70,6 +71,7 @@
                                              refused or never connected aren't counted. */
     duration queue_time{};              /**< Time since the request arrived. */
     std::uint64_t prompt_tokens = 0;
+    std::optional<request_limit> limit; /**< Request limit of the backend server. */
 
     friend bool operator==(const send_attempt&, const send_attempt&) = default;
 };
@@ -84,7 +86,16 @@
     friend bool operator==(const wait_for_weights&, const wait_for_weights&) = default;
 };
 
-using dispatch_effect = std::variant<end_request, send_attempt, wait_for_weights>;
+/** Effect: a response changed the request limit of a backend server. Informational: needs no
+    action. A value type. */
+struct limit_changed {
+    request_handle request = 0; /**< Request whose response names the limit. */
+    limit_change change;
+
+    friend bool operator==(const limit_changed&, const limit_changed&) = default;
+};
+
+using dispatch_effect = std::variant<end_request, send_attempt, wait_for_weights, limit_changed>;
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
@@ -170,6 +181,7 @@
     const backend_registry& backends() const noexcept { return backends_; }
     account_limiter& limiter() noexcept { return limiter_; }
     crash_register& crashes() noexcept { return crashes_; }
+    const server_limits& limits() const noexcept { return limits_; }
     store_recovery_estimator& store_recovery() noexcept { return store_recovery_; }
 
     /** Admits or refuses a request; take_effects() returns the outcome. `fingerprint` is the
@@ -177,7 +189,8 @@
     request_handle on_request(request_metadata metadata, std::uint64_t fingerprint, time_point now);
 
     /** The head of a response arrived. If the server is shutting down or sent Retry-After,
-        requests that wait for weights there are placed again. */
+        requests that wait for weights there are placed again. Must be called for each head, because
+        a response without a request limit ends the limit. */
     void on_response_head(request_handle id, const response_metadata& head, time_point now);
 
     /** The first event of a stream or the complete response arrived: the server has processed
@@ -251,6 +264,11 @@
         std::set<std::string> excluded;
     };
 
+    /** Records the request limit that a response to `entry` names, or its absence. */
+    void record_limit(request_handle id, const request& entry, const response_metadata& head,
+                      time_point now);
+    /** Forgets the limits of server processes that are gone. */
+    void erase_ended_limits();
     std::optional<end_reason> admit(request& entry, duration& retry_after, time_point now);
     std::optional<end_reason> resolve(request& entry) const;
     std::string choose_service(const route& matched);
@@ -280,6 +298,7 @@
     account_limiter limiter_;
     retry_limiter retries_;
     crash_register crashes_;
+    server_limits limits_;
     store_recovery_estimator store_recovery_;
     placement_chooser placement_chooser_;
     std::map<request_handle, request> requests_;
--- a/libs/serving/include/serving/request_metadata.h
+++ b/libs/serving/include/serving/request_metadata.h
@@ -54,6 +54,10 @@
     std::optional<duration> retry_after;  /**< The backend server refused the request and accepts
                                                none for this duration. */
     bool has_invalid_retry_after = false; /**< The stated Retry-After can't be parsed. */
+    /** Requests per second that the backend server accepts from all gateways together; empty when
+        it states no limit. */
+    std::optional<double> request_limit;
+    bool has_invalid_request_limit = false; /**< The stated limit can't be parsed. */
 
     friend bool operator==(const response_metadata&, const response_metadata&) = default;
 };
--- a/libs/serving/src/backend_registry.cpp
+++ b/libs/serving/src/backend_registry.cpp
@@ -162,8 +162,8 @@
     view->failure_rate += average_weight * (1 - view->failure_rate);
 }
 
-std::vector<avoided_server> backend_registry::avoided_servers(time_point now) const {
-    std::vector<avoided_server> out;
+std::vector<server_process> backend_registry::avoided_servers(time_point now) const {
+    std::vector<server_process> out;
     for (const auto& [id, view] : views_) {
         if (view.avoid_until > now && !view.is_removed) {
             out.push_back({id, view.server.started_at_ms});
@@ -173,7 +173,7 @@
 }
 
 void backend_registry::on_peer_avoided_servers(const std::string& peer,
-                                               const std::vector<avoided_server>& servers,
+                                               const std::vector<server_process>& servers,
                                                time_point now) {
     for (const auto& each : servers) {
         auto* view = find(each.id);
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -130,6 +130,7 @@
         return;
     }
     const auto backend = found->second.backend_id;
+    record_limit(id, found->second, head, now);
     if (head.is_shutting_down) {
         backends_.on_leaving(backend);
     }
@@ -142,6 +143,20 @@
     }
 }
 
+void dispatcher::record_limit(request_handle id, const request& entry,
+                              const response_metadata& head, time_point now) {
+    const auto* view = backends_.find(entry.backend_id);
+    // A value that can't be parsed is no evidence that the limit has ended.
+    if (view == nullptr || head.has_invalid_request_limit) {
+        return;
+    }
+    const auto change =
+        limits_.on_response(view->server.process(), head.request_limit, entry.sent, now);
+    if (change) {
+        effects_.emplace_back(limit_changed{id, *change});
+    }
+}
+
 void dispatcher::send(request_handle id, request& entry, const placement& target, time_point now) {
     auto* view = backends_.find(target.backend_id);
     CAMPHOR_INVARIANT(view != nullptr);
@@ -171,6 +186,7 @@
     effect.attempt_number = entry.attempts;
     effect.queue_time = now - entry.arrived;
     effect.prompt_tokens = entry.metadata.prompt_tokens;
+    effect.limit = limits_.find(view->server.process());
     effects_.emplace_back(std::move(effect));
 }
 
@@ -357,6 +373,20 @@
         }
     }
     backends_.erase_removed();
+    erase_ended_limits();
+}
+
+void dispatcher::erase_ended_limits() {
+    std::vector<server_process> ended;
+    for (const auto& [server, limit] : limits_.all()) {
+        const auto* view = backends_.find(server.id);
+        if (view == nullptr || view->server.process() != server) {
+            ended.push_back(server);
+        }
+    }
+    for (const auto& each : ended) {
+        limits_.erase(each);
+    }
 }
 
 std::vector<dispatch_effect> dispatcher::take_effects() {
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -413,7 +413,7 @@
 TEST_CASE("load: a server that failed for two gateways is avoided by one that hasn't used it") {
     dispatcher_fixture test;
     auto& board = test.decisions.backends();
-    const std::vector<avoided_server> avoided{{"desk-1", 1'000}};
+    const std::vector<server_process> avoided{{"desk-1", 1'000}};
     const auto sent_to = [&](std::int64_t ms) {
         const auto id = test.arrive(profile_of("/read/x"), ms);
         REQUIRE(test.only<send_attempt>() != nullptr);
@@ -449,7 +449,7 @@
     board.on_peer_avoided_servers("g1", {{"desk-2", 1'000}}, at_ms(0));
     board.on_peer_avoided_servers("g2", {{"desk-2", 1'000}}, at_ms(0));
     board.on_failure("desk-1", at_ms(1));
-    CHECK(board.avoided_servers(at_ms(2)) == std::vector<avoided_server>{{"desk-1", 1'000}});
+    CHECK(board.avoided_servers(at_ms(2)) == std::vector<server_process>{{"desk-1", 1'000}});
     CHECK(board.avoided_servers(at_ms(400)).empty());
 }
 
--- a/libs/telemetry/include/telemetry/event_log.h
+++ b/libs/telemetry/include/telemetry/event_log.h
@@ -109,6 +109,8 @@
 
     log_line& text(std::string_view field, std::string_view value);
     log_line& number(std::string_view field, std::int64_t value);
+    /** Writes `value` with three decimal places. Precondition: `value` is finite. */
+    log_line& decimal(std::string_view field, double value);
     log_line& flag(std::string_view field, bool value);
 
 private:
--- a/libs/telemetry/src/event_log.cpp
+++ b/libs/telemetry/src/event_log.cpp
@@ -1,10 +1,13 @@
 #include <telemetry/event_log.h>
 
+#include <kernel/check.h>
+
 #include <fcntl.h>
 #include <unistd.h>
 
 #include <array>
 #include <chrono>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -158,6 +161,19 @@
     return *this;
 }
 
+log_line& log_line::decimal(std::string_view field, double value) {
+    CAMPHOR_PRECONDITION(std::isfinite(value));
+    if (log_ != nullptr) {
+        std::array<char, 400> digits{}; // longer than the largest finite value
+        std::snprintf(digits.data(), digits.size(), "%.3f", value);
+        text_ += ',';
+        append_quoted(text_, field);
+        text_ += ':';
+        text_ += digits.data();
+    }
+    return *this;
+}
+
 log_line& log_line::flag(std::string_view field, bool value) {
     if (log_ != nullptr) {
         text_ += ',';
