--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -29,7 +29,9 @@
     sent_times_[route_service(request.kind)].push_back(request.sent);
 }
 
-void ledger::on_arrival(const std::string& request, const std::string& service, time_point now) {
+void ledger::on_arrival(const std::string& request, const std::string& server,
+                        const std::string& service, time_point now) {
+    server_arrivals_[server].push_back(now);
     const bool is_first = arrived_requests_[service].insert(request).second;
     arrivals_[service].push_back({now, !is_first});
 }
@@ -187,4 +189,28 @@
     }
 }
 
+std::size_t ledger::count_arrivals(const std::string& server, time_point from,
+                                   time_point to) const {
+    const auto found = server_arrivals_.find(server);
+    if (found == server_arrivals_.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(
+        std::count_if(found->second.begin(), found->second.end(),
+                      [&](time_point at) { return at >= from && at < to; }));
+}
+
+std::size_t ledger::max_arrivals(const std::string& server, time_point from,
+                                 duration window) const {
+    const auto found = server_arrivals_.find(server);
+    if (found == server_arrivals_.end()) {
+        return 0;
+    }
+    std::size_t most = 0;
+    for (const auto at : found->second) {
+        most = at < from ? most : std::max(most, count_arrivals(server, at, at + window));
+    }
+    return most;
+}
+
 } // namespace camphorgrade::soak
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -87,8 +87,9 @@
     /** Records that a caller sends `request`. */
     void on_sent(const sent_request& request);
 
-    /** Records that a request reached a server of `service`, whether it runs there or not. */
-    void on_arrival(const std::string& request, const std::string& service, time_point now);
+    /** Records that a request reached `server` of `service`, whether it runs there or not. */
+    void on_arrival(const std::string& request, const std::string& server,
+                    const std::string& service, time_point now);
 
     /** Records that a request starts to run, and checks the run. */
     void on_run(const server_run& run);
@@ -123,6 +124,12 @@
      */
     std::size_t count_answered(time_point from, time_point to) const;
 
+    /** Number of requests that reached `server` in [from, to). */
+    std::size_t count_arrivals(const std::string& server, time_point from, time_point to) const;
+
+    /** The most requests that reached `server` within `window`, from `from` on. */
+    std::size_t max_arrivals(const std::string& server, time_point from, duration window) const;
+
 private:
     struct request_record {
         sent_request request;
@@ -150,6 +157,7 @@
     std::map<std::string, request_record> requests_;
     std::map<std::string, std::set<std::string>> arrived_requests_;  // by service
     std::map<std::string, std::vector<arrival>> arrivals_;           // by service
+    std::map<std::string, std::vector<time_point>> server_arrivals_; // by server
     std::map<std::string, std::vector<time_point>> sent_times_;      // by service
     std::map<std::string, std::vector<token_charge>> token_charges_; // by account
     std::vector<std::string> violations_;
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -36,13 +36,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-void refuse_not_executed(edge::caller_exchange& exchange, int status) {
-    exchange.answer({status,
-                     {{"X-Request-Id", header_value(exchange.request(), "X-Request-Id")},
-                      {"X-Not-Executed", "1"}}},
-                    {});
-}
-
 } // namespace
 
 std::string service_response_body(const std::string& request) {
@@ -116,7 +109,7 @@
         handle_order(*exchange);
         return;
     }
-    ledger_.on_arrival(header_value(request, "X-Request-Id"), service_, clock_.now());
+    ledger_.on_arrival(header_value(request, "X-Request-Id"), id_, service_, clock_.now());
     const auto model = header_value(request, "X-Model");
     const auto adapter = model.substr(std::min(model.size(), model.find('/') + 1));
     if (!try_refuse(*exchange, adapter)) {
@@ -151,6 +144,18 @@
     return false;
 }
 
+http_headers soak_backend::with_limit(http_headers headers) const {
+    if (faults.request_limit) {
+        headers.push_back({"Server-Limit", std::to_string(*faults.request_limit)});
+    }
+    return headers;
+}
+
+void soak_backend::refuse_not_executed(edge::caller_exchange& exchange, int status) const {
+    const auto request = header_value(exchange.request(), "X-Request-Id");
+    exchange.answer({status, with_limit({{"X-Request-Id", request}, {"X-Not-Executed", "1"}})}, {});
+}
+
 void soak_backend::record_run(const edge::caller_request& request) {
     server_run out;
     out.request = header_value(request, "X-Request-Id");
@@ -197,9 +202,9 @@
 }
 
 http_headers soak_backend::response_headers(const run& current, const char* type) const {
-    return {{"Content-Type", type},
-            {"X-Request-Id", current.request},
-            {"X-Response-Seal", current.seal}};
+    return with_limit({{"Content-Type", type},
+                       {"X-Request-Id", current.request},
+                       {"X-Response-Seal", current.seal}});
 }
 
 void soak_backend::schedule_step(std::uint64_t number, duration delay) {
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -30,6 +31,8 @@
     int slowdown_factor = 1;             /**< Multiplies the duration of all work. */
     double dropped_response_share = 0;   /**< Share of runs aborted before their body. */
     double truncated_response_share = 0; /**< Share of responses that end early. */
+    /** Request limit that its responses name, in requests per second; empty: none. */
+    std::optional<double> request_limit;
 };
 
 /**
@@ -96,6 +99,9 @@
     void end_run(std::uint64_t number);
     void schedule_step(std::uint64_t number, duration delay);
     http_headers response_headers(const run& current, const char* type) const;
+    void refuse_not_executed(edge::caller_exchange& exchange, int status) const;
+    /** Adds the header that names the request limit, if there is one. */
+    http_headers with_limit(http_headers headers) const;
 
     boost::asio::io_context& loop_;
     const clock& clock_;
