Keep the requests of all gateways to a server within the limit that it names

What callers saw: nothing; a backend server in need got several times what it had asked for, which ends in late and lost answers.

Cause: a limit that a server names in a response binds the sum over all gateways. The gateways did not read it, and had nothing by which a figure that one of them is told could bind all: placement knew load and failures only.

Now each request to a limited server, first attempt, retry or resumption, takes a permit. One gateway grants the permits of a server: the live one that rendezvous hashing ranks first, from one token bucket that starts empty, in the order of the requests. Messages state totals, so loss and duplicates do no harm; a permit lasts about as long as one accrues. A new granter waits until all have seen the change; one that hears a part of the fleet grants that part. What a gateway observes goes to its peers with the regular reports. The wait for a permit is part of the estimate of placement, so requests go to other servers at once, wait where that is the shortest way, or are refused at once with the time after which they would be served.

Weighed and not taken: equal shares (a part is unused when callers are uneven, and at 380 gateways a share comes due every 380 s), a full bucket at each gateway less the peers' reports (all spend the same request before they hear of each other), permits of the engine's agent (plain services have none).

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -40,7 +40,7 @@
       fleet_(clock_, log_, dispatcher_, reader, *this), caller_server_(loop_, clock_, *this),
       operator_endpoints_(std::make_unique<operator_endpoints>(loop_, clock_, *this)),
       peers_(loop_, clock_, pool_, dispatcher_, fleet_, *this, settings.peer_address,
-             settings.incarnation, {settings.data_centre, settings.capacity_millicores},
+             settings.incarnation, {settings.data_centre, settings.capacity_millicores, true},
              settings.seeds, {}),
       source_(make_source(loop_, pool_, fleet_)), timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
@@ -246,6 +246,7 @@
     for (auto effects = dispatcher_.take_effects(); !effects.empty();
          effects = dispatcher_.take_effects()) {
         peers_.demand_changed();
+        peers_.permits_changed();
         for (const auto& each : effects) {
             std::visit([this](const auto& effect) { execute(effect); }, each);
         }
@@ -304,11 +305,15 @@
     found->second->start_attempt(effect);
 }
 
-void gateway_node::execute(const serving::wait_for_weights& effect) {
+void gateway_node::execute(const serving::wait_for_backend& effect) {
     const auto found = flows_.find(effect.request);
     if (found == flows_.end()) {
         return;
     }
+    if (effect.permit_wait > duration::zero()) {
+        log_permit_wait(effect, found->second->correlation_id());
+        return;
+    }
     log_.line("waiting_for_adapter")
         .text("request", found->second->correlation_id())
         .text("backend_server", effect.backend_id)
@@ -318,10 +323,28 @@
                 std::llround(dispatcher_.backends().load_times().full_speed_loads()));
 }
 
+void gateway_node::log_permit_wait(const serving::wait_for_backend& effect,
+                                   const std::string& correlation_id) {
+    const auto* view = dispatcher_.backends().find(effect.backend_id);
+    auto line = log_.line("waiting_for_permit");
+    line.text("request", correlation_id)
+        .text("backend_server", effect.backend_id)
+        .number("estimate_ms", effect.time_to_first_byte.count())
+        .number("permit_wait_ms", effect.permit_wait.count());
+    if (view == nullptr) {
+        return;
+    }
+    const auto server = view->server.process();
+    const auto replied_at = dispatcher_.permits().last_reply_at(server);
+    line.text("granter", dispatcher_.permits().granter_of(server))
+        .number("reply_age_ms", replied_at == time_point{} ? -1 : (now() - replied_at).count());
+}
+
 void gateway_node::execute(const serving::limit_changed& effect) {
     constexpr double no_limit = -1;
     log_.line("backend_server_limit")
         .text("request", correlation_id_of(effect.request))
+        .text("peer", effect.peer)
         .text("backend_server", effect.change.server.id)
         .decimal("limit_per_s", effect.change.after.value_or(no_limit))
         .decimal("limit_before_per_s", effect.change.before.value_or(no_limit));
@@ -350,6 +373,8 @@
     metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.data_age().count()));
     metrics_.set("camphor_limited_backend_servers", {},
                  static_cast<double>(dispatcher_.limits().all().size()));
+    metrics_.set("camphor_granted_permits", {},
+                 static_cast<double>(dispatcher_.permits().granted_permits()));
     metrics_.set("camphor_unreadable_peer_datagrams", {},
                  static_cast<double>(peers_.unreadable_datagrams()));
     return metrics_.prometheus_text();
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -73,8 +73,10 @@
     void execute(const serving::end_request& effect);
     void log_end(const serving::end_request& effect, const std::string& correlation_id);
     void execute(const serving::send_attempt& effect);
-    void execute(const serving::wait_for_weights& effect);
+    void execute(const serving::wait_for_backend& effect);
     void execute(const serving::limit_changed& effect);
+    void log_permit_wait(const serving::wait_for_backend& effect,
+                         const std::string& correlation_id);
     /** The id that the caller gave the request; empty if the request is unknown. */
     std::string correlation_id_of(serving::request_handle request) const;
     void on_caller_disconnected(serving::request_handle request);
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -40,7 +40,7 @@
               fetch_catalogue(peer, version, duration::zero());
           },
           {}),
-      demand_timer_(loop), report_timer_(loop) {}
+      demand_timer_(loop), report_timer_(loop), permit_timer_(loop) {}
 
 void gateway_peers::start() {
     started_ = clock_.now();
@@ -49,6 +49,7 @@
     transport_.start();
     schedule_demands(settings_.demand_heartbeat_interval);
     schedule_reports();
+    update_granters();
     registration_poller_.start();
 }
 
@@ -80,6 +81,12 @@
         handle_gateway_report(message.sender, message.incarnation, *report);
     } else if (const auto* engine = std::get_if<peering::engine_report>(&message.body)) {
         handle_engine_report(*engine);
+    } else if (const auto* requests = std::get_if<serving::permit_requests>(&message.body)) {
+        dispatcher_.on_permit_requests(message.sender, *requests, clock_.now());
+        exchange_permits();
+    } else if (const auto* grants = std::get_if<serving::permit_grants>(&message.body)) {
+        dispatcher_.on_permit_grants(message.sender, *grants, clock_.now());
+        host_.on_effects_pending();
     }
 }
 
@@ -99,6 +106,12 @@
                 .text("peer", sender);
         }
     }
+    for (const auto& each : report.limits) {
+        dispatcher_.on_limit_report(sender, each, now);
+    }
+    if (!report.limits.empty()) {
+        host_.on_effects_pending();
+    }
     for (const auto& [weights, version] : report.versions) {
         dispatcher_.set_adapter_version(weights, version);
     }
@@ -255,6 +268,48 @@
     });
 }
 
+void gateway_peers::permits_changed() {
+    if (!dispatcher_.limits().all().empty()) {
+        schedule_permits(settings_.permit_delay);
+    }
+}
+
+void gateway_peers::schedule_permits(duration delay) {
+    const auto at = clock_.now() + delay;
+    if (next_permit_exchange_ && *next_permit_exchange_ <= at) {
+        return;
+    }
+    next_permit_exchange_ = at;
+    permit_timer_.expires_after(delay);
+    permit_timer_.async_wait([this](const boost::system::error_code& error) {
+        if (!error) {
+            exchange_permits();
+        }
+    });
+}
+
+void gateway_peers::update_granters() {
+    const auto now = clock_.now();
+    if (granters_updated_at_ == time_point{} ||
+        now - granters_updated_at_ >= settings_.granter_update_interval) {
+        granters_updated_at_ = now;
+        dispatcher_.set_gateways(transport_.own_address(), transport_.live_granters(), now);
+    }
+}
+
+void gateway_peers::exchange_permits() {
+    next_permit_exchange_.reset();
+    update_granters();
+    for (auto& each : dispatcher_.exchange_permits(clock_.now())) {
+        transport_.send(std::move(each));
+    }
+    const auto now = clock_.now();
+    if (const auto next = dispatcher_.next_permit_exchange_at(now)) {
+        schedule_permits(std::max(*next - now, settings_.permit_interval));
+    }
+    host_.on_effects_pending();
+}
+
 void gateway_peers::usage_changed() {
     const bool may_send = clock_.now() - last_report_ >= settings_.urgent_report_interval;
     if (may_send && dispatcher_.limiter().is_report_due()) {
@@ -263,13 +318,15 @@
 }
 
 void gateway_peers::send_reports(bool is_urgent) {
+    update_granters();
     const auto now = clock_.now();
     const bool is_full = now - last_full_report_ >= settings_.full_report_interval;
     const auto& usage = dispatcher_.limiter().own_usage();
     peering::gateway_report report;
     report.catalogue_version = fleet_.catalogue_version();
-    const bool has_changes =
-        usage != reported_usage_ || report.catalogue_version != reported_catalogue_version_;
+    const bool has_changes = usage != reported_usage_ ||
+                             report.catalogue_version != reported_catalogue_version_ ||
+                             dispatcher_.limits().has_recent_changes(now);
     // Relays delay reports, so no report is skipped when relays are in use.
     const bool may_skip = transport_.sends_directly() && !is_full && !has_changes;
     if (may_skip && now - last_report_ < settings_.report_heartbeat_interval) {
@@ -281,6 +338,7 @@
     report.store_age = fleet_.store_age();
     report.process_age = now - started_;
     report.avoided_servers = dispatcher_.backends().avoided_servers(now);
+    report.limits = dispatcher_.next_limit_reports(is_full, now);
     if (is_full) {
         last_full_report_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_crash_records);
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -18,6 +18,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -60,6 +61,12 @@
         watch of the store may deliver the catalogue. */
     duration fetch_delay{200};
     duration fetch_timeout{800};
+    /** Delay after an event until permits are requested and granted. */
+    duration permit_delay{1};
+    /** Minimum time between two regular exchanges of permits. */
+    duration permit_interval{5};
+    /** Time between two updates of the gateways that share request limits. */
+    duration granter_update_interval{200};
     std::size_t max_crash_records = 64; /**< Maximum number of crash records in one report. */
     /** Maximum number of addresses of other gateways in one report. */
     std::size_t max_gateways_per_report = 16;
@@ -92,6 +99,9 @@
     /** A request was admitted; sends an urgent report if one is due. */
     void usage_changed();
 
+    /** Schedules an exchange of permits, since requests may wait for some. */
+    void permits_changed();
+
     /** Number of received datagrams that could not be decoded. */
     std::uint64_t unreadable_datagrams() const noexcept {
         return transport_.unreadable_datagrams();
@@ -124,6 +134,9 @@
     void send_reports(bool is_urgent);
     void schedule_demands(duration delay);
     void schedule_reports();
+    void schedule_permits(duration delay);
+    void exchange_permits();
+    void update_granters();
     /** Fetches a catalogue from a peer after `delay`, unless one as new is known by then. */
     void fetch_catalogue(const std::string& peer, std::uint64_t version, duration delay);
 
@@ -142,6 +155,9 @@
     registration_poller registration_poller_;
     boost::asio::steady_timer demand_timer_;
     boost::asio::steady_timer report_timer_;
+    boost::asio::steady_timer permit_timer_;
+    std::optional<time_point> next_permit_exchange_;
+    time_point granters_updated_at_;
     bool is_demand_scheduled_ = false;
     std::map<std::string, sent_demand> sent_demands_;
     time_point last_demand_heartbeat_;
--- a/libs/entry/src/peer_transport.h
+++ b/libs/entry/src/peer_transport.h
@@ -60,6 +60,14 @@
     /** Sends a demand to the agent of an engine; `agent` is its address, "ip:port". */
     void send(const std::string& agent, adapters::engine_demand demand);
 
+    /** Sends permits or requests for permits to a gateway. */
+    void send(serving::permit_message message);
+
+    /** Live gateways that grant permits, including this one. */
+    std::vector<std::string> live_granters() const {
+        return directory_.live_granters(clock_.now());
+    }
+
     /** Adds gateways, "ip:port", that peers or agents advertise. */
     void add_advertised_gateways(const std::vector<std::string>& addresses);
 
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -4,6 +4,8 @@
 #include <serving/account_limiter.h>
 #include <serving/backend_server.h>
 #include <serving/crash_register.h>
+#include <serving/permit_messages.h>
+#include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
 
 #include <cstddef>
@@ -43,15 +45,23 @@
     duration process_age{}; /**< Time since the sender's process started. */
     serving::adapter_versions versions;
     std::vector<serving::server_process> avoided_servers;
+    std::vector<serving::limit_report> limits; /**< Request limits that backend servers name. */
     bool has_all_usage = true; /**< False: `usage` lists only recently changed accounts. */
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
 };
 
 /** The kind of a message, in the order of the alternatives of `peer_body`. */
-enum class message_kind : std::uint8_t { demand, engine, gateway, bundle };
+enum class message_kind : std::uint8_t {
+    demand,
+    engine,
+    gateway,
+    bundle,
+    permit_requests,
+    permit_grants
+};
 
-inline constexpr std::size_t message_kind_count = 4;
+inline constexpr std::size_t message_kind_count = 6;
 
 /** A report in the encoding of its original sender, for forwarding by a relay. */
 struct relayed_report {
@@ -73,14 +83,15 @@
     friend bool operator==(const report_bundle&, const report_bundle&) = default;
 };
 
-using peer_body =
-    std::variant<adapters::engine_demand, engine_report, gateway_report, report_bundle>;
+using peer_body = std::variant<adapters::engine_demand, engine_report, gateway_report,
+                               report_bundle, serving::permit_requests, serving::permit_grants>;
 
-/** Attributes of a message's sender from which gateways select relays. */
+/** Attributes of a message's sender from which gateways select relays and granters of permits. */
 struct peer_attributes {
     std::string data_centre;
     /** CPU share of the sender's VM, in thousandths of a core. */
     std::uint32_t capacity_millicores = 0;
+    bool grants_permits = false; /**< False for agents and for gateways of earlier versions. */
 
     friend bool operator==(const peer_attributes&, const peer_attributes&) = default;
 };
--- a/libs/peering/include/peering/relay_directory.h
+++ b/libs/peering/include/peering/relay_directory.h
@@ -91,6 +91,9 @@
     /** Live gateways of the own data centre, without this one. */
     std::vector<std::string> local_peers(time_point now) const;
 
+    /** Live gateways that grant permits, in the order of their addresses, including this one. */
+    std::vector<std::string> live_granters(time_point now) const;
+
     /** All gateways that have not expired, without this one. */
     std::vector<std::string> peers(time_point now) const;
 
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -2,10 +2,16 @@
 
 #include <wire/peering.pb.h>
 
+#include <algorithm>
+#include <cmath>
+
 namespace camphorgrade::peering {
 
 namespace {
 
+// Bounds the queue that one request can cause.
+constexpr std::uint32_t max_wanted_permits = 1'000;
+
 void write(const adapters::engine_demand& demand, wire::engine_demand& out) {
     out.set_backend_id(demand.backend_id);
     out.set_backend_born(demand.backend_started_at_ms);
@@ -123,6 +129,70 @@
     return report;
 }
 
+void write(const serving::limit_report& report, wire::observed_limit& out) {
+    out.set_backend_id(report.server.id);
+    out.set_born(report.server.started_at_ms);
+    out.set_has_limit(report.requests_per_s.has_value());
+    out.set_limit_per_s(report.requests_per_s.value_or(0));
+    out.set_age_ms(static_cast<std::uint32_t>(report.age.count()));
+}
+
+serving::limit_report read(const wire::observed_limit& in) {
+    return {{in.backend_id(), in.born()},
+            in.has_limit() ? std::optional(in.limit_per_s()) : std::nullopt,
+            duration{in.age_ms()}};
+}
+
+void write(const serving::permit_requests& requests, wire::permit_requests& out) {
+    for (const auto& each : requests.requests) {
+        auto& request = *out.add_requests();
+        request.set_backend_id(each.server.id);
+        request.set_born(each.server.started_at_ms);
+        request.set_limit_per_s(each.limit_per_s);
+        request.set_session(each.session);
+        request.set_received(each.received);
+        request.set_wanted(each.wanted);
+    }
+}
+
+/** Decodes the requests; those without a valid limit are left out. */
+serving::permit_requests read(const wire::permit_requests& in) {
+    serving::permit_requests out;
+    for (const auto& each : in.requests()) {
+        if (std::isfinite(each.limit_per_s()) && each.limit_per_s() >= 0) {
+            const auto wanted = std::min(each.wanted(), max_wanted_permits);
+            out.requests.push_back({{each.backend_id(), each.born()},
+                                    each.limit_per_s(),
+                                    each.session(),
+                                    each.received(),
+                                    wanted});
+        }
+    }
+    return out;
+}
+
+void write(const serving::permit_grants& grants, wire::permit_grants& out) {
+    for (const auto& each : grants.grants) {
+        auto& grant = *out.add_grants();
+        grant.set_backend_id(each.server.id);
+        grant.set_born(each.server.started_at_ms);
+        grant.set_session(each.session);
+        grant.set_granted(each.granted);
+        grant.set_next_wait_ms(static_cast<std::uint32_t>(each.next_wait.count()));
+    }
+}
+
+serving::permit_grants read(const wire::permit_grants& in) {
+    serving::permit_grants out;
+    for (const auto& each : in.grants()) {
+        out.grants.push_back({{each.backend_id(), each.born()},
+                              each.session(),
+                              each.granted(),
+                              duration{each.next_wait_ms()}});
+    }
+    return out;
+}
+
 void write(const gateway_report& report, wire::gateway_report& out) {
     for (const auto& [account, usage] : report.usage) {
         auto& count = *out.add_usage();
@@ -153,6 +223,9 @@
         server.set_backend_id(each.id);
         server.set_born(each.started_at_ms);
     }
+    for (const auto& each : report.limits) {
+        write(each, *out.add_limits());
+    }
 }
 
 gateway_report read(const wire::gateway_report& in) {
@@ -174,6 +247,9 @@
     for (const auto& each : in.troubles()) {
         report.avoided_servers.push_back({each.backend_id(), each.born()});
     }
+    for (const auto& each : in.limits()) {
+        report.limits.push_back(read(each));
+    }
     return report;
 }
 
@@ -210,6 +286,12 @@
     void operator()(const engine_report& report) { write(report, *out.mutable_engine()); }
     void operator()(const gateway_report& report) { write(report, *out.mutable_gateway()); }
     void operator()(const report_bundle& bundle) { write(bundle, *out.mutable_bundle()); }
+    void operator()(const serving::permit_requests& requests) {
+        write(requests, *out.mutable_permit_requests());
+    }
+    void operator()(const serving::permit_grants& grants) {
+        write(grants, *out.mutable_permit_grants());
+    }
 };
 
 } // namespace
@@ -221,6 +303,7 @@
     out.set_sequence(message.sequence);
     out.set_data_centre(message.sender_attributes.data_centre);
     out.set_capacity(message.sender_attributes.capacity_millicores);
+    out.set_grants_permits(message.sender_attributes.grants_permits);
     out.set_is_to_be_relayed(message.options.is_to_be_relayed);
     out.set_is_urgent(message.options.is_urgent);
     std::visit(body_writer{out}, message.body);
@@ -236,7 +319,7 @@
     message.sender = in.sender();
     message.incarnation = in.life();
     message.sequence = in.sequence();
-    message.sender_attributes = {in.data_centre(), in.capacity()};
+    message.sender_attributes = {in.data_centre(), in.capacity(), in.grants_permits()};
     message.options = {in.is_to_be_relayed(), in.is_urgent()};
     switch (in.body_case()) {
     case wire::datagram::kDemand:
@@ -251,6 +334,12 @@
     case wire::datagram::kBundle:
         message.body = read(in.bundle());
         return message;
+    case wire::datagram::kPermitRequests:
+        message.body = read(in.permit_requests());
+        return message;
+    case wire::datagram::kPermitGrants:
+        message.body = read(in.permit_grants());
+        return message;
     case wire::datagram::BODY_NOT_SET:
         break;
     }
--- a/libs/peering/src/relay_directory.cpp
+++ b/libs/peering/src/relay_directory.cpp
@@ -201,6 +201,16 @@
     return out;
 }
 
+std::vector<std::string> relay_directory::live_granters(time_point now) const {
+    std::vector<std::string> out;
+    for (const auto& [address, each] : gateways_) {
+        if (address == own_address_ || (each.attributes.grants_permits && is_live(each, now))) {
+            out.push_back(address);
+        }
+    }
+    return out;
+}
+
 std::vector<std::string> relay_directory::peers(time_point now) const {
     std::vector<std::string> out;
     for (const auto& [address, each] : gateways_) {
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -5,6 +5,7 @@
 #include <serving/account_limiter.h>
 #include <serving/backend_registry.h>
 #include <serving/crash_register.h>
+#include <serving/permit_exchange.h>
 #include <serving/placement.h>
 #include <serving/request_metadata.h>
 #include <serving/retry_limiter.h>
@@ -76,26 +77,29 @@
     friend bool operator==(const send_attempt&, const send_attempt&) = default;
 };
 
-/** Effect: the request waits until a backend server has loaded its adapter. Informational: needs
-    no action. A value type. */
-struct wait_for_weights {
+/** Effect: the request waits until a backend server has loaded its adapter, or until a permit for
+    a limited server is available. Informational: needs no action. A value type. */
+struct wait_for_backend {
     request_handle request = 0;
     std::string backend_id;
     duration time_to_first_byte{}; /**< Estimated time until the first byte of the response. */
+    duration permit_wait{};        /**< Part of it that is spent waiting for a permit. */
 
-    friend bool operator==(const wait_for_weights&, const wait_for_weights&) = default;
+    friend bool operator==(const wait_for_backend&, const wait_for_backend&) = default;
 };
 
-/** Effect: a response changed the request limit of a backend server. Informational: needs no
-    action. A value type. */
+/** Effect: the request limit of a backend server changed. Informational: needs no action. A value
+    type. */
 struct limit_changed {
-    request_handle request = 0; /**< Request whose response names the limit. */
+    request_handle request =
+        0;            /**< Request whose response names the limit; 0: a peer reports it. */
+    std::string peer; /**< Gateway that reports the limit; empty: a response names it. */
     limit_change change;
 
     friend bool operator==(const limit_changed&, const limit_changed&) = default;
 };
 
-using dispatch_effect = std::variant<end_request, send_attempt, wait_for_weights, limit_changed>;
+using dispatch_effect = std::variant<end_request, send_attempt, wait_for_backend, limit_changed>;
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
@@ -155,6 +159,8 @@
     retry_limiter_settings retries;
     placement_settings placement_estimates;
     store_recovery_estimator_settings store_recovery;
+    server_limits_settings server_limits;
+    permit_exchange_settings permits;
 
     friend bool operator==(const dispatcher_settings&, const dispatcher_settings&) = default;
 };
@@ -182,6 +188,7 @@
     account_limiter& limiter() noexcept { return limiter_; }
     crash_register& crashes() noexcept { return crashes_; }
     const server_limits& limits() const noexcept { return limits_; }
+    const permit_exchange& permits() const noexcept { return permits_; }
     store_recovery_estimator& store_recovery() noexcept { return store_recovery_; }
 
     /** Admits or refuses a request; take_effects() returns the outcome. `fingerprint` is the
@@ -207,6 +214,40 @@
         waiting requests again if the server was replaced or accepts none. */
     void on_engine_state(const std::string& backend_id, engine_state state, time_point now);
 
+    /** Applies what a peer observed of a server's request limit. */
+    void on_limit_report(const std::string& peer, const limit_report& report, time_point now);
+
+    /** Observations of request limits for the next report to the peers. */
+    std::vector<limit_report> next_limit_reports(bool is_complete, time_point now) {
+        return limits_.next_reports(is_complete, now);
+    }
+
+    /** Sets this gateway's address and the live gateways that share request limits, itself
+        included. */
+    void set_gateways(const std::string& own, const std::vector<std::string>& live,
+                      time_point now) {
+        permits_.set_gateways(own, live, now);
+    }
+
+    /** A peer requests permits from this gateway. */
+    void on_permit_requests(const std::string& peer, const permit_requests& requests,
+                            time_point now) {
+        permits_.on_requests(peer, requests, now);
+    }
+
+    /** A peer grants permits to this gateway: sends requests that wait for them. */
+    void on_permit_grants(const std::string& peer, const permit_grants& grants, time_point now);
+
+    /** Requests and grants permits; returns the messages to send. Sends requests whose permits this
+        gateway grants itself. */
+    std::vector<permit_message> exchange_permits(time_point now);
+
+    /** When exchange_permits() must be called next; empty if only an event can make it
+        necessary. */
+    std::optional<time_point> next_permit_exchange_at(time_point now) const {
+        return permits_.next_advance_at(now);
+    }
+
     /** Ends requests past their deadline, and places requests again that have waited too long
         for weights. */
     void tick(time_point now);
@@ -268,7 +309,15 @@
     void record_limit(request_handle id, const request& entry, const response_metadata& head,
                       time_point now);
     /** Forgets the limits of server processes that are gone. */
-    void erase_ended_limits();
+    void erase_ended_limits(time_point now);
+    void on_limit_changed(limit_changed effect, time_point now);
+    /** Sends the requests that wait at the server and have all that they wait for. */
+    void send_waiting_requests(const std::string& backend_id, time_point now);
+    /** A granter replied: sends requests that got a permit, and places again those whose wait was
+        estimated without a reply. `previous_reply` is the time of the reply before. */
+    void on_permit_reply(const server_process& server, time_point previous_reply, time_point now);
+    /** Number of requests that wait at each server with a limit. */
+    permit_demand waiting_for_permits() const;
     std::optional<end_reason> admit(request& entry, duration& retry_after, time_point now);
     std::optional<end_reason> resolve(request& entry) const;
     std::string choose_service(const route& matched);
@@ -288,6 +337,8 @@
     void retry_or_end(request_handle id, request& entry, attempt_outcome outcome, time_point now);
     duration caller_timeout(const request& entry) const;
     duration with_jitter(duration delay);
+    /** A random duration that is not shorter than `delay`; may exceed max_retry_after. */
+    duration with_added_jitter(duration delay);
     duration retry_after_recovery(time_point now);
 
     dispatcher_settings settings_;
@@ -299,6 +350,7 @@
     retry_limiter retries_;
     crash_register crashes_;
     server_limits limits_;
+    permit_exchange permits_;
     store_recovery_estimator store_recovery_;
     placement_chooser placement_chooser_;
     std::map<request_handle, request> requests_;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -2,6 +2,7 @@
 
 #include <kernel/clock.h>
 #include <serving/backend_registry.h>
+#include <serving/permit_exchange.h>
 #include <serving/request_metadata.h>
 
 #include <cstdint>
@@ -57,10 +58,11 @@
 /** The server that a request goes to. A value type. */
 struct placement {
     std::string backend_id;
-    /** Whether the weights are loaded, so that the request is sent now; otherwise it waits for
-        them. */
+    /** Whether the weights are loaded and a limited server's permit is available, so that the
+        request is sent now; otherwise it waits for them. */
     bool is_ready = false;
     duration time_to_first_byte{}; /**< Estimated time to the first byte of the response. */
+    duration permit_wait{};        /**< Part of it that is spent waiting for a permit. */
 
     friend bool operator==(const placement&, const placement&) = default;
 };
@@ -74,12 +76,20 @@
     friend bool operator==(const no_placement&, const no_placement&) = default;
 };
 
+/** Result of a choice. */
+struct placement_choice {
+    std::variant<placement, no_placement> target;
+    /** The limited server that would have been chosen if a permit had been available; empty if
+        there is none. */
+    std::optional<server_process> interest;
+};
+
 /**
  * Chooses the backend server with the lowest estimated cost. The cost is the time to the first byte
  * (queued prompts, the uncached part of the request's own prompt, the load of the adapter, a full
- * batch) plus penalties. An adapter that no engine holds goes to the engines that rendezvous
- * hashing ranks first for it, because they have likely held it before. Deterministic. Not thread
- * safe.
+ * batch, the wait for a limited server's permit) plus penalties. An adapter that no engine holds
+ * goes to the engines that rendezvous hashing ranks first for it, because they have likely held it
+ * before. Deterministic. Not thread safe.
  */
 class placement_chooser {
 public:
@@ -87,8 +97,8 @@
 
     /** Chooses a server for the request. Avoided, unreachable and replaced servers are considered
         only if there are no others. */
-    std::variant<placement, no_placement> choose(backend_registry& backends,
-                                                 const placement_request& request, time_point now);
+    placement_choice choose(backend_registry& backends, const permit_exchange& permits,
+                            const placement_request& request, time_point now);
 
 private:
     /** Estimate for one server; `view` is null if the server cannot take the request. */
@@ -96,9 +106,15 @@
         backend_view* view = nullptr;
         bool is_ready = false;
         duration time_to_first_byte{};
-        duration cost{}; /**< Time to the first byte plus penalties. */
+        duration cost{};         /**< Time to the first byte plus penalties. */
+        duration weights_wait{}; /**< Part of the time that is spent waiting for the weights. */
+        duration permit_wait{};  /**< Part of the time that is spent waiting for a permit. */
     };
 
+    /** Adds the wait for a limited server's permit to the estimate. */
+    static void add_permit_wait(estimate& candidate, const permit_exchange& permits,
+                                const placement_request& request, time_point now);
+
     estimate estimate_engine(backend_registry& backends, backend_view& view,
                              const placement_request& request, duration cold_load_time,
                              std::size_t server_count, time_point now) const;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -11,7 +11,8 @@
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
     : settings_(settings), random_(seed), backends_({}), limiter_(settings.limits),
-      retries_(settings.retries), crashes_({}), store_recovery_(settings.store_recovery),
+      retries_(settings.retries), crashes_({}), limits_(settings.server_limits),
+      permits_(limits_, settings.permits), store_recovery_(settings.store_recovery),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -58,6 +59,12 @@
     return std::clamp(scaled(delay, spread), settings_.min_retry_after, settings_.max_retry_after);
 }
 
+duration dispatcher::with_added_jitter(duration delay) {
+    // Never earlier than what servers allow.
+    const double spread = 1.0 + 0.25 * random_.unit();
+    return std::max(scaled(delay, spread), settings_.min_retry_after);
+}
+
 duration dispatcher::retry_after_recovery(time_point now) {
     // Jitter only adds to the wait: a retry that comes too early uses up one of few attempts.
     const double spread = 1.0 + 0.5 * random_.unit();
@@ -80,16 +87,22 @@
     wanted.objective = entry.found_route->latency_objective;
     wanted.excluded = entry.excluded;
     wanted.waiting_backend_id = entry.backend_id;
-    const auto chosen = placement_chooser_.choose(backends_, wanted, now);
-    if (const auto* none = std::get_if<no_placement>(&chosen)) {
+    const auto chosen = placement_chooser_.choose(backends_, permits_, wanted, now);
+    if (chosen.interest) {
+        permits_.on_interest(*chosen.interest, now);
+    }
+    if (const auto* none = std::get_if<no_placement>(&chosen.target)) {
         end_without_placement(id, entry, *none, now);
         return;
     }
-    const auto* target = std::get_if<placement>(&chosen);
+    const auto* target = std::get_if<placement>(&chosen.target);
     const auto budget = std::min(scaled(entry.deadline - now, settings_.usable_time_share),
                                  caller_timeout(entry) - (now - entry.arrived));
     if (target->time_to_first_byte > budget) {
-        end(id, entry, end_reason::no_capacity, with_jitter(target->time_to_first_byte - budget));
+        const auto excess = target->time_to_first_byte - budget;
+        end(id, entry, end_reason::no_capacity,
+            target->permit_wait > duration::zero() ? with_added_jitter(excess)
+                                                   : with_jitter(excess));
         return;
     }
     if (target->is_ready) {
@@ -108,10 +121,7 @@
         end(id, entry, reason, retry_after_recovery(now));
         return;
     }
-    // Jitter only lengthens the wait: never earlier than the servers' Retry-After.
-    const double spread = 1.0 + 0.25 * random_.unit();
-    end(id, entry, reason,
-        std::max(scaled(*no_target.available_at - now, spread), settings_.min_retry_after));
+    end(id, entry, reason, with_added_jitter(*no_target.available_at - now));
 }
 
 void dispatcher::reassign_waiting_requests(const std::string& backend_id, time_point now) {
@@ -153,13 +163,99 @@
     const auto change =
         limits_.on_response(view->server.process(), head.request_limit, entry.sent, now);
     if (change) {
-        effects_.emplace_back(limit_changed{id, *change});
+        on_limit_changed({id, {}, *change}, now);
+    }
+}
+
+void dispatcher::on_limit_report(const std::string& peer, const limit_report& report,
+                                 time_point now) {
+    if (const auto change = limits_.on_report(report, now)) {
+        on_limit_changed({0, peer, *change}, now);
+    }
+}
+
+void dispatcher::on_limit_changed(limit_changed effect, time_point now) {
+    const auto server = effect.change.server;
+    permits_.on_limit_changed(server, now);
+    effects_.emplace_back(std::move(effect));
+    send_waiting_requests(server.id, now);
+}
+
+permit_demand dispatcher::waiting_for_permits() const {
+    permit_demand out;
+    if (limits_.all().empty()) {
+        return out;
+    }
+    for (const auto& [id, each] : requests_) {
+        const auto* view = each.state == phase::waiting ? backends_.find(each.backend_id) : nullptr;
+        if (view != nullptr && limits_.find(view->server.process())) {
+            ++out[view->server.process()];
+        }
+    }
+    return out;
+}
+
+std::vector<permit_message> dispatcher::exchange_permits(time_point now) {
+    std::map<server_process, time_point> previous_replies;
+    const auto demand = waiting_for_permits();
+    for (const auto& each : demand) {
+        previous_replies[each.first] = permits_.last_reply_at(each.first);
+    }
+    std::vector<server_process> replied;
+    auto messages = permits_.advance(demand, replied, now);
+    for (const auto& each : replied) {
+        on_permit_reply(each, previous_replies[each], now);
+    }
+    return messages;
+}
+
+void dispatcher::on_permit_grants(const std::string& peer, const permit_grants& grants,
+                                  time_point now) {
+    std::map<server_process, time_point> previous_replies;
+    for (const auto& each : grants.grants) {
+        previous_replies[each.server] = permits_.last_reply_at(each.server);
+    }
+    for (const auto& each : permits_.on_grants(peer, grants, now)) {
+        on_permit_reply(each, previous_replies[each], now);
+    }
+}
+
+void dispatcher::on_permit_reply(const server_process& server, time_point previous_reply,
+                                 time_point now) {
+    send_waiting_requests(server.id, now);
+    for (auto& [id, each] : requests_) {
+        const bool is_unestimated = each.state == phase::waiting && each.backend_id == server.id &&
+                                    each.placed > previous_reply && each.placed < now;
+        if (is_unestimated) {
+            detach_from_backend(each);
+            place(id, each, now);
+        }
+    }
+}
+
+void dispatcher::send_waiting_requests(const std::string& backend_id, time_point now) {
+    const auto* view = backends_.find(backend_id);
+    if (view == nullptr || !backend_registry::accepts_requests(*view, now)) {
+        return;
+    }
+    for (auto& [id, each] : requests_) {
+        if (each.state != phase::waiting || each.backend_id != backend_id) {
+            continue;
+        }
+        const bool has_weights =
+            each.metadata.model.empty() ||
+            backends_.holds(*view, each.weights.name, each.weights.version, now);
+        if (has_weights && !permits_.wait_for(view->server.process(), true, now)) {
+            detach_from_backend(each);
+            send(id, each, {backend_id, true, {}, {}}, now);
+        }
     }
 }
 
 void dispatcher::send(request_handle id, request& entry, const placement& target, time_point now) {
     auto* view = backends_.find(target.backend_id);
     CAMPHOR_INVARIANT(view != nullptr);
+    permits_.take(view->server.process(), now);
     entry.state = phase::sent;
     entry.has_first_byte = false;
     entry.backend_id = target.backend_id;
@@ -207,8 +303,11 @@
     entry.placed = now;
     entry.backend_id = target.backend_id;
     entry.weights = {entry.metadata.weights_name(), entry.version};
-    ++view->demand[entry.weights].waiting;
-    effects_.emplace_back(wait_for_weights{id, target.backend_id, target.time_to_first_byte});
+    if (!entry.metadata.model.empty()) {
+        ++view->demand[entry.weights].waiting;
+    }
+    effects_.emplace_back(
+        wait_for_backend{id, target.backend_id, target.time_to_first_byte, target.permit_wait});
 }
 
 void dispatcher::detach_from_backend(request& entry) {
@@ -334,17 +433,10 @@
     if (view == nullptr) {
         return;
     }
-    for (auto& [id, each] : requests_) {
-        if (each.state != phase::waiting || each.backend_id != backend_id) {
-            continue;
-        }
-        if (view->is_replaced || !backend_registry::accepts_requests(*view, now)) {
-            detach_from_backend(each);
-            place(id, each, now);
-        } else if (backends_.holds(*view, each.weights.name, each.weights.version, now)) {
-            detach_from_backend(each);
-            send(id, each, {backend_id, true, {}}, now);
-        }
+    if (view->is_replaced || !backend_registry::accepts_requests(*view, now)) {
+        reassign_waiting_requests(backend_id, now);
+    } else {
+        send_waiting_requests(backend_id, now);
     }
 }
 
@@ -373,20 +465,15 @@
         }
     }
     backends_.erase_removed();
-    erase_ended_limits();
+    erase_ended_limits(now);
 }
 
-void dispatcher::erase_ended_limits() {
-    std::vector<server_process> ended;
-    for (const auto& [server, limit] : limits_.all()) {
+void dispatcher::erase_ended_limits(time_point now) {
+    const auto is_current = [&](const server_process& server) -> std::optional<bool> {
         const auto* view = backends_.find(server.id);
-        if (view == nullptr || view->server.process() != server) {
-            ended.push_back(server);
-        }
-    }
-    for (const auto& each : ended) {
-        limits_.erase(each);
-    }
+        return view == nullptr ? std::nullopt : std::optional(view->server.process() == server);
+    };
+    limits_.erase_ended(is_current, now);
 }
 
 std::vector<dispatch_effect> dispatcher::take_effects() {
--- /dev/null
+++ b/libs/serving/src/permit_granter.cpp
@@ -0,0 +1,159 @@
+#include <serving/permit_granter.h>
+
+#include <kernel/check.h>
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace camphorgrade::serving {
+
+namespace {
+
+constexpr double ms_per_s = 1'000.0;
+// Accrued fractions add up to a whole permit in spite of rounding.
+constexpr double rounding_tolerance = 1e-9;
+
+} // namespace
+
+double permit_granter::rate_of(const bucket& target) const {
+    const auto rate =
+        std::clamp(target.limit_per_s, settings_.min_rate_per_s, settings_.max_rate_per_s);
+    return rate * settings_.usable_share * fleet_share_;
+}
+
+void permit_granter::refill(bucket& target, time_point now) const {
+    if (now <= target.refilled_at) {
+        return;
+    }
+    const auto rate = rate_of(target);
+    const auto seconds = static_cast<double>((now - target.refilled_at).count()) / ms_per_s;
+    const auto bucket_seconds = static_cast<double>(settings_.bucket_time.count()) / ms_per_s;
+    const auto capacity = std::max(1.0, rate * bucket_seconds);
+    target.level = std::min(capacity, target.level + rate * seconds);
+    target.refilled_at = now;
+}
+
+duration permit_granter::time_until(const bucket& target, double permits, time_point now) const {
+    const auto missing = std::max(0.0, permits - target.level);
+    const auto accrual =
+        duration{static_cast<duration::rep>(std::ceil(missing / rate_of(target) * ms_per_s))};
+    return std::max(target.refilled_at - now, duration::zero()) + accrual;
+}
+
+void permit_granter::set_queued(bucket& target, const std::string& gateway, applicant& owner,
+                                std::uint32_t queued) {
+    for (; owner.queued < queued; ++owner.queued) {
+        target.queue.push_back(gateway);
+    }
+    for (; owner.queued > queued; --owner.queued) {
+        const auto last = std::find(target.queue.rbegin(), target.queue.rend(), gateway);
+        target.queue.erase(std::next(last).base());
+    }
+}
+
+void permit_granter::on_request(const std::string& gateway, const permit_request& request,
+                                time_point grants_from, time_point now) {
+    const auto [found, is_new] = buckets_.try_emplace(request.server);
+    auto& target = found->second;
+    if (is_new) {
+        target.limit_per_s = request.limit_per_s;
+        target.refilled_at = std::max(now, grants_from);
+    }
+    target.requested_at = now;
+    auto& sender = target.applicants[gateway];
+    if (request.session < sender.session) {
+        return;
+    }
+    if (request.session > sender.session) {
+        set_queued(target, gateway, sender, 0);
+        sender.session = request.session;
+        sender.granted = 0;
+    }
+    // This granter may have restarted and lost its count.
+    sender.granted = std::max(sender.granted, request.received);
+    const auto under_way = sender.granted - request.received;
+    const auto wanted = request.wanted > under_way ? request.wanted - under_way : 0;
+    set_queued(target, gateway, sender, static_cast<std::uint32_t>(wanted));
+    sender.requested_at = now;
+    sender.is_reply_due = true;
+}
+
+void permit_granter::set_limit(const server_process& server, double limit_per_s, time_point now) {
+    const auto found = buckets_.find(server);
+    if (found != buckets_.end() && found->second.limit_per_s != limit_per_s) {
+        refill(found->second, now);
+        found->second.limit_per_s = limit_per_s;
+        // Permits that accrued at a higher limit don't outlast it.
+        found->second.level = std::min(found->second.level, 1.0);
+    }
+}
+
+void permit_granter::set_fleet_share(double share, time_point now) {
+    CAMPHOR_PRECONDITION(share > 0 && share <= 1);
+    for (auto& each : buckets_) {
+        refill(each.second, now);
+    }
+    fleet_share_ = share;
+}
+
+void permit_granter::remove_expired(bucket& target, time_point now) const {
+    for (auto& [gateway, each] : target.applicants) {
+        if (now - each.requested_at >= settings_.request_expiry) {
+            set_queued(target, gateway, each, 0);
+        }
+    }
+    std::erase_if(target.applicants, [&](const auto& each) {
+        return now - each.second.requested_at >= settings_.request_expiry;
+    });
+}
+
+std::vector<addressed_grant> permit_granter::advance(time_point now) {
+    std::vector<addressed_grant> out;
+    std::erase_if(buckets_, [&](const auto& each) {
+        return now - each.second.requested_at >= settings_.bucket_expiry;
+    });
+    for (auto& [server, target] : buckets_) {
+        remove_expired(target, now);
+        refill(target, now);
+        while (!target.queue.empty() && target.level >= 1 - rounding_tolerance) {
+            auto& receiver = target.applicants.at(target.queue.front());
+            target.queue.pop_front();
+            target.level -= 1;
+            ++granted_permits_;
+            ++receiver.granted;
+            --receiver.queued;
+            receiver.is_reply_due = true;
+        }
+        const auto next_wait =
+            time_until(target, static_cast<double>(target.queue.size()) + 1, now);
+        for (auto& [gateway, each] : target.applicants) {
+            if (std::exchange(each.is_reply_due, false)) {
+                out.push_back({gateway, {server, each.session, each.granted, next_wait}});
+            }
+        }
+    }
+    return out;
+}
+
+std::optional<time_point> permit_granter::next_grant_at() const {
+    std::optional<time_point> earliest;
+    for (const auto& each : buckets_) {
+        const auto& target = each.second;
+        if (!target.queue.empty()) {
+            const auto at = target.refilled_at + time_until(target, 1, target.refilled_at);
+            earliest = std::min(earliest.value_or(at), at);
+        }
+    }
+    return earliest;
+}
+
+std::vector<server_process> permit_granter::servers() const {
+    std::vector<server_process> out;
+    for (const auto& each : buckets_) {
+        out.push_back(each.first);
+    }
+    return out;
+}
+
+} // namespace camphorgrade::serving
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -44,9 +44,24 @@
 placement_chooser::placement_chooser(placement_settings settings, std::string own_data_centre)
     : settings_(settings), own_data_centre_(std::move(own_data_centre)) {}
 
-std::variant<placement, no_placement> placement_chooser::choose(backend_registry& backends,
-                                                                const placement_request& request,
-                                                                time_point now) {
+void placement_chooser::add_permit_wait(estimate& candidate, const permit_exchange& permits,
+                                        const placement_request& request, time_point now) {
+    const auto& server = candidate.view->server;
+    const bool is_waiting = server.id == request.waiting_backend_id;
+    const auto wait = permits.wait_for(server.process(), is_waiting, now);
+    if (!wait) {
+        return;
+    }
+    // The weights are loaded meanwhile.
+    candidate.permit_wait = std::max(*wait - candidate.weights_wait, duration::zero());
+    candidate.is_ready = false;
+    candidate.time_to_first_byte += candidate.permit_wait;
+    candidate.cost += candidate.permit_wait;
+}
+
+placement_choice placement_chooser::choose(backend_registry& backends,
+                                           const permit_exchange& permits,
+                                           const placement_request& request, time_point now) {
     auto candidates = backends.servers_of_service(request.service);
     std::optional<time_point> available_at;
     std::erase_if(candidates, [&](const backend_view* each) {
@@ -70,22 +85,36 @@
                     [&](const backend_view* each) { return !is_avoided(each); });
     const auto cold_load_time = backends.load_times().estimate(backends.loads_under_way());
     estimate best;
+    estimate best_with_permit; // if all permits were available
     for (auto* each : candidates) {
         if (any_reachable && is_avoided(each)) {
             continue;
         }
-        const auto candidate =
+        auto candidate =
             request.base_model.empty()
                 ? estimate_plain(*each, request)
                 : estimate_engine(backends, *each, request, cold_load_time, server_count, now);
-        if (candidate.view != nullptr && (best.view == nullptr || candidate.cost < best.cost)) {
+        if (candidate.view == nullptr) {
+            continue;
+        }
+        if (best_with_permit.view == nullptr || candidate.cost < best_with_permit.cost) {
+            best_with_permit = candidate;
+        }
+        add_permit_wait(candidate, permits, request, now);
+        if (best.view == nullptr || candidate.cost < best.cost) {
             best = candidate;
         }
     }
     if (best.view == nullptr) {
-        return no_placement{available_at};
+        return {no_placement{available_at}, std::nullopt};
+    }
+    placement_choice out{
+        placement{best.view->server.id, best.is_ready, best.time_to_first_byte, best.permit_wait},
+        std::nullopt};
+    if (best_with_permit.view != best.view) {
+        out.interest = best_with_permit.view->server.process();
     }
-    return placement{best.view->server.id, best.is_ready, best.time_to_first_byte};
+    return out;
 }
 
 duration placement_chooser::common_penalty(const backend_view& view,
@@ -107,7 +136,8 @@
     // While slots are free, the less loaded of two equal servers is still preferred.
     const auto load_penalty =
         from_ms(rounds * static_cast<double>(settings_.plain_request_time.count()));
-    return {&view, true, service_time, service_time + load_penalty + common_penalty(view, request)};
+    return {&view, true, service_time, service_time + load_penalty + common_penalty(view, request),
+            {},    {}};
 }
 
 std::uint32_t placement_chooser::others_unplaced(const backend_view& view,
@@ -188,8 +218,10 @@
     auto first_byte_time = from_ms(static_cast<double>(queued + uncached) * view.latency_ratio /
                                    settings_.prefill_tokens_per_ms);
     auto cost = common_penalty(view, request);
+    duration weights_wait{};
     if (!is_ready) {
-        first_byte_time += *model_wait_time + load_wait(view, request, cold_load_time);
+        weights_wait = *model_wait_time + load_wait(view, request, cold_load_time);
+        first_byte_time += weights_wait;
         const auto rank = rendezvous_rank(request.weights, view.server.id, server_count);
         cost += from_ms(rank * static_cast<double>(settings_.rank_penalty.count()));
         cost += was_held_before(view, request) ? duration::zero() : settings_.store_fetch_penalty;
@@ -203,7 +235,7 @@
             first_byte_time += settings_.full_batch_wait;
         }
     }
-    return {&view, is_ready, first_byte_time, first_byte_time + cost};
+    return {&view, is_ready, first_byte_time, first_byte_time + cost, weights_wait, {}};
 }
 
 } // namespace camphorgrade::serving
--- a/libs/serving/tests/test_dispatcher.cpp
+++ b/libs/serving/tests/test_dispatcher.cpp
@@ -65,7 +65,7 @@
 TEST_CASE("a request whose adapter isn't loaded anywhere waits and is sent once it is loaded") {
     dispatcher_fixture test;
     const auto id = test.arrive(profile_of("/plan/x", "a1"), 0);
-    const auto* waits = test.only<wait_for_weights>();
+    const auto* waits = test.only<wait_for_backend>();
     REQUIRE(waits != nullptr);
     const auto open = test.decisions.open_demand_by_backend(at_ms(10));
     REQUIRE(open.at(waits->backend_id).size() == 1);
@@ -85,7 +85,7 @@
     test.decisions.set_adapter_version("m/a1", 1);
     test.decisions.on_engine_state("engine-1", engine_with({resident("m/a1", 1)}, 2), at_ms(1));
     test.arrive(profile_of("/plan/x", "a1"), 2);
-    const auto* waits = test.only<wait_for_weights>();
+    const auto* waits = test.only<wait_for_backend>();
     REQUIRE(waits != nullptr);
     test.decisions.on_engine_state(waits->backend_id, engine_with({resident("m/a1", 2)}, 3),
                                    at_ms(300));
@@ -177,8 +177,8 @@
 TEST_CASE("a request waiting for an engine that restarts is placed elsewhere immediately") {
     dispatcher_fixture test;
     test.arrive(profile_of("/plan/x", "a1"), 0);
-    REQUIRE(test.only<wait_for_weights>() != nullptr);
-    const auto first = test.only<wait_for_weights>()->backend_id;
+    REQUIRE(test.only<wait_for_backend>() != nullptr);
+    const auto first = test.only<wait_for_backend>()->backend_id;
     const std::string other = first == "engine-1" ? "engine-2" : "engine-1";
     test.decisions.on_engine_state(other, engine_with({resident("m/a1")}, 2), at_ms(10));
     test.decisions.on_engine_state(first, later_process({}), at_ms(11));
@@ -345,8 +345,8 @@
         test.decisions.on_engine_state("engine-1", crowded, at_ms(1));
         test.decisions.on_engine_state("engine-2", free, at_ms(1));
         test.arrive(profile_of("/plan/x", "a" + std::to_string(i)), 2);
-        REQUIRE(test.only<wait_for_weights>() != nullptr);
-        CHECK(test.only<wait_for_weights>()->backend_id == "engine-2");
+        REQUIRE(test.only<wait_for_backend>() != nullptr);
+        CHECK(test.only<wait_for_backend>()->backend_id == "engine-2");
     }
 }
 
@@ -473,7 +473,7 @@
     std::vector<request_handle> waiting;
     for (std::int64_t ms = 100; ms < 500; ms += 50) {
         waiting.push_back(test.arrive(profile_of("/plan/1", "a1"), ms));
-        const auto* wait = test.only<wait_for_weights>();
+        const auto* wait = test.only<wait_for_backend>();
         REQUIRE(wait != nullptr);
         CHECK(wait->time_to_first_byte >= duration{1'100 - ms}); // not before the model is loaded
         CHECK(wait->time_to_first_byte <= duration{1'100 - ms + 1'000});
--- a/libs/serving/tests/test_load_time_estimator.cpp
+++ b/libs/serving/tests/test_load_time_estimator.cpp
@@ -75,7 +75,7 @@
     };
     const auto first_estimate = [&](std::int64_t ms) {
         with.arrive(profile_of("/plan/x", "a" + std::to_string(ms)), ms);
-        const auto* wait = with.only<wait_for_weights>();
+        const auto* wait = with.only<wait_for_backend>();
         return wait == nullptr ? duration{-1} : wait->time_to_first_byte;
     };
     with.decisions.on_engine_state("engine-1", busy_state(1), at_ms(1));
--- a/libs/serving/tests/test_server_notices.cpp
+++ b/libs/serving/tests/test_server_notices.cpp
@@ -75,7 +75,7 @@
 TEST_CASE("load: a request waiting for its adapter is moved off an engine that is shutting down") {
     dispatcher_fixture test;
     const auto waiting = test.arrive(profile_of("/plan/x", "a2"), 0);
-    const auto* wait = test.only<wait_for_weights>();
+    const auto* wait = test.only<wait_for_backend>();
     REQUIRE(wait != nullptr);
     const auto backend = wait->backend_id;
     test.decisions.on_engine_state(backend, engine_with({{{"m/a1", 1}, false, 0}}, 2), at_ms(1));
@@ -83,7 +83,7 @@
     REQUIRE(sent_to(test) == backend);
     test.decisions.on_response_head(running, shutting_down(), at_ms(50));
     test.effects = test.decisions.take_effects();
-    const auto* placed_again = test.only<wait_for_weights>();
+    const auto* placed_again = test.only<wait_for_backend>();
     REQUIRE(placed_again != nullptr);
     CHECK(placed_again->request == waiting);
     CHECK(placed_again->backend_id != backend);
@@ -94,7 +94,7 @@
 TEST_CASE("a draining engine isn't sent the requests that waited for it") {
     dispatcher_fixture test;
     test.arrive(profile_of("/plan/x", "a1"), 0);
-    const auto* wait = test.only<wait_for_weights>();
+    const auto* wait = test.only<wait_for_backend>();
     REQUIRE(wait != nullptr);
     auto drained = server_of(wait->backend_id, "llm");
     drained.is_draining = true;
