Estimate the wait for a permit by the place in the granter's queue

What callers could see: where all servers of a service are limited, a request that a permit was nearly due for was refused as too late. Cause: one estimate stood for all requests of a gateway, that of the last in its queue, and a permit wanted for later requests counted as one more ahead of those that wait.

A grant now states the wait of the receiver's first permit as well, and a request is estimated by the number of its gateway's requests ahead of it. A grant can bring at most 1,000 permits at once, and waits are bounded, so that a stray datagram does no harm.

--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -178,6 +178,7 @@
         grant.set_born(each.server.started_at_ms);
         grant.set_session(each.session);
         grant.set_granted(each.granted);
+        grant.set_first_wait_ms(static_cast<std::uint32_t>(each.first_wait.count()));
         grant.set_next_wait_ms(static_cast<std::uint32_t>(each.next_wait.count()));
     }
 }
@@ -188,6 +189,7 @@
         out.grants.push_back({{each.backend_id(), each.born()},
                               each.session(),
                               each.granted(),
+                              duration{each.first_wait_ms()},
                               duration{each.next_wait_ms()}});
     }
     return out;
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -6,7 +6,9 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <limits>
 #include <string>
+#include <variant>
 #include <vector>
 
 using namespace camphorgrade;
@@ -58,7 +60,18 @@
     report.versions = {{"m/a1", 3}};
     report.has_all_usage = false;
     report.avoided_servers = {{"e2", 99}};
-    return {"10.0.0.1:7600", 5, 10, report, {"dc-2", 90}, {}};
+    report.limits = {{{"e3", 98}, 1.5, duration{120}}, {{"e4", 97}, std::nullopt, duration{0}}};
+    return {"10.0.0.1:7600", 5, 10, report, {"dc-2", 90, true}, {}};
+}
+
+peer_message permit_requests_message() {
+    const serving::permit_requests requests{{{{"e3", 98}, 1.5, 4'000, 7, 2}}};
+    return {"10.0.0.1:7600", 5, 11, requests, {"dc-2", 90, true}, {}};
+}
+
+peer_message permit_grants_message() {
+    const serving::permit_grants grants{{{{"e3", 98}, 4'000, 8, duration{500}, duration{700}}}};
+    return {"10.0.0.3:7600", 5, 12, grants, {"dc-2", 90, true}, {}};
 }
 
 /** A message as a relay forwards it. */
@@ -111,13 +124,30 @@
 
 TEST_CASE("decoding an encoded message restores it") {
     const auto bundle = bundle_message({relayed(report_message()), relayed(gateway_message())});
-    for (const auto& each : {demand_message(), report_message(), gateway_message(), bundle}) {
+    for (const auto& each : {demand_message(), report_message(), gateway_message(), bundle,
+                             permit_requests_message(), permit_grants_message()}) {
         const auto read = decode(encode(each));
         REQUIRE(read.has_value());
         CHECK(*read == each);
     }
 }
 
+TEST_CASE("requests for permits without a valid limit are dropped, and large ones are bounded") {
+    auto message = permit_requests_message();
+    auto& requests = std::get<serving::permit_requests>(message.body).requests;
+    auto invalid = requests.front();
+    invalid.limit_per_s = -1;
+    requests.push_back(invalid);
+    invalid.limit_per_s = std::numeric_limits<double>::infinity();
+    requests.push_back(invalid);
+    requests.front().wanted = std::numeric_limits<std::uint32_t>::max();
+    const auto read = decode(encode(message));
+    REQUIRE(read.has_value());
+    const auto& kept = std::get<serving::permit_requests>(read->body).requests;
+    REQUIRE(kept.size() == 1);
+    CHECK(kept.front().wanted == 1'000);
+}
+
 TEST_CASE("decoding malformed bytes fails without a crash") {
     CHECK_FALSE(decode("").has_value());
     rc::prop("arbitrary bytes", [](const std::string& bytes) { static_cast<void>(decode(bytes)); });
--- a/libs/peering/tests/test_relays.cpp
+++ b/libs/peering/tests/test_relays.cpp
@@ -290,6 +290,15 @@
     }
 }
 
+TEST_CASE("permits are granted by live gateways of a version that does") {
+    relay_directory directory("10.0.0.1:7600", {"dc-1", 100, true}, {});
+    directory.on_gateway_seen("10.0.0.2:7600", {"dc-1", 100, true}, true, at_ms(0));
+    directory.on_gateway_seen("10.0.0.3:7600", {"dc-1", 100, false}, true, at_ms(0));
+    const std::vector<std::string> both{"10.0.0.1:7600", "10.0.0.2:7600"};
+    CHECK(directory.live_granters(at_ms(1'000)) == both);
+    CHECK(directory.live_granters(at_ms(1'500)) == std::vector<std::string>{"10.0.0.1:7600"});
+}
+
 TEST_CASE("load: when both relays of a data centre stop at once, other gateways replace them") {
     simulated_fleet fleet(60, 3);
     fleet.run(1'000);
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -322,6 +322,8 @@
     std::optional<end_reason> resolve(request& entry) const;
     std::string choose_service(const route& matched);
     void place(request_handle id, request& entry, time_point now);
+    /** Number of earlier requests that wait at the same backend server. */
+    std::uint32_t waiting_ahead(request_handle id, const request& entry) const;
     /** Places requests again that wait for weights at a server that accepts no requests now. */
     void reassign_waiting_requests(const std::string& backend_id, time_point now);
     void end_without_placement(request_handle id, request& entry, const no_placement& no_target,
--- a/libs/serving/include/serving/permit_exchange.h
+++ b/libs/serving/include/serving/permit_exchange.h
@@ -42,7 +42,7 @@
  * safe.
  *
  * @code
- * if (!permits.wait_for(server, false, now)) { permits.take(server, now); send(); }
+ * if (permits.may_send(server, now)) { permits.take(server, now); send(); }
  * @endcode
  */
 class permit_exchange {
@@ -58,13 +58,19 @@
     std::string granter_of(const server_process& server) const;
 
     /** Estimated time until a request may be sent to the server: empty if it may be sent now,
-        because the server has no limit or a permit is available. `is_waiting` states that the
-        request already waits for a permit there. */
-    std::optional<duration> wait_for(const server_process& server, bool is_waiting,
-                                     time_point now) const;
+        because the server has no limit or a permit is available. `position` is empty for a new
+        request; for one that already waits there it is the number of this gateway's requests ahead
+        of it. */
+    std::optional<duration> wait_for(const server_process& server,
+                                     std::optional<std::uint32_t> position, time_point now) const;
+
+    /** Whether a request may be sent to the server now. */
+    bool may_send(const server_process& server, time_point now) const {
+        return !wait_for(server, std::nullopt, now);
+    }
 
     /** Uses up one permit, unless the server has no limit.
-        Precondition: !wait_for(server, ..., now). */
+        Precondition: may_send(server, now). */
     void take(const server_process& server, time_point now);
 
     /** A request would have been placed at the server if a permit had been available. */
--- a/libs/serving/include/serving/permit_holder.h
+++ b/libs/serving/include/serving/permit_holder.h
@@ -66,10 +66,10 @@
     std::optional<permit_request> next_request(const server_process& server, double limit_per_s,
                                                time_point now);
 
-    /** Estimated time until one more request gets a permit; `is_waiting`: until one does that
-        already waits. */
-    duration estimated_wait(const server_process& server, double limit_per_s, bool is_waiting,
-                            time_point now) const;
+    /** Estimated time until one more request gets a permit. `position` is empty for a new request;
+        for one that already waits it is the number of this gateway's requests ahead of it. */
+    duration estimated_wait(const server_process& server, double limit_per_s,
+                            std::optional<std::uint32_t> position, time_point now) const;
 
     /** When the granter last answered; the default time point if it has not. */
     time_point last_reply_at(const server_process& server) const;
@@ -92,10 +92,15 @@
         time_point requested_at;
         time_point unanswered_since;
         time_point replied_at;
+        duration first_wait{}; /**< As of the reply, like the next two. */
         duration next_wait{};
         std::uint32_t waiting_at_reply = 0;
     };
 
+    /** Estimated time from the last reply until the request at `position` gets a permit. */
+    static duration wait_in_queue(const stock& target, duration step,
+                                  std::optional<std::uint32_t> position);
+
     static std::size_t available(const stock& target, time_point now);
     static std::uint32_t wanted(const stock& target, time_point now);
 
--- a/libs/serving/include/serving/permit_messages.h
+++ b/libs/serving/include/serving/permit_messages.h
@@ -34,6 +34,8 @@
     server_process server;
     std::uint64_t session = 0;
     std::uint64_t granted = 0; /**< Permits granted in this session. */
+    /** Estimated time until the next permit that the receiver wants is granted. */
+    duration first_wait{};
     /** Estimated time until one more permit than all gateways want now would be granted. */
     duration next_wait{};
 
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -53,6 +53,8 @@
     std::set<std::string> excluded; /**< Servers that were tried already. */
     /** Server at which the request has waited so far; empty for a new request. */
     std::string waiting_backend_id;
+    /** Number of this gateway's requests that wait there ahead of it. */
+    std::uint32_t position = 0;
 };
 
 /** The server that a request goes to. A value type. */
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -87,6 +87,7 @@
     wanted.objective = entry.found_route->latency_objective;
     wanted.excluded = entry.excluded;
     wanted.waiting_backend_id = entry.backend_id;
+    wanted.position = limits_.all().empty() ? 0 : waiting_ahead(id, entry);
     const auto chosen = placement_chooser_.choose(backends_, permits_, wanted, now);
     if (chosen.interest) {
         permits_.on_interest(*chosen.interest, now);
@@ -112,6 +113,14 @@
     }
 }
 
+std::uint32_t dispatcher::waiting_ahead(request_handle id, const request& entry) const {
+    return static_cast<std::uint32_t>(
+        std::count_if(requests_.begin(), requests_.lower_bound(id), [&](const auto& each) {
+            return each.second.state == phase::waiting &&
+                   each.second.backend_id == entry.backend_id;
+        }));
+}
+
 void dispatcher::end_without_placement(request_handle id, request& entry,
                                        const no_placement& no_target, time_point now) {
     const auto reason = entry.refusals > 0       ? end_reason::refused
@@ -245,7 +254,7 @@
         const bool has_weights =
             each.metadata.model.empty() ||
             backends_.holds(*view, each.weights.name, each.weights.version, now);
-        if (has_weights && !permits_.wait_for(view->server.process(), true, now)) {
+        if (has_weights && permits_.may_send(view->server.process(), now)) {
             detach_from_backend(each);
             send(id, each, {backend_id, true, {}, {}}, now);
         }
--- a/libs/serving/src/permit_exchange.cpp
+++ b/libs/serving/src/permit_exchange.cpp
@@ -66,13 +66,14 @@
     return first == live_.end() ? own_ : *first;
 }
 
-std::optional<duration> permit_exchange::wait_for(const server_process& server, bool is_waiting,
+std::optional<duration> permit_exchange::wait_for(const server_process& server,
+                                                  std::optional<std::uint32_t> position,
                                                   time_point now) const {
     const auto limit = limits_.find(server);
     if (!limit || holder_.has_permit(server, now)) {
         return std::nullopt;
     }
-    return holder_.estimated_wait(server, limit->requests_per_s, is_waiting, now);
+    return holder_.estimated_wait(server, limit->requests_per_s, position, now);
 }
 
 void permit_exchange::take(const server_process& server, time_point now) {
--- a/libs/serving/src/permit_granter.cpp
+++ b/libs/serving/src/permit_granter.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr double ms_per_s = 1'000.0;
+constexpr duration max_wait{3'600'000};
 // Accrued fractions add up to a whole permit in spite of rounding.
 constexpr double rounding_tolerance = 1e-9;
 
@@ -36,8 +37,9 @@
 
 duration permit_granter::time_until(const bucket& target, double permits, time_point now) const {
     const auto missing = std::max(0.0, permits - target.level);
-    const auto accrual =
-        duration{static_cast<duration::rep>(std::ceil(missing / rate_of(target) * ms_per_s))};
+    const auto ms = std::min(std::ceil(missing / rate_of(target) * ms_per_s),
+                             static_cast<double>(max_wait.count()));
+    const auto accrual = duration{static_cast<duration::rep>(ms)};
     return std::max(target.refilled_at - now, duration::zero()) + accrual;
 }
 
@@ -129,7 +131,11 @@
             time_until(target, static_cast<double>(target.queue.size()) + 1, now);
         for (auto& [gateway, each] : target.applicants) {
             if (std::exchange(each.is_reply_due, false)) {
-                out.push_back({gateway, {server, each.session, each.granted, next_wait}});
+                const auto first = std::find(target.queue.begin(), target.queue.end(), gateway);
+                const auto position = static_cast<double>(first - target.queue.begin());
+                const auto first_wait = time_until(target, position + 1, now);
+                out.push_back(
+                    {gateway, {server, each.session, each.granted, first_wait, next_wait}});
             }
         }
     }
--- a/libs/serving/src/permit_holder.cpp
+++ b/libs/serving/src/permit_holder.cpp
@@ -12,6 +12,7 @@
 constexpr double ms_per_s = 1'000.0;
 constexpr duration max_accrual_time{60'000};
 constexpr duration min_wait{1};
+constexpr std::uint64_t max_permits_per_grant = 1'000;
 
 /** Time in which one permit accrues. */
 duration accrual_time(double limit_per_s) {
@@ -29,7 +30,7 @@
 
 std::uint32_t permit_holder::wanted(const stock& target, time_point now) {
     const std::uint32_t interest = target.interest_until > now ? 1 : 0;
-    const auto needed = target.waiting + interest;
+    const auto needed = std::max(target.waiting, interest);
     const auto in_stock = static_cast<std::uint32_t>(available(target, now));
     return needed > in_stock ? needed - in_stock : 0;
 }
@@ -69,6 +70,7 @@
     auto& target = found->second;
     target.replied_at = now;
     target.unanswered_since = {};
+    target.first_wait = grant.first_wait;
     target.next_wait = grant.next_wait;
     target.waiting_at_reply = target.waiting;
     if (grant.granted <= target.received) {
@@ -76,9 +78,9 @@
     }
     const auto lifetime = std::clamp(accrual_time(limit_per_s), settings_.min_permit_lifetime,
                                      settings_.max_permit_lifetime);
-    for (; target.received < grant.granted; ++target.received) {
-        target.expiries.push_back(now + lifetime);
-    }
+    const auto arrived = std::min(grant.granted - target.received, max_permits_per_grant);
+    target.expiries.insert(target.expiries.end(), arrived, now + lifetime);
+    target.received = grant.granted;
     target.interest_until = {};
     return true;
 }
@@ -125,8 +127,24 @@
     return permit_request{server, limit_per_s, target.session, target.received, count};
 }
 
+duration permit_holder::wait_in_queue(const stock& target, duration step,
+                                      std::optional<std::uint32_t> position) {
+    const auto waiting = target.waiting_at_reply;
+    const auto ahead = position.value_or(std::max(target.waiting, waiting));
+    if (ahead >= waiting) {
+        return target.next_wait + step * (ahead - waiting);
+    }
+    if (ahead == 0) {
+        return target.first_wait;
+    }
+    // The requests of this gateway are taken as evenly spread over the granter's queue.
+    const auto last_wait = std::max(target.next_wait - step, target.first_wait);
+    return target.first_wait + (last_wait - target.first_wait) * ahead / (waiting - 1);
+}
+
 duration permit_holder::estimated_wait(const server_process& server, double limit_per_s,
-                                       bool is_waiting, time_point now) const {
+                                       std::optional<std::uint32_t> position,
+                                       time_point now) const {
     const auto step = accrual_time(limit_per_s);
     const auto found = stocks_.find(server);
     if (found == stocks_.end()) {
@@ -141,11 +159,9 @@
     const bool has_reply =
         target.replied_at != time_point{} && now - target.replied_at < settings_.reply_expiry;
     if (!has_reply) {
-        return step * (target.waiting + 1);
+        return step * (position.value_or(target.waiting) + 1);
     }
-    const auto newer = target.waiting - std::min(target.waiting, target.waiting_at_reply);
-    auto wait = target.next_wait - (now - target.replied_at) + step * newer;
-    wait -= is_waiting ? step : duration::zero();
+    const auto wait = wait_in_queue(target, step, position) - (now - target.replied_at);
     return std::max(wait, min_wait);
 }
 
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -48,7 +48,8 @@
                                         const placement_request& request, time_point now) {
     const auto& server = candidate.view->server;
     const bool is_waiting = server.id == request.waiting_backend_id;
-    const auto wait = permits.wait_for(server.process(), is_waiting, now);
+    const auto position = is_waiting ? std::optional(request.position) : std::nullopt;
+    const auto wait = permits.wait_for(server.process(), position, now);
     if (!wait) {
         return;
     }
--- a/libs/serving/tests/test_permit_exchange.cpp
+++ b/libs/serving/tests/test_permit_exchange.cpp
@@ -180,7 +180,7 @@
     }
 
     void use_permits(gateway& each) {
-        while (each.waiting > 0 && !each.permits->wait_for(server, true, now_)) {
+        while (each.waiting > 0 && each.permits->may_send(server, now_)) {
             each.permits->take(server, now_);
             --each.waiting;
             arrivals_.push_back(now_);
