Test limits of backend servers with killed and paused gateways, and in the soak

The ledger knows through which gateway a request came, so that only the disturbed ones are left out. The soak's backend servers name limits at random (0 to 20 a second, up to 3 s), so that the other promises are checked with requests that wait for permits.

--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -160,7 +160,7 @@
 void fault_schedule::inject_backend_fault() {
     auto& site = pick(world_.backends());
     const auto fault_duration = random_duration(random_, duration{300}, duration{3'000});
-    switch (random_.below(5)) {
+    switch (random_.below(6)) {
     case 0:
         crash(site, fault_duration);
         break;
@@ -176,6 +176,10 @@
         log_fault("truncate responses of " + site.backend->id());
         site.backend->faults.truncated_response_share = 0.3;
         break;
+    case 4:
+        log_fault("limit " + site.backend->id());
+        site.backend->faults.request_limit = 20 * random_.unit();
+        break;
     default:
         replace(site);
         return;
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -31,7 +31,9 @@
 
 void ledger::on_arrival(const std::string& request, const std::string& server,
                         const std::string& service, time_point now) {
-    server_arrivals_[server].push_back(now);
+    const auto sent = requests_.find(request);
+    server_arrivals_[server].push_back(
+        {now, sent == requests_.end() ? 0 : sent->second.request.gateway});
     const bool is_first = arrived_requests_[service].insert(request).second;
     arrivals_[service].push_back({now, !is_first});
 }
@@ -189,26 +191,29 @@
     }
 }
 
-std::size_t ledger::count_arrivals(const std::string& server, time_point from,
-                                   time_point to) const {
+std::size_t ledger::count_arrivals(const std::string& server, time_point from, time_point to,
+                                   const std::set<std::size_t>& excluded) const {
     const auto found = server_arrivals_.find(server);
     if (found == server_arrivals_.end()) {
         return 0;
     }
     return static_cast<std::size_t>(
-        std::count_if(found->second.begin(), found->second.end(),
-                      [&](time_point at) { return at >= from && at < to; }));
+        std::count_if(found->second.begin(), found->second.end(), [&](const server_arrival& each) {
+            return each.at >= from && each.at < to && !excluded.contains(each.gateway);
+        }));
 }
 
-std::size_t ledger::max_arrivals(const std::string& server, time_point from,
-                                 duration window) const {
+std::size_t ledger::max_arrivals(const std::string& server, time_point from, duration window,
+                                 const std::set<std::size_t>& excluded) const {
     const auto found = server_arrivals_.find(server);
     if (found == server_arrivals_.end()) {
         return 0;
     }
     std::size_t most = 0;
-    for (const auto at : found->second) {
-        most = at < from ? most : std::max(most, count_arrivals(server, at, at + window));
+    for (const auto& each : found->second) {
+        if (each.at >= from) {
+            most = std::max(most, count_arrivals(server, each.at, each.at + window, excluded));
+        }
     }
     return most;
 }
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -35,6 +35,7 @@
     std::string account;
     std::uint64_t tokens = 0;
     duration deadline{};
+    std::size_t gateway = 0; /**< Number of the gateway that the caller uses. */
     time_point sent;
     key_state key = key_state::valid;
 };
@@ -124,11 +125,15 @@
      */
     std::size_t count_answered(time_point from, time_point to) const;
 
-    /** Number of requests that reached `server` in [from, to). */
-    std::size_t count_arrivals(const std::string& server, time_point from, time_point to) const;
+    /** Number of requests that reached `server` in [from, to), except through the gateways
+        `excluded`. */
+    std::size_t count_arrivals(const std::string& server, time_point from, time_point to,
+                               const std::set<std::size_t>& excluded = {}) const;
 
-    /** The most requests that reached `server` within `window`, from `from` on. */
-    std::size_t max_arrivals(const std::string& server, time_point from, duration window) const;
+    /** The most requests that reached `server` within `window`, from `from` on, except through the
+        gateways `excluded`. */
+    std::size_t max_arrivals(const std::string& server, time_point from, duration window,
+                             const std::set<std::size_t>& excluded = {}) const;
 
 private:
     struct request_record {
@@ -143,6 +148,10 @@
         time_point at;
         bool is_retry = false;
     };
+    struct server_arrival {
+        time_point at;
+        std::size_t gateway = 0;
+    };
     struct token_charge {
         time_point sent;
         time_point started;
@@ -155,11 +164,11 @@
 
     ledger_bounds bounds_;
     std::map<std::string, request_record> requests_;
-    std::map<std::string, std::set<std::string>> arrived_requests_;  // by service
-    std::map<std::string, std::vector<arrival>> arrivals_;           // by service
-    std::map<std::string, std::vector<time_point>> server_arrivals_; // by server
-    std::map<std::string, std::vector<time_point>> sent_times_;      // by service
-    std::map<std::string, std::vector<token_charge>> token_charges_; // by account
+    std::map<std::string, std::set<std::string>> arrived_requests_;      // by service
+    std::map<std::string, std::vector<arrival>> arrivals_;               // by service
+    std::map<std::string, std::vector<server_arrival>> server_arrivals_; // by server
+    std::map<std::string, std::vector<time_point>> sent_times_;          // by service
+    std::map<std::string, std::vector<token_charge>> token_charges_;     // by account
     std::vector<std::string> violations_;
 };
 
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -130,6 +130,7 @@
                  : out.kind == request_class::answer ? answer_tokens
                                                      : 200;
     out.deadline = route_timeout + duration{static_cast<duration::rep>(random_.below(1'000))};
+    out.gateway = gateway_;
     out.sent = clock_.now();
     out.key = key_state_at(key, out.sent);
     return out;
--- a/tests/soak/test_server_limit.cpp
+++ b/tests/soak/test_server_limit.cpp
@@ -4,7 +4,9 @@
 
 #include <catch2/catch.hpp>
 
+#include <cstddef>
 #include <memory>
+#include <set>
 #include <vector>
 
 using namespace camphorgrade;
@@ -83,13 +85,25 @@
     std::vector<std::unique_ptr<soak_caller>> callers;
 };
 
-void check_limit(limit_fixture& fixture, const soak_backend& server, time_point from) {
+void check_limit(limit_fixture& fixture, const soak_backend& server, time_point from,
+                 const std::set<std::size_t>& excluded = {}) {
     const double limit = server.faults.request_limit.value_or(0);
-    const auto most = fixture.request_ledger.max_arrivals(server.id(), from, limit_window);
+    const auto most =
+        fixture.request_ledger.max_arrivals(server.id(), from, limit_window, excluded);
     INFO(server.id() << " named " << limit << " a second and got " << most << " in 4 s");
     CHECK(most <= allowed_arrivals(limit));
 }
 
+void check_use(limit_fixture& fixture, const soak_backend& server, time_point from) {
+    constexpr double min_used_share = 0.9;
+    const auto now = fixture.clock.now();
+    const auto seconds = static_cast<double>((now - from).count()) / 1'000;
+    const auto got = fixture.request_ledger.count_arrivals(server.id(), from, now);
+    INFO(server.id() << " got " << got << " in " << seconds << " s");
+    CHECK(static_cast<double>(got) >=
+          min_used_share * server.faults.request_limit.value_or(0) * seconds);
+}
+
 } // namespace
 
 TEST_CASE("a backend server gets no more requests than the limit that it names") {
@@ -107,21 +121,40 @@
 
 TEST_CASE("a service whose servers all name a limit gets it, and no more") {
     limit_fixture fixture({4, 1, 2});
-    constexpr double limit = 5.0;
-    constexpr duration measured{8'000};
-    constexpr double min_used_share = 0.9;
-    std::vector<soak_backend*> desks{&fixture.backend(1), &fixture.backend(2)};
+    const std::vector<soak_backend*> desks{&fixture.backend(1), &fixture.backend(2)};
     for (auto* each : desks) {
-        each->faults.request_limit = limit;
+        each->faults.request_limit = 5.0;
     }
     fixture.advance(settling_time);
     const auto from = fixture.clock.now();
-    fixture.advance(measured);
+    fixture.advance(duration{8'000});
     for (const auto* each : desks) {
         check_limit(fixture, *each, from);
-        const auto got = fixture.request_ledger.count_arrivals(each->id(), from, from + measured);
-        INFO(each->id() << " got " << got << " in 8 s");
-        CHECK(static_cast<double>(got) >=
-              min_used_share * limit * static_cast<double>(measured.count()) / 1'000);
+        check_use(fixture, *each, from);
+    }
+}
+
+TEST_CASE("a limit is kept by the other gateways while one is killed or paused, then by all") {
+    limit_fixture fixture({4, 1, 2});
+    const std::vector<soak_backend*> desks{&fixture.backend(1), &fixture.backend(2)};
+    for (auto* each : desks) {
+        each->faults.request_limit = 5.0;
+    }
+    fixture.advance(settling_time);
+    const auto from = fixture.clock.now();
+    auto& gateways = fixture.world.entries();
+    gateways[0].process->kill(fixture.clock.now(), duration{500});
+    fixture.advance(duration{4'000});
+    gateways[1].process->pause(fixture.clock.now(), duration{3'000});
+    fixture.advance(duration{4'000});
+    for (const auto* each : desks) {
+        check_limit(fixture, *each, from, {0, 1});
+    }
+    fixture.advance(settling_time);
+    const auto recovered = fixture.clock.now();
+    fixture.advance(duration{6'000});
+    for (const auto* each : desks) {
+        check_limit(fixture, *each, recovered);
+        check_use(fixture, *each, recovered);
     }
 }
