Grant permits for requests that may come only while none waits

What callers could see: under load, requests that could have been served by a limited server were refused as too late. Cause, found by reading: a gateway that would have used a permit asked for one like those that requests wait for, so at many gateways such wishes stood ahead of waiting requests in the granter's queue, and counted in its estimates. They are now stated apart and served from a queue of their own when nobody waits, and only a request that was placed elsewhere raises one, not one that was refused.

Test: 50 gateways that would use a permit and one with a waiting request: its estimate is 2.2 s at most at 1 a second, and it gets the first permit.

--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -152,6 +152,7 @@
         request.set_session(each.session);
         request.set_received(each.received);
         request.set_wanted(each.wanted);
+        request.set_spare(each.spare);
     }
 }
 
@@ -160,12 +161,12 @@
     serving::permit_requests out;
     for (const auto& each : in.requests()) {
         if (std::isfinite(each.limit_per_s()) && each.limit_per_s() >= 0) {
-            const auto wanted = std::min(each.wanted(), max_wanted_permits);
             out.requests.push_back({{each.backend_id(), each.born()},
                                     each.limit_per_s(),
                                     each.session(),
                                     each.received(),
-                                    wanted});
+                                    std::min(each.wanted(), max_wanted_permits),
+                                    std::min(each.spare(), max_wanted_permits)});
         }
     }
     return out;
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -65,7 +65,7 @@
 }
 
 peer_message permit_requests_message() {
-    const serving::permit_requests requests{{{{"e3", 98}, 1.5, 4'000, 7, 2}}};
+    const serving::permit_requests requests{{{{"e3", 98}, 1.5, 4'000, 7, 2, 1}}};
     return {"10.0.0.1:7600", 5, 11, requests, {"dc-2", 90, true}, {}};
 }
 
--- a/libs/serving/include/serving/permit_granter.h
+++ b/libs/serving/include/serving/permit_granter.h
@@ -41,7 +41,8 @@
 
 /**
  * Grants the permits of limited servers from one token bucket for each server, to the gateways in
- * the order of their requests. A bucket starts empty. Deterministic. Not thread safe.
+ * the order of their requests; spare permits come after all others. A bucket starts empty.
+ * Deterministic. Not thread safe.
  */
 class permit_granter {
 public:
@@ -77,7 +78,8 @@
     struct applicant {
         std::uint64_t session = 0;
         std::uint64_t granted = 0;
-        std::uint32_t queued = 0; /**< Its entries in the queue. */
+        std::uint32_t queued = 0;       /**< Its entries in the queue. */
+        std::uint32_t queued_spare = 0; /**< Its entries in the queue of spare permits. */
         time_point requested_at;
         bool is_reply_due = false;
     };
@@ -87,15 +89,19 @@
         time_point refilled_at; /**< May be in the future: nothing accrues before. */
         time_point requested_at;
         std::map<std::string, applicant> applicants; // by gateway
-        std::deque<std::string> queue;               // one entry for each permit that is wanted
+        std::deque<std::string> queue; // gateways, one entry for each permit that is wanted
+        std::deque<std::string> spare_queue;
     };
 
     double rate_of(const bucket& target) const;
     void refill(bucket& target, time_point now) const;
     /** Time from now on until `permits` have accrued. */
     duration time_until(const bucket& target, double permits, time_point now) const;
-    static void set_queued(bucket& target, const std::string& gateway, applicant& owner,
-                           std::uint32_t queued);
+    static void set_queued(std::deque<std::string>& queue, const std::string& gateway,
+                           std::uint32_t& count, std::uint64_t wanted);
+    static void clear_queued(bucket& target, const std::string& gateway, applicant& owner);
+    /** The gateway that gets the next permit, removed from its queue. */
+    static applicant& take_next(bucket& target);
     void remove_expired(bucket& target, time_point now) const;
 
     permit_granter_settings settings_;
--- a/libs/serving/include/serving/permit_holder.h
+++ b/libs/serving/include/serving/permit_holder.h
@@ -17,7 +17,7 @@
         permits can then use only about one more than the limit at the same time. */
     duration min_permit_lifetime{100};
     duration max_permit_lifetime{2'000};
-    /** A gateway that would have used a permit wants one for this time. */
+    /** A gateway that would have used a permit wants a spare one for this time. */
     duration interest_duration{500};
     /** Time between requests that repeat the last one. */
     duration request_interval{200};
@@ -101,8 +101,11 @@
     static duration wait_in_queue(const stock& target, duration step,
                                   std::optional<std::uint32_t> position);
 
-    static std::size_t available(const stock& target, time_point now);
+    static std::uint32_t available(const stock& target, time_point now);
+    /** Permits wanted for waiting requests. */
     static std::uint32_t wanted(const stock& target, time_point now);
+    /** Permits wanted for requests that may come. */
+    static std::uint32_t wanted_spare(const stock& target, time_point now);
 
     permit_holder_settings settings_;
     std::map<server_process, stock> stocks_;
--- a/libs/serving/include/serving/permit_messages.h
+++ b/libs/serving/include/serving/permit_messages.h
@@ -24,7 +24,9 @@
     /** Identifies the sender's dealings with this granter; larger is later. */
     std::uint64_t session = 0;
     std::uint64_t received = 0; /**< Permits received in this session. */
-    std::uint32_t wanted = 0;   /**< Permits wanted beyond those received. */
+    std::uint32_t wanted = 0;   /**< Permits for waiting requests, beyond those received. */
+    /** Permits for requests that may come; granted while no request of any gateway waits. */
+    std::uint32_t spare = 0;
 
     friend bool operator==(const permit_request&, const permit_request&) = default;
 };
@@ -36,7 +38,7 @@
     std::uint64_t granted = 0; /**< Permits granted in this session. */
     /** Estimated time until the next permit that the receiver wants is granted. */
     duration first_wait{};
-    /** Estimated time until one more permit than all gateways want now would be granted. */
+    /** Estimated time until one more permit than all waiting requests want would be granted. */
     duration next_wait{};
 
     friend bool operator==(const permit_grant&, const permit_grant&) = default;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -89,9 +89,6 @@
     wanted.waiting_backend_id = entry.backend_id;
     wanted.position = limits_.all().empty() ? 0 : waiting_ahead(id, entry);
     const auto chosen = placement_chooser_.choose(backends_, permits_, wanted, now);
-    if (chosen.interest) {
-        permits_.on_interest(*chosen.interest, now);
-    }
     if (const auto* none = std::get_if<no_placement>(&chosen.target)) {
         end_without_placement(id, entry, *none, now);
         return;
@@ -106,6 +103,9 @@
                                                    : with_jitter(excess));
         return;
     }
+    if (chosen.interest) {
+        permits_.on_interest(*chosen.interest, now);
+    }
     if (target->is_ready) {
         send(id, entry, *target, now);
     } else {
--- a/libs/serving/src/permit_granter.cpp
+++ b/libs/serving/src/permit_granter.cpp
@@ -43,17 +43,31 @@
     return std::max(target.refilled_at - now, duration::zero()) + accrual;
 }
 
-void permit_granter::set_queued(bucket& target, const std::string& gateway, applicant& owner,
-                                std::uint32_t queued) {
-    for (; owner.queued < queued; ++owner.queued) {
-        target.queue.push_back(gateway);
+void permit_granter::set_queued(std::deque<std::string>& queue, const std::string& gateway,
+                                std::uint32_t& count, std::uint64_t wanted) {
+    for (; count < wanted; ++count) {
+        queue.push_back(gateway);
     }
-    for (; owner.queued > queued; --owner.queued) {
-        const auto last = std::find(target.queue.rbegin(), target.queue.rend(), gateway);
-        target.queue.erase(std::next(last).base());
+    for (; count > wanted; --count) {
+        const auto last = std::find(queue.rbegin(), queue.rend(), gateway);
+        queue.erase(std::next(last).base());
     }
 }
 
+void permit_granter::clear_queued(bucket& target, const std::string& gateway, applicant& owner) {
+    set_queued(target.queue, gateway, owner.queued, 0);
+    set_queued(target.spare_queue, gateway, owner.queued_spare, 0);
+}
+
+permit_granter::applicant& permit_granter::take_next(bucket& target) {
+    const bool is_spare = target.queue.empty();
+    auto& queue = is_spare ? target.spare_queue : target.queue;
+    auto& receiver = target.applicants.at(queue.front());
+    queue.pop_front();
+    --(is_spare ? receiver.queued_spare : receiver.queued);
+    return receiver;
+}
+
 void permit_granter::on_request(const std::string& gateway, const permit_request& request,
                                 time_point grants_from, time_point now) {
     const auto [found, is_new] = buckets_.try_emplace(request.server);
@@ -68,15 +82,17 @@
         return;
     }
     if (request.session > sender.session) {
-        set_queued(target, gateway, sender, 0);
+        clear_queued(target, gateway, sender);
         sender.session = request.session;
         sender.granted = 0;
     }
     // This granter may have restarted and lost its count.
     sender.granted = std::max(sender.granted, request.received);
     const auto under_way = sender.granted - request.received;
-    const auto wanted = request.wanted > under_way ? request.wanted - under_way : 0;
-    set_queued(target, gateway, sender, static_cast<std::uint32_t>(wanted));
+    const auto for_waiting = std::min<std::uint64_t>(under_way, request.wanted);
+    const auto for_spare = std::min<std::uint64_t>(under_way - for_waiting, request.spare);
+    set_queued(target.queue, gateway, sender.queued, request.wanted - for_waiting);
+    set_queued(target.spare_queue, gateway, sender.queued_spare, request.spare - for_spare);
     sender.requested_at = now;
     sender.is_reply_due = true;
 }
@@ -102,7 +118,7 @@
 void permit_granter::remove_expired(bucket& target, time_point now) const {
     for (auto& [gateway, each] : target.applicants) {
         if (now - each.requested_at >= settings_.request_expiry) {
-            set_queued(target, gateway, each, 0);
+            clear_queued(target, gateway, each);
         }
     }
     std::erase_if(target.applicants, [&](const auto& each) {
@@ -118,13 +134,12 @@
     for (auto& [server, target] : buckets_) {
         remove_expired(target, now);
         refill(target, now);
-        while (!target.queue.empty() && target.level >= 1 - rounding_tolerance) {
-            auto& receiver = target.applicants.at(target.queue.front());
-            target.queue.pop_front();
+        const auto is_wanted = [&] { return !target.queue.empty() || !target.spare_queue.empty(); };
+        while (is_wanted() && target.level >= 1 - rounding_tolerance) {
+            auto& receiver = take_next(target);
             target.level -= 1;
             ++granted_permits_;
             ++receiver.granted;
-            --receiver.queued;
             receiver.is_reply_due = true;
         }
         const auto next_wait =
@@ -146,7 +161,7 @@
     std::optional<time_point> earliest;
     for (const auto& each : buckets_) {
         const auto& target = each.second;
-        if (!target.queue.empty()) {
+        if (!target.queue.empty() || !target.spare_queue.empty()) {
             const auto at = target.refilled_at + time_until(target, 1, target.refilled_at);
             earliest = std::min(earliest.value_or(at), at);
         }
--- a/libs/serving/src/permit_holder.cpp
+++ b/libs/serving/src/permit_holder.cpp
@@ -23,16 +23,18 @@
 
 } // namespace
 
-std::size_t permit_holder::available(const stock& target, time_point now) {
-    return static_cast<std::size_t>(std::count_if(target.expiries.begin(), target.expiries.end(),
-                                                  [&](time_point each) { return each > now; }));
+std::uint32_t permit_holder::available(const stock& target, time_point now) {
+    return static_cast<std::uint32_t>(std::count_if(target.expiries.begin(), target.expiries.end(),
+                                                    [&](time_point each) { return each > now; }));
 }
 
 std::uint32_t permit_holder::wanted(const stock& target, time_point now) {
-    const std::uint32_t interest = target.interest_until > now ? 1 : 0;
-    const auto needed = std::max(target.waiting, interest);
-    const auto in_stock = static_cast<std::uint32_t>(available(target, now));
-    return needed > in_stock ? needed - in_stock : 0;
+    return target.waiting - std::min(target.waiting, available(target, now));
+}
+
+std::uint32_t permit_holder::wanted_spare(const stock& target, time_point now) {
+    const bool is_used_up = available(target, now) <= target.waiting;
+    return target.interest_until > now && is_used_up ? 1 : 0;
 }
 
 bool permit_holder::has_permit(const server_process& server, time_point now) const {
@@ -81,7 +83,9 @@
     const auto arrived = std::min(grant.granted - target.received, max_permits_per_grant);
     target.expiries.insert(target.expiries.end(), arrived, now + lifetime);
     target.received = grant.granted;
-    target.interest_until = {};
+    if (available(target, now) > target.waiting) {
+        target.interest_until = {};
+    }
     return true;
 }
 
@@ -113,18 +117,20 @@
     auto& target = found->second;
     std::erase_if(target.expiries, [&](time_point each) { return each <= now; });
     const auto count = wanted(target, now);
-    const auto total = target.received + count;
+    const auto spare = wanted_spare(target, now);
+    const auto total = target.received + count + spare;
     const bool is_changed = total != target.stated_total;
-    const bool is_repeat_due = count > 0 && now - target.requested_at >= settings_.request_interval;
+    const bool is_repeat_due =
+        count + spare > 0 && now - target.requested_at >= settings_.request_interval;
     if (!is_changed && !is_repeat_due) {
         return std::nullopt;
     }
     target.stated_total = total;
     target.requested_at = now;
-    if (count > 0 && target.unanswered_since == time_point{}) {
+    if (count + spare > 0 && target.unanswered_since == time_point{}) {
         target.unanswered_since = now;
     }
-    return permit_request{server, limit_per_s, target.session, target.received, count};
+    return permit_request{server, limit_per_s, target.session, target.received, count, spare};
 }
 
 duration permit_holder::wait_in_queue(const stock& target, duration step,
@@ -179,8 +185,9 @@
 }
 
 bool permit_holder::wants_permits(time_point now) const {
-    return std::any_of(stocks_.begin(), stocks_.end(),
-                       [&](const auto& each) { return wanted(each.second, now) > 0; });
+    return std::any_of(stocks_.begin(), stocks_.end(), [&](const auto& each) {
+        return wanted(each.second, now) + wanted_spare(each.second, now) > 0;
+    });
 }
 
 } // namespace camphorgrade::serving
--- a/libs/serving/tests/test_permit_exchange.cpp
+++ b/libs/serving/tests/test_permit_exchange.cpp
@@ -327,3 +327,21 @@
     check_most(tested, 0, at_ms(0));
     CHECK(tested.arrivals(from, tested.now()) >= 4);
 }
+
+TEST_CASE("permits for requests that may come don't delay requests that wait") {
+    permit_granter granter({});
+    constexpr int interested = 50;
+    for (int i = 0; i < interested; ++i) {
+        granter.on_request("g" + std::to_string(i), {server, 1, 1, 0, 0, 1}, at_ms(0), at_ms(0));
+    }
+    granter.on_request("waiting", {server, 1, 1, 0, 1, 0}, at_ms(0), at_ms(1));
+    for (const auto& each : granter.advance(at_ms(1))) {
+        CHECK(each.grant.next_wait <= duration{2'200});
+        CHECK(each.grant.granted == 0);
+    }
+    granter.on_request("waiting", {server, 1, 1, 0, 1, 0}, at_ms(0), at_ms(500));
+    const auto granted = granter.advance(at_ms(1'060));
+    REQUIRE(granted.size() == 1);
+    CHECK(granted.front().to == "waiting");
+    CHECK(granted.front().grant.granted == 1);
+}
