Make the permit code clean for the linter

No behaviour changes: a vector is reserved, a lambda that captured a structured binding (an error in clang) is a function, and three returned values are no longer const.

--- a/libs/serving/include/serving/permit_granter.h
+++ b/libs/serving/include/serving/permit_granter.h
@@ -100,6 +100,10 @@
     static void set_queued(std::deque<std::string>& queue, const std::string& gateway,
                            std::uint32_t& count, std::uint64_t wanted);
     static void clear_queued(bucket& target, const std::string& gateway, applicant& owner);
+    /** Whether any gateway wants a permit. */
+    static bool is_wanted(const bucket& target) {
+        return !target.queue.empty() || !target.spare_queue.empty();
+    }
     /** The gateway that gets the next permit, removed from its queue. */
     static applicant& take_next(bucket& target);
     void remove_expired(bucket& target, time_point now) const;
--- a/libs/serving/src/permit_exchange.cpp
+++ b/libs/serving/src/permit_exchange.cpp
@@ -178,6 +178,7 @@
         }
     }
     std::vector<permit_message> out;
+    out.reserve(requests.size() + grants.size());
     for (auto& [to, body] : requests) {
         out.push_back({to, std::move(body)});
     }
--- a/libs/serving/src/permit_granter.cpp
+++ b/libs/serving/src/permit_granter.cpp
@@ -134,8 +134,7 @@
     for (auto& [server, target] : buckets_) {
         remove_expired(target, now);
         refill(target, now);
-        const auto is_wanted = [&] { return !target.queue.empty() || !target.spare_queue.empty(); };
-        while (is_wanted() && target.level >= 1 - rounding_tolerance) {
+        while (is_wanted(target) && target.level >= 1 - rounding_tolerance) {
             auto& receiver = take_next(target);
             target.level -= 1;
             ++granted_permits_;
@@ -161,7 +160,7 @@
     std::optional<time_point> earliest;
     for (const auto& each : buckets_) {
         const auto& target = each.second;
-        if (!target.queue.empty() || !target.spare_queue.empty()) {
+        if (is_wanted(target)) {
             const auto at = target.refilled_at + time_until(target, 1, target.refilled_at);
             earliest = std::min(earliest.value_or(at), at);
         }
--- a/libs/serving/src/server_limits.cpp
+++ b/libs/serving/src/server_limits.cpp
@@ -56,7 +56,7 @@
     CAMPHOR_PRECONDITION(is_valid(limit));
     const auto known = limits_.find(server);
     const bool is_newer = known == limits_.end() || sent >= known->second.confirmed_at;
-    const auto change = apply(server, limit, is_newer, now);
+    auto change = apply(server, limit, is_newer, now);
     const auto in_force = find(server);
     const bool was_applied =
         limit ? in_force && in_force->requests_per_s == *limit : change.has_value();
@@ -85,7 +85,7 @@
     }
     const bool is_newer = known == limits_.end() ||
                           observed_at - settings_.max_report_delay > known->second.confirmed_at;
-    const auto change = apply(report.server, report.requests_per_s, is_newer, observed_at);
+    auto change = apply(report.server, report.requests_per_s, is_newer, observed_at);
     if (change) {
         observations_.erase(report.server); // outdated
     }
--- a/libs/serving/tests/test_limited_servers.cpp
+++ b/libs/serving/tests/test_limited_servers.cpp
@@ -22,7 +22,7 @@
     std::string name_limit(double limit, std::int64_t ms, const std::string& path = "/book/x",
                            const std::string& adapter = {}) {
         const auto id = arrive(profile_of(path, adapter), ms);
-        const auto server = decisions.backend_of(id);
+        auto server = decisions.backend_of(id);
         decisions.on_response_head(id, naming(limit), at_ms(ms + 1));
         decisions.take_effects();
         ended(id, attempt_outcome::completed, ms + 2);
