Attribute a limit to the process that its request was sent to

What callers could see: a server that has restarted under its id was held to the limit of the process before, until one of its own responses came. Cause: a late response was attributed to whatever process was registered when it arrived.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -301,6 +301,7 @@
         phase state = phase::placing;
         bool has_first_byte = false;
         std::string backend_id;
+        server_process sent_to; /**< Process that the request was last sent to. */
         versioned_weights weights;
         std::set<std::string> excluded;
     };
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -164,13 +164,11 @@
 
 void dispatcher::record_limit(request_handle id, const request& entry,
                               const response_metadata& head, time_point now) {
-    const auto* view = backends_.find(entry.backend_id);
     // A value that can't be parsed is no evidence that the limit has ended.
-    if (view == nullptr || head.has_invalid_request_limit) {
+    if (head.has_invalid_request_limit) {
         return;
     }
-    const auto change =
-        limits_.on_response(view->server.process(), head.request_limit, entry.sent, now);
+    const auto change = limits_.on_response(entry.sent_to, head.request_limit, entry.sent, now);
     if (change) {
         on_limit_changed({id, {}, *change}, now);
     }
@@ -268,6 +266,7 @@
     entry.state = phase::sent;
     entry.has_first_byte = false;
     entry.backend_id = target.backend_id;
+    entry.sent_to = view->server.process();
     entry.weights = {entry.metadata.weights_name(), entry.version};
     entry.sent = now;
     entry.uncached =
--- a/libs/serving/tests/test_server_limits.cpp
+++ b/libs/serving/tests/test_server_limits.cpp
@@ -68,6 +68,18 @@
     CHECK(test.decisions.limits().all().empty());
 }
 
+TEST_CASE("a late response of an earlier process doesn't limit its successor") {
+    dispatcher_fixture test;
+    const auto id = test.arrive(profile_of("/book/x"), 0);
+    auto next = server_of(test.decisions.backend_of(id), "desk");
+    next.started_at_ms = 2'000;
+    test.decisions.backends().put(next);
+    response_metadata head;
+    head.request_limit = 1.5;
+    test.decisions.on_response_head(id, head, at_ms(10));
+    CHECK_FALSE(test.decisions.limits().find(next.process()).has_value());
+}
+
 TEST_CASE("a limit that can't be parsed changes nothing") {
     dispatcher_fixture test;
     const auto id = test.arrive(profile_of("/book/x"), 0);
