--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -113,14 +113,6 @@
     }
 }
 
-std::uint32_t dispatcher::waiting_ahead(request_handle id, const request& entry) const {
-    return static_cast<std::uint32_t>(
-        std::count_if(requests_.begin(), requests_.lower_bound(id), [&](const auto& each) {
-            return each.second.state == phase::waiting &&
-                   each.second.backend_id == entry.backend_id;
-        }));
-}
-
 void dispatcher::end_without_placement(request_handle id, request& entry,
                                        const no_placement& no_target, time_point now) {
     const auto reason = entry.refusals > 0       ? end_reason::refused
@@ -162,84 +154,6 @@
     }
 }
 
-void dispatcher::record_limit(request_handle id, const request& entry,
-                              const response_metadata& head, time_point now) {
-    // A value that can't be parsed is no evidence that the limit has ended.
-    if (head.has_invalid_request_limit) {
-        return;
-    }
-    const auto change = limits_.on_response(entry.sent_to, head.request_limit, entry.sent, now);
-    if (change) {
-        on_limit_changed({id, {}, *change}, now);
-    }
-}
-
-void dispatcher::on_limit_report(const std::string& peer, const limit_report& report,
-                                 time_point now) {
-    if (const auto change = limits_.on_report(report, now)) {
-        on_limit_changed({0, peer, *change}, now);
-    }
-}
-
-void dispatcher::on_limit_changed(limit_changed effect, time_point now) {
-    const auto server = effect.change.server;
-    permits_.on_limit_changed(server, now);
-    effects_.emplace_back(std::move(effect));
-    send_waiting_requests(server.id, now);
-}
-
-permit_demand dispatcher::waiting_for_permits() const {
-    permit_demand out;
-    if (limits_.all().empty()) {
-        return out;
-    }
-    for (const auto& [id, each] : requests_) {
-        const auto* view = each.state == phase::waiting ? backends_.find(each.backend_id) : nullptr;
-        if (view != nullptr && limits_.find(view->server.process())) {
-            ++out[view->server.process()];
-        }
-    }
-    return out;
-}
-
-std::vector<permit_message> dispatcher::exchange_permits(time_point now) {
-    std::map<server_process, time_point> previous_replies;
-    const auto demand = waiting_for_permits();
-    for (const auto& each : demand) {
-        previous_replies[each.first] = permits_.last_reply_at(each.first);
-    }
-    std::vector<server_process> replied;
-    auto messages = permits_.advance(demand, replied, now);
-    for (const auto& each : replied) {
-        on_permit_reply(each, previous_replies[each], now);
-    }
-    return messages;
-}
-
-void dispatcher::on_permit_grants(const std::string& peer, const permit_grants& grants,
-                                  time_point now) {
-    std::map<server_process, time_point> previous_replies;
-    for (const auto& each : grants.grants) {
-        previous_replies[each.server] = permits_.last_reply_at(each.server);
-    }
-    for (const auto& each : permits_.on_grants(peer, grants, now)) {
-        on_permit_reply(each, previous_replies[each], now);
-    }
-}
-
-void dispatcher::on_permit_reply(const server_process& server, time_point previous_reply,
-                                 time_point now) {
-    send_waiting_requests(server.id, now);
-    for (auto& [id, each] : requests_) {
-        const bool is_unestimated = each.state == phase::waiting && each.backend_id == server.id &&
-                                    each.placed > previous_reply && each.placed < now;
-        if (is_unestimated) {
-            detach_from_backend(each);
-            place(id, each, now);
-        }
-    }
-}
-
 void dispatcher::send_waiting_requests(const std::string& backend_id, time_point now) {
     const auto* view = backends_.find(backend_id);
     if (view == nullptr || !backend_registry::accepts_requests(*view, now)) {
@@ -476,14 +390,6 @@
     erase_ended_limits(now);
 }
 
-void dispatcher::erase_ended_limits(time_point now) {
-    const auto is_current = [&](const server_process& server) -> std::optional<bool> {
-        const auto* view = backends_.find(server.id);
-        return view == nullptr ? std::nullopt : std::optional(view->server.process() == server);
-    };
-    limits_.erase_ended(is_current, now);
-}
-
 std::vector<dispatch_effect> dispatcher::take_effects() {
     return std::exchange(effects_, {});
 }
