--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -32,9 +32,16 @@
 /** Why a call ended without a complete response. */
 enum class upstream_failure : std::uint8_t {
     not_connected, /**< No connection was established, so nothing was sent. */
-    broken         /**< The request may have been sent; the response is incomplete. */
+    // For those below, the request may have been sent, and the response is incomplete.
+    closed,    /**< The server closed the connection. */
+    reset,     /**< The connection was reset, or failed in another way. */
+    timed_out, /**< The response wasn't complete in time. */
+    malformed  /**< What the server sent isn't a valid response, or exceeds a limit. */
 };
 
+/** Name of a failure in logs and metrics. */
+std::string_view to_string(upstream_failure failure) noexcept;
+
 /** The request of one call. */
 struct upstream_request {
     std::string method;
@@ -53,6 +60,9 @@
 struct upstream_framing {
     bool has_length = false;  /**< Whether the response has a Content-Length. */
     std::uint64_t length = 0; /**< In bytes; 0 if `has_length` is false. */
+    /** Whether the body ends when the server closes the connection, so that a body that is cut
+        there can't be told from a complete one. */
+    bool ends_with_connection = false;
 
     friend bool operator==(const upstream_framing&, const upstream_framing&) = default;
 };
@@ -87,7 +97,7 @@
     virtual ~upstream_call() = default;
 
     /**
-     * Fails the call with `upstream_failure::broken` if its response isn't complete after
+     * Fails the call with `upstream_failure::timed_out` if its response isn't complete after
      * `timeout`. Has no effect on a call that has ended.
      */
     virtual void set_timeout(duration timeout) = 0;
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -48,8 +48,38 @@
     return head;
 }
 
+/** Why a call failed whose response could not be read because of `error`. */
+upstream_failure failure_of(const boost::system::error_code& error) {
+    if (error == http::error::end_of_stream || error == http::error::partial_message ||
+        error == boost::asio::error::eof) {
+        return upstream_failure::closed;
+    }
+    if (error == boost::asio::error::timed_out) {
+        return upstream_failure::timed_out;
+    }
+    const bool is_invalid =
+        error.category() == http::make_error_code(http::error::bad_method).category();
+    return is_invalid ? upstream_failure::malformed : upstream_failure::reset;
+}
+
 } // namespace
 
+std::string_view to_string(upstream_failure failure) noexcept {
+    switch (failure) {
+    case upstream_failure::not_connected:
+        return "not_connected";
+    case upstream_failure::closed:
+        return "closed";
+    case upstream_failure::reset:
+        return "reset";
+    case upstream_failure::timed_out:
+        return "timed_out";
+    case upstream_failure::malformed:
+        return "malformed";
+    }
+    return "unknown";
+}
+
 upstream_pool::connection::connection(std::shared_ptr<state> shared, upstream_address to)
     : shared_(std::move(shared)), address_(std::move(to)), socket_(shared_->loop),
       timer_(shared_->loop), input_(shared_->settings.max_unparsed_bytes) {}
@@ -95,7 +125,7 @@
     timer_.async_wait([weak = weak_from_this(), number](const boost::system::error_code& error) {
         const auto self = weak.lock();
         if (!error && self && self->sink_ != nullptr && self->call_number_ == number) {
-            self->fail(upstream_failure::broken);
+            self->fail(upstream_failure::timed_out);
         }
     });
 }
@@ -174,7 +204,7 @@
         return;
     }
     if (error) {
-        fail(upstream_failure::broken);
+        fail(failure_of(error));
         return;
     }
     const bool is_interim = static_cast<int>(parser_->get().result_int()) < first_final_status;
@@ -188,6 +218,7 @@
     const auto length = parser_->content_length();
     framing.has_length = static_cast<bool>(length);
     framing.length = length.value_or(0);
+    framing.ends_with_connection = parser_->need_eof();
     sink_->on_head(copy_head(parser_->get(), parser_->get().result_int()), framing);
     if (!is_closed_) {
         begin_body();
@@ -196,7 +227,7 @@
 
 void upstream_pool::connection::skip_response() {
     if (++skipped_responses_ > shared_->settings.max_skipped_responses) {
-        fail(upstream_failure::broken);
+        fail(upstream_failure::malformed);
     } else if (is_unrelated_response_) {
         begin_body();
     } else {
@@ -236,14 +267,14 @@
         return;
     }
     if (error && error != http::error::need_buffer) {
-        fail(upstream_failure::broken);
+        fail(failure_of(error));
         return;
     }
     const std::size_t byte_count = body_.size() - parser_->get().body().size;
     if (is_unrelated_response_) {
         skipped_bytes_ += byte_count;
         if (skipped_bytes_ > shared_->settings.max_skipped_bytes) {
-            fail(upstream_failure::broken);
+            fail(upstream_failure::malformed);
         }
     } else if (byte_count > 0) {
         sink_->on_body({body_.data(), byte_count});
--- a/libs/edge/tests/test_endless_answers.cpp
+++ b/libs/edge/tests/test_endless_answers.cpp
@@ -55,7 +55,7 @@
             server.read_until("body");
             server.send(each.prefix);
             CHECK(server.send_endlessly(each.repeated, max_sent_bytes) < max_accepted_bytes);
-            CHECK(wait_for_end(sink).failure == upstream_failure::broken);
+            CHECK(wait_for_end(sink).failure == upstream_failure::malformed);
             fixture.start("r2");
             auto new_connection = fixture.accept(); // the first connection isn't reused
             CHECK(new_connection.read_until("body").find("X-Id: r2") != std::string::npos);
@@ -101,5 +101,5 @@
     server.send(ok_head + "Content-Length: 10\r\n\r\n123");
     sink.head_promise.get_future().wait();
     fixture.thread.run([&] { fixture.calls.back()->set_timeout(duration{50}); });
-    CHECK(wait_for_end(sink).failure == upstream_failure::broken);
+    CHECK(wait_for_end(sink).failure == upstream_failure::timed_out);
 }
--- a/libs/edge/tests/test_upstream_pool.cpp
+++ b/libs/edge/tests/test_upstream_pool.cpp
@@ -58,6 +58,7 @@
 }
 
 TEST_CASE("a truncated response fails the call") {
+    auto expected = upstream_failure::closed;
     upstream_fixture fixture;
     auto& sink = fixture.start();
     auto server = fixture.accept();
@@ -75,14 +76,16 @@
         server.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\npart");
         sink.head_promise.get_future().wait();
         server.reset();
+        expected = upstream_failure::reset;
     }
     SECTION("before its head") {
         server.close();
     }
     SECTION("by bytes that are no HTTP response") {
         server.send("nonsense\r\n\r\n");
+        expected = upstream_failure::malformed;
     }
-    CHECK(wait_for_end(sink).failure == upstream_failure::broken);
+    CHECK(wait_for_end(sink).failure == expected);
 }
 
 TEST_CASE("a response without Content-Length is complete after an orderly close") {
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -53,6 +53,8 @@
     serving::dispatcher& dispatcher() override { return dispatcher_; }
     void on_response_head(serving::request_handle request,
                           const serving::response_metadata& response) override;
+    void on_stream_attempt(serving::request_handle request,
+                           const stream_attempt_report& report) override;
     void on_attempt_ended(serving::request_handle request,
                           serving::attempt_outcome outcome) override;
     void on_request_finished(serving::request_handle request, int status) override;
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -22,6 +22,28 @@
 constexpr std::size_t max_refusal_bytes = std::size_t{64} * 1024;
 constexpr duration refusal_body_timeout{300};
 
+body_end body_end_of(edge::upstream_failure failure) {
+    switch (failure) {
+    case edge::upstream_failure::not_connected:
+    case edge::upstream_failure::reset:
+        return body_end::reset;
+    case edge::upstream_failure::closed:
+        return body_end::closed;
+    case edge::upstream_failure::timed_out:
+        return body_end::timed_out;
+    case edge::upstream_failure::malformed:
+        return body_end::malformed;
+    }
+    return body_end::reset;
+}
+
+body_end body_end_of(const edge::upstream_framing& framing) {
+    if (framing.has_length) {
+        return body_end::complete_length;
+    }
+    return framing.ends_with_connection ? body_end::end_with_connection : body_end::last_chunk;
+}
+
 bool is_success(int status) {
     return status >= status_ok && status < status_redirect;
 }
@@ -47,6 +69,8 @@
         metadata.resume_after = events_.last_event_id();
         events_.discard_incomplete_event();
     }
+    resumed_after_ = metadata.resume_after;
+    events_before_ = events_.event_count();
     edge::upstream_request request;
     request.method = caller_request.method;
     request.target = caller_request.target;
@@ -81,7 +105,7 @@
     }
     const bool is_acceptable = response_.is_sealed && !response_.is_encoded;
     if (is_success(head.status) && !is_acceptable) {
-        abort_attempt();
+        abort_attempt(body_end::cancelled);
         return;
     }
     body_mode_ =
@@ -104,7 +128,7 @@
     if (body_mode_ == body_mode::discard) {
         discarded_bytes_ += bytes.size();
         if (discarded_bytes_ > max_refusal_bytes) {
-            abort_attempt();
+            abort_attempt(body_end::cancelled);
         }
         return;
     }
@@ -112,7 +136,7 @@
     if (body_mode_ == body_mode::buffer) {
         buffered_.append(bytes);
         if (buffered_.size() > max_buffered_response_bytes) {
-            abort_attempt();
+            abort_attempt(body_end::cancelled);
         }
         return;
     }
@@ -120,7 +144,7 @@
     if (route != nullptr && route->is_retryable()) {
         forward(events_.append(bytes));
         if (events_.incomplete_event().size() > max_event_bytes) {
-            abort_attempt();
+            abort_attempt(body_end::cancelled);
         }
     } else {
         forward(bytes);
@@ -148,6 +172,7 @@
 
 void request_flow::on_end() {
     call_.reset();
+    report_stream(body_end_of(framing_));
     if (response_.has_not_run) {
         attempt_failed(refused_outcome());
         return;
@@ -181,14 +206,29 @@
 void request_flow::on_failure(edge::upstream_failure why) {
     if (why == edge::upstream_failure::not_connected) {
         call_.reset();
+        report_stream(body_end_of(why));
         attempt_failed(serving::attempt_outcome::unreachable);
     } else {
-        abort_attempt();
+        abort_attempt(body_end_of(why));
     }
 }
 
-void request_flow::abort_attempt() {
+void request_flow::report_stream(body_end end) {
+    if (body_mode_ != body_mode::stream && !resumed_after_) {
+        return;
+    }
+    stream_attempt_report report;
+    report.resumed_after = resumed_after_;
+    report.last_event_id = events_.last_event_id();
+    report.forwarded_events = events_.event_count() - events_before_;
+    report.incomplete_bytes = events_.incomplete_event().size();
+    report.end = end;
+    host_.on_stream_attempt(request_, report);
+}
+
+void request_flow::abort_attempt(body_end end) {
     call_.reset();
+    report_stream(end);
     // A response head that says "not run" is valid even if the body is incomplete.
     attempt_failed(response_.has_not_run ? refused_outcome()
                                          : serving::attempt_outcome::invalid_response);
@@ -204,7 +244,10 @@
 }
 
 void request_flow::finish(const serving::end_request& effect) {
-    call_.reset();
+    if (call_) {
+        call_.reset();
+        report_stream(body_end::cancelled);
+    }
     if (has_response_started_) {
         exchange_->abort();
         host_.on_request_finished(request_, 0);
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "sse_splitter.h"
+#include "stream_attempt_report.h"
 
 #include <edge/caller_exchange.h>
 #include <edge/upstream_pool.h>
@@ -30,6 +31,11 @@
     virtual void on_response_head(serving::request_handle request,
                                   const serving::response_metadata& response) = 0;
 
+    /** An attempt that had begun or resumed an event stream ended; called before
+        on_attempt_ended(). */
+    virtual void on_stream_attempt(serving::request_handle request,
+                                   const stream_attempt_report& report) = 0;
+
     /** An attempt ended; the host passes this to the dispatcher and executes its effects. */
     virtual void on_attempt_ended(serving::request_handle request,
                                   serving::attempt_outcome outcome) = 0;
@@ -96,7 +102,9 @@
     void forward(std::string_view bytes);
     void begin_response();
     void attempt_failed(serving::attempt_outcome outcome);
-    void abort_attempt();
+    void abort_attempt(body_end end);
+    /** Reports what the present attempt contributed, if it began or resumed an event stream. */
+    void report_stream(body_end end);
     /**
      * The outcome of an attempt that the backend server refused.
      * Precondition: the head of the present response says that the request didn't run.
@@ -120,6 +128,8 @@
     std::optional<server_error> server_error_; /**< Forwarded if no later attempt succeeds. */
     bool has_response_started_ = false;
     sse_splitter events_;
+    std::optional<std::uint64_t> resumed_after_; /**< Position of the present attempt. */
+    std::uint64_t events_before_ = 0;            /**< Forwarded by earlier attempts. */
 };
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/sse_splitter.cpp
+++ b/libs/entry/src/sse_splitter.cpp
@@ -31,6 +31,7 @@
         const auto newline = events.find('\n');
         auto line = events.substr(0, newline);
         events.remove_prefix(newline == std::string_view::npos ? events.size() : newline + 1);
+        event_count_ += line.empty() ? 1 : 0;
         if (line.substr(0, id_field.size()) != id_field) {
             continue;
         }
--- a/libs/entry/src/sse_splitter.h
+++ b/libs/entry/src/sse_splitter.h
@@ -28,11 +28,15 @@
     /** Id of the last complete event that had a numeric id. */
     std::optional<std::uint64_t> last_event_id() const noexcept { return last_event_id_; }
 
+    /** Number of complete events. */
+    std::uint64_t event_count() const noexcept { return event_count_; }
+
 private:
     void record_event_ids(std::string_view events);
 
     std::string pending_;
     std::optional<std::uint64_t> last_event_id_;
+    std::uint64_t event_count_ = 0;
 };
 
 } // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/stream_attempt_report.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace camphorgrade::entry {
+
+/** How the body of a response that was read from a backend server ended. */
+enum class body_end : std::uint8_t {
+    complete_length,     /**< All bytes of its declared length arrived. */
+    last_chunk,          /**< Its last chunk arrived. */
+    end_with_connection, /**< It has neither; the backend server closed the connection. */
+    closed,              /**< The backend server closed the connection too early. */
+    reset,               /**< The connection was reset, or failed in another way. */
+    timed_out,           /**< It wasn't complete in time. */
+    malformed,           /**< Bytes that are no valid response, or above a limit. */
+    cancelled            /**< The gateway stopped reading. */
+};
+
+/** Name of a body_end in logs and metrics. */
+std::string_view to_string(body_end end) noexcept;
+
+/** What one attempt contributed to an event stream. A value type. */
+struct stream_attempt_report {
+    std::optional<std::uint64_t> resumed_after; /**< Empty if it started the stream anew. */
+    std::optional<std::uint64_t> last_event_id; /**< Of the events forwarded so far. */
+    std::uint64_t forwarded_events = 0;         /**< By this attempt. */
+    std::size_t incomplete_bytes = 0;           /**< Of an event that was incomplete at the end. */
+    body_end end = body_end::cancelled;
+
+    friend bool operator==(const stream_attempt_report&, const stream_attempt_report&) = default;
+};
+
+} // namespace camphorgrade::entry
--- a/libs/entry/tests/request_flow_fixture.h
+++ b/libs/entry/tests/request_flow_fixture.h
@@ -169,6 +169,9 @@
         dispatcher_.on_response_head(id, head, now());
         execute_effects();
     }
+    void on_stream_attempt(serving::request_handle, const stream_attempt_report& report) override {
+        stream_attempts.push_back(report);
+    }
     void on_attempt_ended(serving::request_handle id, serving::attempt_outcome outcome) override {
         dispatcher_.on_attempt_ended(id, outcome, now());
         execute_effects();
@@ -192,6 +195,7 @@
     test_codec codec_;
     serving::dispatcher dispatcher_;
     received_response answer;
+    std::vector<stream_attempt_report> stream_attempts;
     std::unique_ptr<request_flow> flow;
     bool is_finished = false;
 };
