--- /dev/null
+++ b/libs/entry/tests/test_joined_streams.cpp
@@ -0,0 +1,105 @@
+// Guards against pieces of an event stream that no run made (incident ORDER).
+#include "request_flow_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <cstdio>
+
+using namespace camphorgrade;
+using namespace camphorgrade::entry;
+using kind = serving::request_kind;
+
+namespace {
+
+const std::string head = "HTTP/1.1 200 OK\r\nX-Seal: s\r\nContent-Type: text/event-stream\r\n";
+const std::string until_close = head + "Connection: close\r\n\r\n";
+const std::string with_length = head + "Content-Length: 400\r\n\r\n";
+const std::string chunked = head + "Transfer-Encoding: chunked\r\n\r\n";
+const std::string last_chunk = "0\r\n\r\n";
+
+std::string chunk(const std::string& bytes) {
+    std::array<char, 16> size{};
+    std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
+    return size.data() + bytes + "\r\n";
+}
+
+std::string event(int id, const std::string& data) {
+    return "id: " + std::to_string(id) + "\ndata: " + data + "\n\n";
+}
+
+const std::string second_run = event(1, "b1") + event(2, "b2");
+
+} // namespace
+
+TEST_CASE("a stream that breaks within its first event isn't joined with the next run") {
+    const auto partial =
+        GENERATE(as<std::string>{}, "i", "id: 1\n", "id: 1\ndata: a", "id: 1\ndata: a1\n", "\n");
+    const auto begin = GENERATE(as<std::string>{}, "length", "chunks");
+    const auto first = begin == "length" ? with_length + partial : chunked + chunk(partial);
+    flow_fixture context(kind::streaming, true, {first, until_close + second_run});
+    const auto response = context.run();
+    CHECK(response.body == second_run);
+    CHECK(response.is_finished);
+    REQUIRE(context.server.requests.size() == 2);
+    CHECK(context.server.requests[1].find("X-After") == std::string::npos);
+}
+
+TEST_CASE("a stream whose body ends within an event isn't complete") {
+    const auto cut = event(1, "a1") + "id: 2\ndata: a";
+    const auto first =
+        GENERATE_COPY(as<std::string>{}, until_close + cut, chunked + chunk(cut) + last_chunk,
+                      head + "Content-Length: " + std::to_string(cut.size()) + "\r\n\r\n" + cut);
+    SECTION("and continues at another server") {
+        flow_fixture context(kind::streaming, true, {first, until_close + event(2, "b2")});
+        const auto response = context.run();
+        CHECK(response.body == event(1, "a1") + event(2, "b2"));
+        CHECK(response.is_finished);
+        REQUIRE(context.server.requests.size() == 2);
+        CHECK(context.server.requests[1].find("X-After: 1") != std::string::npos);
+    }
+    SECTION("and is aborted after its whole events if it may not be resumed") {
+        flow_fixture context(kind::streaming, false, {first, until_close + event(2, "b2")});
+        const auto response = context.run();
+        CHECK(response.body == event(1, "a1"));
+        CHECK(response.is_aborted);
+        CHECK_FALSE(response.is_finished);
+        CHECK(context.server.requests.size() == 1);
+    }
+}
+
+TEST_CASE("a run that doesn't continue after the last forwarded event isn't joined") {
+    const auto first = with_length + event(1, "a1") + event(2, "a2");
+    const auto repeated =
+        GENERATE(as<std::string>{}, event(1, "b1") + event(2, "b2") + event(3, "b3"),
+                 event(2, "b2") + event(3, "b3"), "data: without an id\n\n" + event(3, "b3"));
+    flow_fixture context(kind::streaming, true, {first, until_close + repeated});
+    const auto response = context.run();
+    CHECK(response.body == event(1, "a1") + event(2, "a2"));
+    CHECK(response.is_aborted);
+    CHECK_FALSE(response.is_finished);
+}
+
+TEST_CASE("a stream whose position isn't known isn't resumed") {
+    const auto events = GENERATE(
+        as<std::string>{}, "data: without an id\n\n", event(1, "a1") + "data: without an id\n\n",
+        event(2, "a2") + event(1, "a1"), "id: one\ndata: a1\n\n", "id: 1x\ndata: a1\n\n",
+        "id: 99999999999999999999999\ndata: a1\n\n");
+    flow_fixture context(kind::streaming, true,
+                         {with_length + events + "data: cut", until_close + second_run});
+    const auto response = context.run();
+    CHECK(response.body == events);
+    CHECK(response.is_aborted);
+    CHECK_FALSE(response.is_finished);
+    CHECK(context.server.requests.size() == 1);
+}
+
+TEST_CASE("comments and events with carriage returns are forwarded unchanged and resumed") {
+    const std::string first = "id: 1\r\ndata: a1\r\n\r\n: still there\r\n\r\n";
+    const std::string second = "id: 2\r\ndata: b2\r\n\r\n";
+    flow_fixture context(kind::streaming, true,
+                         {with_length + first + "id: 2\r\ndata: a2\r\n", until_close + second});
+    const auto response = context.run();
+    CHECK(response.body == first + second);
+    CHECK(response.is_finished);
+}
