Make each attempt own all that it read of a response

Callers got pieces that no run made: the rest of an event of a run that had broken off was joined with the first event of the next run, or forwarded as the end of a complete stream; a run that repeated events was joined to the first.

Cause: the bytes, head and framing of an attempt lived in request_flow, which outlasts the attempt, and each path had to remember to clear them. start_attempt discarded the incomplete event only if the response had begun, so a stream that broke within its first event left it to the next attempt. on_end took any end of a body for the end of the stream. Nothing compared where a resumed run began with what the caller had.

Change: response_attempt is made anew for each attempt and owns its splitter, head, framing and buffers. The request keeps only whether the response has begun and stream_position, the events that the caller has. A body that ends within an event is incomplete, however it is delimited (an event ends with a blank line by definition of the format). A resumed run must begin after the last forwarded event. A stream whose events had no rising numeric ids isn't resumed. All event streams are forwarded by whole events.

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -16,7 +16,7 @@
 constexpr int status_misdirected = 421;
 // Limit for a response that is buffered until it is complete.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{8} * 1024 * 1024;
-// Limit for the incomplete event of a stream that may be resumed.
+// Limit for what is kept of a stream: its incomplete event and the comments before its first event.
 constexpr std::size_t max_event_bytes = std::size_t{1} * 1024 * 1024;
 // The body of a refusal is read only so that its connection can be reused.
 constexpr std::size_t max_refusal_bytes = std::size_t{64} * 1024;
@@ -48,6 +48,11 @@
     return status >= status_ok && status < status_redirect;
 }
 
+bool is_event_stream(const http_head& head) {
+    const auto type = find_header(head.headers, "Content-Type").value_or("");
+    return type.find("text/event-stream") != std::string::npos;
+}
+
 } // namespace
 
 request_flow::request_flow(request_flow_host& host, serving::request_handle request,
@@ -65,12 +70,7 @@
     metadata.account = host_.dispatcher().account_of(request_);
     metadata.urgency = effect.urgency;
     metadata.weights_version = effect.expected_version;
-    if (has_response_started_) {
-        metadata.resume_after = events_.last_event_id();
-        events_.discard_incomplete_event();
-    }
-    resumed_after_ = metadata.resume_after;
-    events_before_ = events_.event_count();
+    metadata.resume_after = position_.last_event_id();
     edge::upstream_request request;
     request.method = caller_request.method;
     request.target = caller_request.target;
@@ -78,86 +78,118 @@
     request.body = caller_request.body;
     request.correlation_header = host_.codec().correlation_header();
     request.correlation_id = correlation_id_;
-    head_ = {};
-    response_ = {};
-    discarded_bytes_ = 0;
-    has_first_byte_ = false;
-    body_mode_ = body_mode::discard;
     const edge::upstream_address to{
         {boost::asio::ip::make_address(effect.address.ip), effect.address.port}, effect.backend_id};
-    call_ = host_.pool().start(to, request, *this);
-}
-
-bool request_flow::is_event_stream() const {
-    const auto type = find_header(head_.headers, "Content-Type").value_or("");
-    return type.find("text/event-stream") != std::string::npos;
+    attempt_.emplace();
+    attempt_->resumed_after = metadata.resume_after;
+    attempt_->call = host_.pool().start(to, request, *this);
 }
 
 void request_flow::on_head(const http_head& head, const edge::upstream_framing& framing) {
-    head_ = head;
-    framing_ = framing;
-    response_ = host_.codec().decode_response(head);
-    host_.on_response_head(request_, response_);
-    if (response_.has_not_run) {
-        body_mode_ = body_mode::discard;
-        call_->set_timeout(refusal_body_timeout);
+    attempt_->head = head;
+    attempt_->framing = framing;
+    attempt_->metadata = host_.codec().decode_response(head);
+    const auto response = attempt_->metadata;
+    host_.on_response_head(request_, response);
+    if (!attempt_) {
         return;
     }
-    const bool is_acceptable = response_.is_sealed && !response_.is_encoded;
+    if (response.has_not_run) {
+        attempt_->call->set_timeout(refusal_body_timeout);
+        return;
+    }
+    const bool is_acceptable = response.is_sealed && !response.is_encoded;
     if (is_success(head.status) && !is_acceptable) {
         abort_attempt(body_end::cancelled);
         return;
     }
-    body_mode_ =
-        is_success(head.status) && is_event_stream() ? body_mode::stream : body_mode::buffer;
-    buffered_.clear();
-    if (has_response_started_ && body_mode_ != body_mode::stream) {
-        body_mode_ = body_mode::discard; // an event stream can't continue with this response
+    if (is_success(head.status) && is_event_stream(head)) {
+        attempt_->mode = body_mode::stream;
+    } else if (!has_response_started_) { // an event stream can't continue with another response
+        attempt_->mode = body_mode::buffer;
     }
 }
 
 void request_flow::record_first_byte() {
-    if (!has_first_byte_) {
-        has_first_byte_ = true;
+    if (!attempt_->has_first_byte) {
+        attempt_->has_first_byte = true;
         time_to_first_byte_ = host_.now() - exchange_->request().received;
         host_.dispatcher().on_first_byte(request_, host_.now());
     }
 }
 
 void request_flow::on_body(std::string_view bytes) {
-    if (body_mode_ == body_mode::discard) {
-        discarded_bytes_ += bytes.size();
-        if (discarded_bytes_ > max_refusal_bytes) {
-            abort_attempt(body_end::cancelled);
-        }
-        return;
+    switch (attempt_->mode) {
+    case body_mode::discard:
+        discard(bytes);
+        break;
+    case body_mode::buffer:
+        buffer(bytes);
+        break;
+    case body_mode::stream:
+        stream(bytes);
+        break;
     }
+}
+
+void request_flow::discard(std::string_view bytes) {
+    attempt_->discarded_bytes += bytes.size();
+    if (attempt_->discarded_bytes > max_refusal_bytes) {
+        abort_attempt(body_end::cancelled);
+    }
+}
+
+void request_flow::buffer(std::string_view bytes) {
+    record_first_byte();
+    attempt_->buffered.append(bytes);
+    if (attempt_->buffered.size() > max_buffered_response_bytes) {
+        abort_attempt(body_end::cancelled);
+    }
+}
+
+void request_flow::stream(std::string_view bytes) {
     record_first_byte();
-    if (body_mode_ == body_mode::buffer) {
-        buffered_.append(bytes);
-        if (buffered_.size() > max_buffered_response_bytes) {
-            abort_attempt(body_end::cancelled);
+    std::string accepted;
+    bool is_valid = true;
+    for (const auto& event : attempt_->events.append(bytes)) {
+        is_valid = is_continuation(event);
+        if (!is_valid) {
+            break;
+        }
+        if (event.is_comment && !has_response_started_ && attempt_->accepted_events == 0) {
+            attempt_->held_comments += event.bytes;
+            continue;
         }
+        accepted += std::exchange(attempt_->held_comments, {}) + event.bytes;
+        attempt_->accepted_events += event.is_comment ? 0 : 1;
+        position_.on_event(event);
+    }
+    forward(accepted);
+    if (!attempt_) { // the caller has disconnected
         return;
     }
-    const auto* route = host_.dispatcher().route_of(request_);
-    if (route != nullptr && route->is_retryable()) {
-        forward(events_.append(bytes));
-        if (events_.incomplete_event().size() > max_event_bytes) {
-            abort_attempt(body_end::cancelled);
-        }
-    } else {
-        forward(bytes);
+    const auto kept_bytes = attempt_->events.incomplete_bytes() + attempt_->held_comments.size();
+    if (!is_valid || kept_bytes > max_event_bytes) {
+        abort_attempt(body_end::cancelled);
     }
 }
 
+bool request_flow::is_continuation(const sse_event& event) const {
+    if (!attempt_->resumed_after || attempt_->accepted_events > 0 || event.is_comment) {
+        return true;
+    }
+    return event.id && *event.id > *attempt_->resumed_after;
+}
+
 void request_flow::begin_response() {
     const auto* route = host_.dispatcher().route_of(request_);
     const bool is_resumable = route != nullptr && route->is_retryable();
-    const bool keeps_length = framing_.has_length && !is_resumable;
+    const auto& framing = attempt_->framing;
+    const bool keeps_length = framing.has_length && !is_resumable;
+    const auto& head = attempt_->head;
     has_response_started_ = true;
-    exchange_->begin({head_.status, edge::end_to_end_headers(head_.headers)},
-                     keeps_length ? std::optional(framing_.length) : std::nullopt);
+    exchange_->begin({head.status, edge::end_to_end_headers(head.headers)},
+                     keeps_length ? std::optional(framing.length) : std::nullopt);
 }
 
 void request_flow::forward(std::string_view bytes) {
@@ -171,82 +203,102 @@
 }
 
 void request_flow::on_end() {
-    call_.reset();
-    report_stream(body_end_of(framing_));
-    if (response_.has_not_run) {
-        attempt_failed(refused_outcome());
+    const auto end = body_end_of(attempt_->framing);
+    if (attempt_->metadata.has_not_run) {
+        end_attempt(end, refused_outcome());
         return;
     }
     record_first_byte();
-    if (body_mode_ == body_mode::stream) {
-        forward(events_.incomplete_event());
-        if (!has_response_started_) {
-            begin_response();
-        }
-        exchange_->finish();
-        host_.on_attempt_ended(request_, serving::attempt_outcome::completed);
-        host_.on_request_finished(request_, head_.status);
+    switch (attempt_->mode) {
+    case body_mode::discard:
+        end_attempt(end, serving::attempt_outcome::invalid_response);
+        break;
+    case body_mode::buffer:
+        complete_buffered();
+        break;
+    case body_mode::stream:
+        complete_stream();
+        break;
+    }
+}
+
+void request_flow::complete_stream() {
+    const auto end = body_end_of(attempt_->framing);
+    if (attempt_->events.incomplete_bytes() > 0) {
+        end_attempt(end, serving::attempt_outcome::invalid_response);
         return;
     }
-    if (body_mode_ == body_mode::discard) {
-        attempt_failed(serving::attempt_outcome::invalid_response);
+    forward(attempt_->held_comments);
+    if (!attempt_) { // the caller has disconnected
         return;
     }
-    if (!is_success(head_.status)) {
-        server_error_ =
-            server_error{{head_.status, edge::end_to_end_headers(head_.headers)}, buffered_};
-        attempt_failed(serving::attempt_outcome::error_response);
+    if (!has_response_started_) {
+        begin_response();
+    }
+    exchange_->finish();
+    const int status = attempt_->head.status;
+    end_attempt(end, serving::attempt_outcome::completed);
+    host_.on_request_finished(request_, status);
+}
+
+void request_flow::complete_buffered() {
+    const auto end = body_end_of(attempt_->framing);
+    const http_head head{attempt_->head.status, edge::end_to_end_headers(attempt_->head.headers)};
+    if (!is_success(head.status)) {
+        server_error_ = server_error{head, std::move(attempt_->buffered)};
+        end_attempt(end, serving::attempt_outcome::error_response);
         return;
     }
-    exchange_->answer({head_.status, edge::end_to_end_headers(head_.headers)}, buffered_);
-    host_.on_attempt_ended(request_, serving::attempt_outcome::completed);
-    host_.on_request_finished(request_, head_.status);
+    exchange_->answer(head, attempt_->buffered);
+    end_attempt(end, serving::attempt_outcome::completed);
+    host_.on_request_finished(request_, head.status);
 }
 
 void request_flow::on_failure(edge::upstream_failure why) {
     if (why == edge::upstream_failure::not_connected) {
-        call_.reset();
-        report_stream(body_end_of(why));
-        attempt_failed(serving::attempt_outcome::unreachable);
+        end_attempt(body_end_of(why), serving::attempt_outcome::unreachable);
     } else {
         abort_attempt(body_end_of(why));
     }
 }
 
+void request_flow::abort_attempt(body_end end) {
+    // A response head that says "not run" is valid even if the body is incomplete.
+    end_attempt(end, attempt_->metadata.has_not_run ? refused_outcome()
+                                                    : serving::attempt_outcome::invalid_response);
+}
+
+void request_flow::end_attempt(body_end end, serving::attempt_outcome outcome) {
+    report_stream(end);
+    attempt_.reset();
+    if (!position_.is_known()) {
+        host_.dispatcher().forbid_retry(request_);
+    }
+    host_.on_attempt_ended(request_, outcome);
+}
+
 void request_flow::report_stream(body_end end) {
-    if (body_mode_ != body_mode::stream && !resumed_after_) {
+    if (attempt_->mode != body_mode::stream && !attempt_->resumed_after) {
         return;
     }
     stream_attempt_report report;
-    report.resumed_after = resumed_after_;
-    report.last_event_id = events_.last_event_id();
-    report.forwarded_events = events_.event_count() - events_before_;
-    report.incomplete_bytes = events_.incomplete_event().size();
+    report.resumed_after = attempt_->resumed_after;
+    report.last_event_id = position_.last_event_id();
+    report.forwarded_events = attempt_->accepted_events;
+    report.incomplete_bytes = attempt_->events.incomplete_bytes();
     report.end = end;
     host_.on_stream_attempt(request_, report);
 }
 
-void request_flow::abort_attempt(body_end end) {
-    call_.reset();
-    report_stream(end);
-    // A response head that says "not run" is valid even if the body is incomplete.
-    attempt_failed(response_.has_not_run ? refused_outcome()
-                                         : serving::attempt_outcome::invalid_response);
-}
-
 serving::attempt_outcome request_flow::refused_outcome() const {
-    return head_.status == status_misdirected ? serving::attempt_outcome::wrong_weights
-                                              : serving::attempt_outcome::refused;
-}
-
-void request_flow::attempt_failed(serving::attempt_outcome outcome) {
-    host_.on_attempt_ended(request_, outcome);
+    return attempt_->head.status == status_misdirected ? serving::attempt_outcome::wrong_weights
+                                                       : serving::attempt_outcome::refused;
 }
 
 void request_flow::finish(const serving::end_request& effect) {
-    if (call_) {
-        call_.reset();
+    if (attempt_) {
         report_stream(body_end::cancelled);
+        attempt_.reset();
     }
     if (has_response_started_) {
         exchange_->abort();
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -1,7 +1,8 @@
 #pragma once
 
-#include "sse_splitter.h"
+#include "response_attempt.h"
 #include "stream_attempt_report.h"
+#include "stream_position.h"
 
 #include <edge/caller_exchange.h>
 #include <edge/upstream_pool.h>
@@ -51,9 +52,10 @@
  * Sends one request to backend servers and forwards the response to its caller.
  *
  * A response that isn't an event stream is forwarded once it is complete. An event stream is
- * forwarded as its bytes arrive; one that may be resumed is forwarded by complete events, so that
- * another backend server can continue after the last of them. The sizes of a buffered response, of
- * a pending event and of a refusal's body are bounded. Not thread safe.
+ * forwarded by complete events, so that another backend server can continue after the last of them.
+ * A body that ends within an event is incomplete, however it is delimited; a body that ends with
+ * its connection after a complete event is complete. The sizes of a buffered response, of an
+ * incomplete event and of a refusal's body are bounded. Not thread safe.
  */
 class request_flow final : public edge::upstream_sink {
 public:
@@ -87,11 +89,9 @@
     duration time_to_first_byte() const noexcept { return time_to_first_byte_; }
 
     /** Cancels the call to the backend server, since the caller has disconnected. */
-    void cancel() { call_.reset(); }
+    void cancel() { attempt_.reset(); }
 
 private:
-    enum class body_mode : std::uint8_t { discard, buffer, stream };
-
     /** A backend server's complete response with an error status. */
     struct server_error {
         http_head head;
@@ -99,9 +99,18 @@
     };
 
     void record_first_byte();
+    void discard(std::string_view bytes);
+    void buffer(std::string_view bytes);
+    void stream(std::string_view bytes);
+    /** Whether `event` may follow what the caller has. */
+    bool is_continuation(const sse_event& event) const;
     void forward(std::string_view bytes);
     void begin_response();
-    void attempt_failed(serving::attempt_outcome outcome);
+    void complete_stream();
+    void complete_buffered();
+    /** Ends the present attempt, reports it, and lets the host decide what follows. */
+    void end_attempt(body_end end, serving::attempt_outcome outcome);
+    /** Ends the present attempt because of an incomplete or invalid response. */
     void abort_attempt(body_end end);
     /** Reports what the present attempt contributed, if it began or resumed an event stream. */
     void report_stream(body_end end);
@@ -110,26 +119,16 @@
      * Precondition: the head of the present response says that the request didn't run.
      */
     serving::attempt_outcome refused_outcome() const;
-    bool is_event_stream() const;
 
     request_flow_host& host_;
     serving::request_handle request_;
     std::shared_ptr<edge::caller_exchange> exchange_; // shared with the caller's connection
     std::string correlation_id_;
-    std::unique_ptr<edge::upstream_call> call_;
-    http_head head_;
-    edge::upstream_framing framing_;
-    serving::response_metadata response_;
-    body_mode body_mode_ = body_mode::discard;
-    bool has_first_byte_ = false;
+    std::optional<response_attempt> attempt_; /**< Empty between attempts. */
     duration time_to_first_byte_{-1};
-    std::string buffered_;
-    std::size_t discarded_bytes_ = 0;          /**< Of the present attempt's response body. */
     std::optional<server_error> server_error_; /**< Forwarded if no later attempt succeeds. */
     bool has_response_started_ = false;
-    sse_splitter events_;
-    std::optional<std::uint64_t> resumed_after_; /**< Position of the present attempt. */
-    std::uint64_t events_before_ = 0;            /**< Forwarded by earlier attempts. */
+    stream_position position_; /**< Of what was forwarded by all attempts. */
 };
 
 } // namespace camphorgrade::entry
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -204,6 +204,10 @@
         the prompt. */
     void on_first_byte(request_handle id, time_point now);
 
+    /** The response to the caller can't be continued: the request ends when its present attempt
+        fails. */
+    void forbid_retry(request_handle id);
+
     /** An attempt ended. The effects may contain a retry or the end of the request. */
     void on_attempt_ended(request_handle id, attempt_outcome outcome, time_point now);
 
@@ -298,6 +302,7 @@
         std::uint32_t attempts = 0;
         std::uint32_t refusals = 0;
         bool may_have_run = false;
+        bool is_retry_forbidden = false;
         phase state = phase::placing;
         bool has_first_byte = false;
         std::string backend_id;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -282,6 +282,13 @@
     }
 }
 
+void dispatcher::forbid_retry(request_handle id) {
+    const auto found = requests_.find(id);
+    if (found != requests_.end()) {
+        found->second.is_retry_forbidden = true;
+    }
+}
+
 void dispatcher::on_attempt_ended(request_handle id, attempt_outcome outcome, time_point now) {
     const auto found = requests_.find(id);
     if (found == requests_.end() || found->second.state != phase::sent) {
@@ -325,7 +332,8 @@
     entry.attempts -= has_run || entry.attempts == 0 ? 0 : 1;
     const auto reason = has_run ? end_reason::invalid_response : end_reason::refused;
     entry.excluded.insert(entry.backend_id);
-    const bool may_run_again = !entry.may_have_run || entry.found_route->is_retryable();
+    const bool may_run_again =
+        !entry.is_retry_forbidden && (!entry.may_have_run || entry.found_route->is_retryable());
     const bool has_attempts_left =
         entry.attempts < std::max<std::uint32_t>(entry.found_route->max_attempts, 1) &&
         entry.refusals <= settings_.max_refusals;
