--- a/libs/entry/tests/test_sse_splitter.cpp
+++ b/libs/entry/tests/test_sse_splitter.cpp
@@ -46,8 +46,10 @@
         const auto count = *rc::gen::inRange(0, 10);
         for (int i = 1; i <= count; ++i) {
             const std::string line_end = *rc::gen::element<std::string>("\n", "\r\n");
-            whole += "weight-versions: 3" + line_end + "id: " + std::to_string(i) + line_end +
-                     "data: x" + line_end + line_end;
+            for (const auto& line : {std::string("weight-versions: 3"), "id: " + std::to_string(i),
+                                     std::string("data: x"), std::string()}) {
+                whole.append(line).append(line_end);
+            }
         }
         sse_splitter splitter;
         stream_position position;
