Fail a call whose response can't be told from a repeated one

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for a request that had run, or the request ran at a second server.

It could happen here: belongs_to_call() took a response without the correlation id for the call's own, also on a reused connection.

Now such a response fails the call as malformed, which may have run; a request whose id its connection has carried goes to another connection; a request without an id gets a connection of its own. Fresh connections and calls without a correlation header are as before.

--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -50,10 +50,17 @@
     std::string body;
     /**
      * Name of the response header that identifies the request. A response in which this header
-     * differs from `correlation_id` belongs to another request and is skipped.
+     * differs from `correlation_id` belongs to another request and is skipped. A response without
+     * this header is accepted only on a connection that has carried no other request; on a reused
+     * one it fails the call, since it may repeat an earlier response. Empty to accept any response.
      */
     std::string correlation_header;
-    std::string correlation_id; /**< Empty to accept any response. */
+    /**
+     * A request whose id its connection has carried before is sent on another connection. If this
+     * is empty although `correlation_header` isn't, the request gets a connection of its own, on
+     * which any response is accepted.
+     */
+    std::string correlation_id;
 };
 
 /** How the body of a response is delimited. */
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -14,6 +14,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <charconv>
+#include <functional>
 #include <utility>
 
 namespace camphorgrade::edge {
@@ -92,6 +93,10 @@
     is_head_request_ = request.method == "HEAD";
     correlation_header_ = request.correlation_header;
     correlation_id_ = request.correlation_id;
+    carried_ids_.push_back(std::hash<std::string>{}(correlation_id_));
+    if (carried_ids_.size() > max_carried_ids) {
+        carried_ids_.pop_front();
+    }
     is_written_ = false;
     is_unrelated_response_ = false;
     skipped_responses_ = 0;
@@ -140,6 +145,15 @@
     return byte_count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
 }
 
+bool upstream_pool::connection::can_attribute(const upstream_request& request) const {
+    if (request.correlation_header.empty()) {
+        return true;
+    }
+    const auto hash = std::hash<std::string>{}(request.correlation_id);
+    return !request.correlation_id.empty() &&
+           std::find(carried_ids_.begin(), carried_ids_.end(), hash) == carried_ids_.end();
+}
+
 void upstream_pool::connection::close() {
     if (is_closed_) {
         return;
@@ -208,6 +222,10 @@
         return;
     }
     const bool is_interim = static_cast<int>(parser_->get().result_int()) < first_final_status;
+    if (!is_interim && is_unattributable()) {
+        fail(upstream_failure::malformed);
+        return;
+    }
     if (is_interim || !belongs_to_call()) {
         is_unrelated_response_ = !is_interim;
         skip_response();
@@ -244,6 +262,11 @@
     return found == fields.end() || found->value() == correlation_id_;
 }
 
+bool upstream_pool::connection::is_unattributable() const {
+    const bool is_reused = call_number_ > 1;
+    return is_reused && !correlation_id_.empty() && parser_->get().count(correlation_header_) == 0;
+}
+
 void upstream_pool::connection::begin_body() {
     if (parser_->is_done()) {
         complete();
@@ -290,8 +313,9 @@
         read_head();
         return;
     }
-    const bool reusable =
-        parser_->get().keep_alive() && is_written_ && input_.size() == 0 && !parser_->need_eof();
+    const bool has_own_connection = !correlation_header_.empty() && correlation_id_.empty();
+    const bool reusable = parser_->get().keep_alive() && is_written_ && input_.size() == 0 &&
+                          !parser_->need_eof() && !has_own_connection;
     const auto idle_for = reuse_time();
     auto* sink = std::exchange(sink_, nullptr);
     const auto self = shared_from_this();
--- a/libs/edge/src/upstream_connection.h
+++ b/libs/edge/src/upstream_connection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/http/parser.hpp>
 
 #include <array>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -25,6 +26,10 @@
     boost::asio::io_context& loop;
     const clock& time_source;
     upstream_settings settings;
+    /** Removes an idle connection that can carry `request`; null if there is none. */
+    std::shared_ptr<connection> take_idle(const upstream_address& to,
+                                          const upstream_request& request);
+
     std::map<upstream_address, std::vector<std::shared_ptr<connection>>> idle;
     bool is_closing = false;
 };
@@ -52,11 +57,18 @@
      */
     bool is_usable(time_point now);
 
+    /**
+     * Whether a response to `request` could be told from repeated responses to the earlier requests
+     * of this connection: the request needs no correlation, or has an id that is new here.
+     */
+    bool can_attribute(const upstream_request& request) const;
+
     void close();
 
 private:
     using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     static constexpr std::size_t body_buffer_bytes = 8'192;
+    static constexpr std::size_t max_carried_ids = 256;
 
     void connect();
     void on_connected(const boost::system::error_code& error);
@@ -72,6 +84,11 @@
     void fail(upstream_failure failure);
     /** Whether the response that is being read has the correlation id of the call, or none. */
     bool belongs_to_call() const;
+    /**
+     * Whether the response that is being read may belong to this call or to an earlier one of the
+     * connection: it has no correlation id although the call has one.
+     */
+    bool is_unattributable() const;
     /** How long the connection may be reused after this response; zero or less for never. */
     duration reuse_time() const;
     /** Makes the connection available for other calls for `idle_for`, or closes it. */
@@ -93,6 +110,7 @@
     std::string correlation_id_;
     upstream_sink* sink_ = nullptr; /**< Null while no call is open. */
     std::uint64_t call_number_ = 0;
+    std::deque<std::size_t> carried_ids_; /**< Hashes of the ids of the latest requests. */
     bool is_connected_ = false;
     bool is_written_ = false; /**< The whole request was written. */
     bool is_head_request_ = false;
--- a/libs/edge/src/upstream_pool.cpp
+++ b/libs/edge/src/upstream_pool.cpp
@@ -27,6 +27,28 @@
     std::uint64_t number_;
 };
 
+std::shared_ptr<upstream_pool::connection>
+upstream_pool::state::take_idle(const upstream_address& to, const upstream_request& request) {
+    const auto found = idle.find(to);
+    if (found == idle.end()) {
+        return nullptr;
+    }
+    auto& candidates = found->second;
+    const auto now = time_source.now();
+    for (auto position = candidates.size(); position-- > 0;) {
+        if (!candidates[position]->can_attribute(request)) {
+            continue;
+        }
+        auto candidate = std::move(candidates[position]);
+        candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(position));
+        if (candidate->is_usable(now)) {
+            return candidate;
+        }
+        candidate->close();
+    }
+    return nullptr;
+}
+
 upstream_pool::upstream_pool(boost::asio::io_context& loop, const clock& clock,
                              upstream_settings settings)
     : state_(std::make_shared<state>(loop, clock, settings)) {}
@@ -45,18 +67,7 @@
 std::unique_ptr<upstream_call> upstream_pool::start(const upstream_address& to,
                                                     const upstream_request& request,
                                                     upstream_sink& sink) {
-    std::shared_ptr<connection> available;
-    auto& idle = state_->idle[to];
-    const auto now = state_->time_source.now();
-    while (!idle.empty() && !available) {
-        auto candidate = std::move(idle.back());
-        idle.pop_back();
-        if (candidate->is_usable(now)) {
-            available = std::move(candidate);
-        } else {
-            candidate->close();
-        }
-    }
+    auto available = state_->take_idle(to, request);
     if (!available) {
         available = std::make_shared<connection>(state_, to);
     }
--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -210,3 +210,50 @@
     CHECK(received.find("Connection: close") != std::string::npos);
     CHECK(received.find("whole") != std::string::npos);
 }
+
+TEST_CASE("a complete response to an HTTP/1.0 caller ends with an orderly close") {
+    server_fixture fixture;
+    fixture.handler.respond = [](const exchange_ptr& exchange) {
+        exchange->begin({200, {}}, std::nullopt);
+        exchange->write("whole");
+        exchange->finish();
+    };
+    auto caller = fixture.connect();
+    caller.send("GET / HTTP/1.0\r\nHost: x\r\n\r\n");
+    const auto received = caller.read_all();
+    CHECK_FALSE(caller.was_reset());
+    CHECK(received.substr(received.size() - 9) == "\r\n\r\nwhole");
+}
+
+TEST_CASE("a request that a caller sends early gets its response after the whole one before it") {
+    server_fixture fixture;
+    exchange_ptr first;
+    std::promise<void> arrived;
+    fixture.handler.respond = [&](const exchange_ptr& exchange) {
+        if (exchange->request().target == "/2") {
+            exchange->answer({404, {}}, "second");
+            return;
+        }
+        first = exchange;
+        exchange->begin({200, {}}, std::nullopt);
+        exchange->write("id: 1\n\n");
+        arrived.set_value();
+    };
+    auto caller = fixture.connect();
+    caller.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+    arrived.get_future().wait();
+    SECTION("which is finished") {
+        fixture.thread.run([&] {
+            first->write("id: 2\n\n");
+            first->finish();
+        });
+        const auto received = caller.read_until("second");
+        CHECK(received.find("7\r\nid: 1\n\n\r\n7\r\nid: 2\n\n\r\n0\r\n\r\nHTTP/1.1 404 ") !=
+              std::string::npos);
+    }
+    SECTION("which is aborted") {
+        fixture.thread.run([&] { first->abort(); });
+        CHECK(caller.read_all().find("404") == std::string::npos);
+    }
+    fixture.thread.run([&] { first.reset(); });
+}
