--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -5,10 +5,12 @@
 
 #include <catch2/catch.hpp>
 
+#include <chrono>
 #include <functional>
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace camphorgrade;
@@ -257,3 +259,18 @@
     }
     fixture.thread.run([&] { first.reset(); });
 }
+
+TEST_CASE("an empty chunked request that arrives byte by byte is handled") {
+    server_fixture fixture;
+    fixture.handler.respond = [](const exchange_ptr& exchange) {
+        exchange->answer({200, {}}, "fine");
+    };
+    auto caller = fixture.connect();
+    caller.send("POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n" + close_line +
+                "\r\n");
+    for (const char byte : std::string("0\r\n\r\n")) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        caller.send(std::string(1, byte));
+    }
+    CHECK(caller.read_all().find("fine") != std::string::npos);
+}
--- a/libs/edge/tests/test_cut_responses.cpp
+++ b/libs/edge/tests/test_cut_responses.cpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <future>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace camphorgrade;
@@ -28,10 +29,12 @@
                                     "6\r\nid: 1\n\r\n6;x=y\r\ndata\n\n\r\n0\r\n\r\n";
         const std::string with_trailer =
             head + "Transfer-Encoding: chunked\r\n\r\n" + "4\r\npart\r\n0\r\nX-T: 1\r\n\r\n";
+        const std::string empty = head + "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
         const std::string unframed = head + "\r\nid: 1\ndata\n\n";
         return std::vector<whole_response>{
             {"with Content-Length", length_framed, length_framed.size()},
             {"chunked", chunked, chunked.size()},
+            {"chunked and empty", empty, empty.size()},
             {"chunked with a trailer", with_trailer, with_trailer.size()},
             {"until the connection is closed", unframed, head.size() + 2}};
     }();
@@ -102,3 +105,16 @@
     server.send(response_text("r1", "too large"));
     CHECK(wait_for_end(sink).body == "too large");
 }
+
+TEST_CASE("an empty chunked response that arrives byte by byte is complete") {
+    upstream_fixture fixture;
+    auto& sink = fixture.start();
+    auto server = fixture.accept();
+    server.read_until("body");
+    server.send(head + "Transfer-Encoding: chunked\r\n\r\n");
+    for (const char byte : std::string("0\r\n\r\n")) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(10));
+        server.send(std::string(1, byte));
+    }
+    CHECK(wait_for_end(sink).is_complete);
+}
