Add a failing test of a reset while the request is being sent

A response without length is reported as complete if its connection is reset while the request is still being written: by reading, the failed write takes the socket's error and the read sees an orderly end. Callers could take a cut response for whole.

--- /dev/null
+++ b/libs/edge/tests/test_reset_while_sending.cpp
@@ -0,0 +1,30 @@
+#include "upstream_fixture.h"
+
+#include <chrono>
+#include <future>
+#include <string>
+
+using namespace camphorgrade;
+using namespace camphorgrade::edge;
+using namespace camphorgrade::testing;
+
+TEST_CASE("a reset while the request is being sent doesn't complete a response without length") {
+    upstream_fixture fixture;
+    upstream_request request;
+    request.method = "POST";
+    request.target = "/work";
+    request.headers = {{"Host", "x"}, {"X-Id", "r1"}};
+    request.body = std::string(std::size_t{32} * 1024 * 1024, 'b'); // exceeds all buffers
+    request.correlation_header = "X-Id";
+    request.correlation_id = "r1";
+    auto& sink = fixture.start(fixture.address(), request);
+    auto server = fixture.accept();
+    server.read_until("\r\n\r\n");
+    server.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\npart");
+    REQUIRE(sink.head_promise.get_future().wait_for(std::chrono::seconds(5)) ==
+            std::future_status::ready);
+    server.reset();
+    const auto received = wait_for_end(sink);
+    CHECK_FALSE(received.is_complete);
+    CHECK(received.failure == upstream_failure::reset);
+}
