Drop an unused name function and the recording of ids that no call has

to_string(upstream_failure) had no caller: logs use body_end. Calls without a correlation header, those to the store and to agents, hashed and kept an empty id each. Recording is a function of its own, its limit says what it is for. Behaviour is the same; test_edge passes with 37 cases and 2216 checks as before.

--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -39,9 +39,6 @@
     malformed  /**< What the server sent isn't a valid response, or exceeds a limit. */
 };
 
-/** Name of a failure in logs and metrics. */
-std::string_view to_string(upstream_failure failure) noexcept;
-
 /** The request of one call. */
 struct upstream_request {
     std::string method;
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -65,22 +65,6 @@
 
 } // namespace
 
-std::string_view to_string(upstream_failure failure) noexcept {
-    switch (failure) {
-    case upstream_failure::not_connected:
-        return "not_connected";
-    case upstream_failure::closed:
-        return "closed";
-    case upstream_failure::reset:
-        return "reset";
-    case upstream_failure::timed_out:
-        return "timed_out";
-    case upstream_failure::malformed:
-        return "malformed";
-    }
-    return "unknown";
-}
-
 upstream_pool::connection::connection(std::shared_ptr<state> shared, upstream_address to)
     : shared_(std::move(shared)), address_(std::move(to)), socket_(shared_->loop),
       timer_(shared_->loop), input_(shared_->settings.max_unparsed_bytes) {}
@@ -93,9 +77,8 @@
     is_head_request_ = request.method == "HEAD";
     correlation_header_ = request.correlation_header;
     correlation_id_ = request.correlation_id;
-    carried_ids_.push_back(std::hash<std::string>{}(correlation_id_));
-    if (carried_ids_.size() > max_carried_ids) {
-        carried_ids_.pop_front();
+    if (!correlation_header_.empty()) {
+        record_carried_id();
     }
     is_written_ = false;
     is_unrelated_response_ = false;
@@ -110,6 +93,13 @@
     return call_number_;
 }
 
+void upstream_pool::connection::record_carried_id() {
+    carried_ids_.push_back(std::hash<std::string>{}(correlation_id_));
+    if (carried_ids_.size() > max_carried_ids) {
+        carried_ids_.pop_front();
+    }
+}
+
 void upstream_pool::connection::cancel(std::uint64_t number) {
     if (sink_ == nullptr || number != call_number_) {
         return;
--- a/libs/edge/src/upstream_connection.h
+++ b/libs/edge/src/upstream_connection.h
@@ -68,8 +68,11 @@
 private:
     using parser = boost::beast::http::response_parser<boost::beast::http::buffer_body>;
     static constexpr std::size_t body_buffer_bytes = 8'192;
+    /** Ids of requests that a connection remembers; bounds its memory. */
     static constexpr std::size_t max_carried_ids = 256;
 
+    /** Remembers the id of the present call, so that no later call with it is sent here. */
+    void record_carried_id();
     void connect();
     void on_connected(const boost::system::error_code& error);
     void send_request();
