Keep the log fields of a stream attempt beside their type

gateway_node worked out from the parts of a report whether the body was whole, and named its fields; both now stand with stream_attempt_report. The end of a body is worked out once in on_end, not again for each kind of response, and events are appended without a temporary string each.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -204,27 +204,16 @@
 
 void gateway_node::on_stream_attempt(serving::request_handle request,
                                      const stream_attempt_report& report) {
-    constexpr std::int64_t none = -1;
-    const auto end = std::string(to_string(report.end));
     metrics_.count("camphor_stream_attempts_total",
-                   {{"end", end}, {"resumed", report.resumed_after ? "yes" : "no"}});
-    const bool is_whole = report.end == body_end::complete_length ||
-                          report.end == body_end::last_chunk ||
-                          report.end == body_end::end_with_connection;
-    if (is_whole && report.incomplete_bytes == 0 && !report.resumed_after) {
+                   {{"end", std::string(to_string(report.end))},
+                    {"resumed", report.resumed_after ? "yes" : "no"}});
+    if (report.is_whole() && !report.resumed_after) {
         return;
     }
-    const auto id_or_none = [](const std::optional<std::uint64_t>& id) {
-        return id ? static_cast<std::int64_t>(*id) : none;
-    };
-    log_.line("stream_attempt_ended", log_category::failure)
-        .text("request", correlation_id_of(request))
-        .text("backend_server", dispatcher_.backend_of(request))
-        .text("end", end)
-        .number("resumed_after", id_or_none(report.resumed_after))
-        .number("events", static_cast<std::int64_t>(report.forwarded_events))
-        .number("last_event_id", id_or_none(report.last_event_id))
-        .number("incomplete_bytes", static_cast<std::int64_t>(report.incomplete_bytes));
+    auto line = log_.line("stream_attempt_ended", log_category::failure);
+    line.text("request", correlation_id_of(request))
+        .text("backend_server", dispatcher_.backend_of(request));
+    add_fields(line, report);
 }
 
 void gateway_node::on_attempt_ended(serving::request_handle request,
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -160,7 +160,9 @@
             attempt_->held_comments += event.bytes;
             continue;
         }
-        accepted += std::exchange(attempt_->held_comments, {}) + event.bytes;
+        accepted += attempt_->held_comments;
+        attempt_->held_comments.clear();
+        accepted += event.bytes;
         attempt_->accepted_events += event.is_comment ? 0 : 1;
         position_.on_event(event);
     }
@@ -214,16 +216,15 @@
         end_attempt(end, serving::attempt_outcome::invalid_response);
         break;
     case body_mode::buffer:
-        complete_buffered();
+        complete_buffered(end);
         break;
     case body_mode::stream:
-        complete_stream();
+        complete_stream(end);
         break;
     }
 }
 
-void request_flow::complete_stream() {
-    const auto end = body_end_of(attempt_->framing);
+void request_flow::complete_stream(body_end end) {
     if (attempt_->events.incomplete_bytes() > 0) {
         end_attempt(end, serving::attempt_outcome::invalid_response);
         return;
@@ -241,8 +242,7 @@
     host_.on_request_finished(request_, status);
 }
 
-void request_flow::complete_buffered() {
-    const auto end = body_end_of(attempt_->framing);
+void request_flow::complete_buffered(body_end end) {
     const http_head head{attempt_->head.status, edge::end_to_end_headers(attempt_->head.headers)};
     if (!is_success(head.status)) {
         server_error_ = server_error{head, std::move(attempt_->buffered)};
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -106,8 +106,8 @@
     bool is_continuation(const sse_event& event) const;
     void forward(std::string_view bytes);
     void begin_response();
-    void complete_stream();
-    void complete_buffered();
+    void complete_stream(body_end end);
+    void complete_buffered(body_end end);
     /** Ends the present attempt, reports it, and lets the host decide what follows. */
     void end_attempt(body_end end, serving::attempt_outcome outcome);
     /** Ends the present attempt because of an incomplete or invalid response. */
--- a/libs/entry/src/stream_attempt_report.h
+++ b/libs/entry/src/stream_attempt_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <telemetry/event_log.h>
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -30,7 +32,13 @@
     std::size_t incomplete_bytes = 0;           /**< Of an event that was incomplete at the end. */
     body_end end = body_end::cancelled;
 
+    /** Whether the body was complete as it was delimited, and ended with a complete event. */
+    bool is_whole() const noexcept;
+
     friend bool operator==(const stream_attempt_report&, const stream_attempt_report&) = default;
 };
 
+/** Adds the fields of `report` to a log line; -1 stands for an id that there isn't. */
+void add_fields(log_line& line, const stream_attempt_report& report);
+
 } // namespace camphorgrade::entry
