Log each response without length, and whether its connection was reused

Change: stream_attempt_ended and the new unframed_response_ended are written for each such response with ends_with_connection and reused_connection; camphor_unframed_responses_total counts them.

--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -67,6 +67,9 @@
     /** Whether the body ends when the server closes the connection, so that a body that is cut
         there can't be told from a complete one. */
     bool ends_with_connection = false;
+    /** Whether the connection has carried earlier requests, to which the server may respond again.
+     */
+    bool is_reused_connection = false;
 
     friend bool operator==(const upstream_framing&, const upstream_framing&) = default;
 };
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -227,6 +227,7 @@
     framing.has_length = static_cast<bool>(length);
     framing.length = length.value_or(0);
     framing.ends_with_connection = parser_->need_eof();
+    framing.is_reused_connection = call_number_ > 1;
     sink_->on_head(copy_head(parser_->get(), parser_->get().result_int()), framing);
     if (!is_closed_) {
         begin_body();
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -204,13 +204,21 @@
 
 void gateway_node::on_stream_attempt(serving::request_handle request,
                                      const stream_attempt_report& report) {
-    metrics_.count("camphor_stream_attempts_total",
-                   {{"end", std::string(to_string(report.end))},
-                    {"resumed", report.resumed_after ? "yes" : "no"}});
-    if (report.is_whole() && !report.resumed_after) {
+    if (report.ends_with_connection) {
+        metrics_.count("camphor_unframed_responses_total",
+                       {{"end", std::string(to_string(report.end))},
+                        {"connection", report.is_reused_connection ? "reused" : "new"}});
+    }
+    if (report.is_stream) {
+        metrics_.count("camphor_stream_attempts_total",
+                       {{"end", std::string(to_string(report.end))},
+                        {"resumed", report.resumed_after ? "yes" : "no"}});
+    }
+    if (report.is_whole() && !report.resumed_after && !report.ends_with_connection) {
         return;
     }
-    auto line = log_.line("stream_attempt_ended", log_category::failure);
+    auto line = log_.line(report.is_stream ? "stream_attempt_ended" : "unframed_response_ended",
+                          log_category::failure);
     line.text("request", correlation_id_of(request))
         .text("backend_server", dispatcher_.backend_of(request));
     add_fields(line, report);
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -269,7 +269,7 @@
 }
 
 void request_flow::end_attempt(body_end end, serving::attempt_outcome outcome) {
-    report_stream(end);
+    report_attempt(end);
     attempt_.reset();
     if (!position_.is_known()) {
         host_.dispatcher().forbid_retry(request_);
@@ -277,11 +277,15 @@
     host_.on_attempt_ended(request_, outcome);
 }
 
-void request_flow::report_stream(body_end end) {
-    if (attempt_->mode != body_mode::stream && !attempt_->resumed_after) {
+void request_flow::report_attempt(body_end end) {
+    const bool is_stream = attempt_->mode == body_mode::stream || attempt_->resumed_after;
+    if (!is_stream && !attempt_->framing.ends_with_connection) {
         return;
     }
     stream_attempt_report report;
+    report.is_stream = is_stream;
+    report.ends_with_connection = attempt_->framing.ends_with_connection;
+    report.is_reused_connection = attempt_->framing.is_reused_connection;
     report.resumed_after = attempt_->resumed_after;
     report.last_event_id = position_.last_event_id();
     report.forwarded_events = attempt_->accepted_events;
@@ -297,7 +301,7 @@
 
 void request_flow::finish(const serving::end_request& effect) {
     if (attempt_) {
-        report_stream(body_end::cancelled);
+        report_attempt(body_end::cancelled);
         attempt_.reset();
     }
     if (has_response_started_) {
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -32,8 +32,8 @@
     virtual void on_response_head(serving::request_handle request,
                                   const serving::response_metadata& response) = 0;
 
-    /** An attempt that had begun or resumed an event stream ended; called before
-        on_attempt_ended(). */
+    /** An attempt ended that had begun or resumed an event stream, or whose response had neither a
+        length nor chunks; called before on_attempt_ended(). */
     virtual void on_stream_attempt(serving::request_handle request,
                                    const stream_attempt_report& report) = 0;
 
@@ -112,8 +112,9 @@
     void end_attempt(body_end end, serving::attempt_outcome outcome);
     /** Ends the present attempt because of an incomplete or invalid response. */
     void abort_attempt(body_end end);
-    /** Reports what the present attempt contributed, if it began or resumed an event stream. */
-    void report_stream(body_end end);
+    /** Reports what the present attempt contributed, if it began or resumed an event stream or its
+        response has neither a length nor chunks. */
+    void report_attempt(body_end end);
     /**
      * The outcome of an attempt that the backend server refused.
      * Precondition: the head of the present response says that the request didn't run.
--- a/libs/entry/src/stream_attempt_report.cpp
+++ b/libs/entry/src/stream_attempt_report.cpp
@@ -44,7 +44,9 @@
         .number("resumed_after", id_or_none(report.resumed_after))
         .number("events", static_cast<std::int64_t>(report.forwarded_events))
         .number("last_event_id", id_or_none(report.last_event_id))
-        .number("incomplete_bytes", static_cast<std::int64_t>(report.incomplete_bytes));
+        .number("incomplete_bytes", static_cast<std::int64_t>(report.incomplete_bytes))
+        .flag("ends_with_connection", report.ends_with_connection)
+        .flag("reused_connection", report.is_reused_connection);
 }
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/stream_attempt_report.h
+++ b/libs/entry/src/stream_attempt_report.h
@@ -24,13 +24,17 @@
 /** Name of a body_end in logs and metrics. */
 std::string_view to_string(body_end end) noexcept;
 
-/** What one attempt contributed to an event stream. A value type. */
+/** What one attempt contributed to an event stream, or to a response without length and chunks. A
+    value type. */
 struct stream_attempt_report {
     std::optional<std::uint64_t> resumed_after; /**< Empty if it started the stream anew. */
     std::optional<std::uint64_t> last_event_id; /**< Of the events forwarded so far. */
     std::uint64_t forwarded_events = 0;         /**< By this attempt. */
     std::size_t incomplete_bytes = 0;           /**< Of an event that was incomplete at the end. */
     body_end end = body_end::cancelled;
+    bool is_stream = true;             /**< False for any other response. */
+    bool ends_with_connection = false; /**< The body has neither a length nor chunks. */
+    bool is_reused_connection = false; /**< The connection had carried earlier requests. */
 
     /** Whether the body was complete as it was delimited, and ended with a complete event. */
     bool is_whole() const noexcept;
