Fail a response without length that can't be told from another one

A body with neither a length nor chunks was read up to the end of its connection, whatever it held: a second response of the server, late, became a piece of the first. Change: such a body is complete only if its connection has carried no other request and no head of another response follows in it (following_response_detector); otherwise the call fails as malformed, after its head, so that a refusal is still known to be one. A server that responds that way gets each request on a connection of its own for ten minutes, so that at most the first such response is lost. In an event stream without length and chunks the ids must rise, which nothing else proves there. Why it works: the two things that can bring foreign bytes into the body are earlier requests of the connection and a repetition of the response itself; the first is excluded, the second begins with a head. What can't be told apart: bytes without a head that follow a response without length.

--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -130,6 +130,11 @@
     std::uint32_t max_skipped_responses = 16;
     /** Total size of the bodies that one call skips before it fails. */
     std::size_t max_skipped_bytes = std::size_t{256} * 1024;
+    /** How long each call to a server has a connection of its own after a response of the server
+        had neither a length nor chunks. */
+    duration own_connection_period{600'000};
+    /** Maximum number of servers for which `own_connection_period` is remembered. */
+    std::size_t max_unframed_servers = 1'024;
 
     friend bool operator==(const upstream_settings&, const upstream_settings&) = default;
 };
@@ -137,9 +142,11 @@
 /**
  * Makes HTTP calls to other processes over persistent HTTP/1.1 connections.
  *
- * A response is complete when the body has its declared length or its last chunk was read, or, for
- * a body without length, when the server closes the connection cleanly. A connection is reused
- * only after a complete response that no further bytes follow. Unresponsive peers are detected by
+ * A response is complete when the body has its declared length or its last chunk was read. A body
+ * with neither is complete when the server closes the connection cleanly, if the connection has
+ * carried no other request and no other response follows in it: otherwise nothing tells which bytes
+ * belong to the call, and it fails as malformed after its head. A connection is reused only after a
+ * complete response that no further bytes follow. Unresponsive peers are detected by
  * TCP keep-alive probes. The pool limits what a server may send that isn't part of the response;
  * the sink limits the size of the response itself. Not thread safe.
  *
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -228,8 +228,17 @@
     framing.length = length.value_or(0);
     framing.ends_with_connection = parser_->need_eof();
     framing.is_reused_connection = call_number_ > 1;
+    if (framing.ends_with_connection) {
+        detector_ = {};
+        shared_->unframed.add(address_, shared_->time_source.now());
+    }
     sink_->on_head(copy_head(parser_->get(), parser_->get().result_int()), framing);
-    if (!is_closed_) {
+    if (is_closed_) {
+        return;
+    }
+    if (framing.ends_with_connection && framing.is_reused_connection) {
+        fail(upstream_failure::malformed); // the body may hold responses to earlier requests
+    } else {
         begin_body();
     }
 }
@@ -291,7 +300,7 @@
             fail(upstream_failure::malformed);
         }
     } else if (byte_count > 0) {
-        sink_->on_body({body_.data(), byte_count});
+        deliver({body_.data(), byte_count});
     }
     if (is_closed_) {
         return;
@@ -299,12 +308,46 @@
     begin_body();
 }
 
+void upstream_pool::connection::deliver(std::string_view bytes) {
+    if (!parser_->need_eof()) {
+        sink_->on_body(bytes);
+        return;
+    }
+    const auto own_bytes = detector_.append(bytes);
+    if (!own_bytes.empty()) {
+        sink_->on_body(own_bytes);
+    }
+    if (detector_.is_found() && !is_closed_) {
+        fail(upstream_failure::malformed);
+    }
+}
+
+bool upstream_pool::connection::confirm_end() {
+    if (!parser_->need_eof()) {
+        return true;
+    }
+    const auto held_bytes = detector_.finish();
+    if (detector_.is_found()) {
+        fail(upstream_failure::malformed);
+        return false;
+    }
+    if (!held_bytes.empty()) {
+        sink_->on_body(held_bytes);
+    }
+    return !is_closed_;
+}
+
 void upstream_pool::connection::complete() {
     if (is_unrelated_response_) {
         read_head();
         return;
     }
-    const bool has_own_connection = !correlation_header_.empty() && correlation_id_.empty();
+    if (!confirm_end()) {
+        return;
+    }
+    const bool has_own_connection =
+        (!correlation_header_.empty() && correlation_id_.empty()) ||
+        shared_->unframed.contains(address_, shared_->time_source.now());
     const bool reusable = parser_->get().keep_alive() && is_written_ && input_.size() == 0 &&
                           !parser_->need_eof() && !has_own_connection;
     const auto idle_for = reuse_time();
--- a/libs/edge/src/upstream_connection.h
+++ b/libs/edge/src/upstream_connection.h
@@ -1,5 +1,8 @@
 #pragma once
 
+#include "following_response_detector.h"
+#include "unframed_servers.h"
+
 #include <edge/upstream_pool.h>
 
 #include <boost/asio/steady_timer.hpp>
@@ -21,7 +24,8 @@
 class upstream_pool::state {
 public:
     state(boost::asio::io_context& event_loop, const clock& clock_in_use, upstream_settings limits)
-        : loop(event_loop), time_source(clock_in_use), settings(limits) {}
+        : loop(event_loop), time_source(clock_in_use), settings(limits),
+          unframed(limits.own_connection_period, limits.max_unframed_servers) {}
 
     boost::asio::io_context& loop;
     const clock& time_source;
@@ -31,6 +35,7 @@
                                           const upstream_request& request);
 
     std::map<upstream_address, std::vector<std::shared_ptr<connection>>> idle;
+    unframed_servers unframed;
     bool is_closing = false;
 };
 
@@ -83,6 +88,10 @@
     void begin_body();
     void read_body();
     void on_body(const boost::system::error_code& error);
+    /** Passes a part of the response's body to the sink. */
+    void deliver(std::string_view bytes);
+    /** Fails the call and returns false unless the end of the body shows that it is complete. */
+    bool confirm_end();
     void complete();
     void fail(upstream_failure failure);
     /** Whether the response that is being read has the correlation id of the call, or none. */
@@ -117,9 +126,10 @@
     bool is_connected_ = false;
     bool is_written_ = false; /**< The whole request was written. */
     bool is_head_request_ = false;
-    bool is_unrelated_response_ = false;  /**< The response being read is to another request. */
-    std::uint32_t skipped_responses_ = 0; /**< Responses skipped in this call. */
-    std::size_t skipped_bytes_ = 0;       /**< Body bytes skipped in this call. */
+    following_response_detector detector_; /**< For a body that ends with the connection. */
+    bool is_unrelated_response_ = false;   /**< The response being read is to another request. */
+    std::uint32_t skipped_responses_ = 0;  /**< Responses skipped in this call. */
+    std::size_t skipped_bytes_ = 0;        /**< Body bytes skipped in this call. */
     bool is_closed_ = false;
     time_point usable_until_; /**< End of the reuse time of an idle connection. */
 };
--- a/libs/edge/src/upstream_pool.cpp
+++ b/libs/edge/src/upstream_pool.cpp
@@ -35,6 +35,9 @@
     }
     auto& candidates = found->second;
     const auto now = time_source.now();
+    if (unframed.contains(to, now)) {
+        return nullptr;
+    }
     for (auto position = candidates.size(); position-- > 0;) {
         if (!candidates[position]->can_attribute(request)) {
             continue;
--- a/libs/edge/tests/test_unframed_responses.cpp
+++ b/libs/edge/tests/test_unframed_responses.cpp
@@ -122,7 +122,7 @@
 TEST_CASE("a whole response without length is complete and unchanged") {
     const auto body =
         GENERATE(as<std::string>{}, "", "H", "HTTP", "HTTPS/1.1 200 OK\r\nX-Id: r1\r\n",
-                 "in HTTP/1.1 200 OK means success", "HTTP/1.1 200 OK\ndata: x\n\n",
+                 "in HTTP/1.1 200 OK means success\n", "HTTP/1.1 200 OK\ndata: x\n\n",
                  "HTTP/1.1 is used", "HTTP/1.1 200 OK\r\n\r\n", "HHTTP/1.HTTP/1.1 2 HTTP/1.1 20x",
                  "id: 1\r\ndata: \"HTTP/1.1 200 OK\"\r\n\r\n");
     const auto bytes = unframed("r1", body);
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -177,10 +177,17 @@
 }
 
 bool request_flow::is_continuation(const sse_event& event) const {
-    if (!attempt_->resumed_after || attempt_->accepted_events > 0 || event.is_comment) {
+    if (event.is_comment) {
         return true;
     }
-    return event.id && *event.id > *attempt_->resumed_after;
+    if (attempt_->accepted_events == 0) {
+        const auto& after = attempt_->resumed_after;
+        return !after || (event.id && *event.id > *after);
+    }
+    // Only rising ids show that the events of a body without length and chunks are of one run.
+    const auto last = position_.last_event_id();
+    const bool must_rise = attempt_->framing.ends_with_connection && event.id && last;
+    return !must_rise || *event.id > *last;
 }
 
 void request_flow::begin_response() {
--- a/libs/entry/tests/stream_oracle.h
+++ b/libs/entry/tests/stream_oracle.h
@@ -28,7 +28,8 @@
     two_runs,            /**< A request that may run once only was sent again. */
     foreign_bytes,       /**< Bytes that aren't a whole event of the present or a later run. */
     skipped_event,       /**< An event of a run is missing between or before its others. */
-    ids_not_rising,      /**< Runs were joined whose ids don't rise. */
+    ids_not_rising,      /**< Ids don't rise where runs were joined, or within a body that ends with
+                            its connection. */
     wrong_position,      /**< An attempt was asked to go on at another place. */
     incomplete_finished, /**< Finished although the last run's body or event wasn't complete. */
     false_promise,       /**< "Not run" although an attempt may have run. */
@@ -100,6 +101,8 @@
             found_ = violation::skipped_event;
         } else if (is_join && (!are_rising_ || !id || *id <= ids_.back().id.value_or(*id))) {
             found_ = violation::ids_not_rising;
+        } else if (run == run_ && ends_with_connection(run) && !rises(id)) {
+            found_ = violation::ids_not_rising;
         }
         are_rising_ = are_rising_ && id && (ids_.empty() || *id > ids_.back().id.value_or(*id));
         ids_.push_back({run, id});
@@ -107,6 +110,17 @@
         next_ = index + 1;
     }
 
+    bool ends_with_connection(std::size_t run) const {
+        return played_.runs[run].script.framing == body_framing::until_close;
+    }
+
+    /** Whether an event of the present run may follow the last one, by their ids if both have one.
+     */
+    bool rises(std::optional<std::uint64_t> id) const {
+        const auto last = ids_.empty() ? std::nullopt : ids_.back().id;
+        return !id || !last || *id > *last;
+    }
+
     struct event_id {
         std::size_t run = 0;
         std::optional<std::uint64_t> id;
@@ -172,6 +186,13 @@
     return is_made ? violation::none : violation::altered_response;
 }
 
+/** Whether nothing shows that a response is one run's: a body that ends with its connection, and
+    ids that go back. */
+inline bool has_unproven_events(const made_response& run) {
+    return run.script.framing == body_framing::until_close && run.script.ids == id_style::falling &&
+           run.events.size() > 1;
+}
+
 /** Whether the first attempt's response, a run's, is whole and sent by an orderly server. */
 inline bool is_first_whole(const played_request& played) {
     const auto& first = played.runs.front();
@@ -179,7 +200,8 @@
                          first.sent_bytes == first.wire.size() &&
                          first.script.close == close_style::orderly;
     return is_sent && (!played.script.is_event_stream ||
-                       (first.script.lines == line_end::lf && !first.script.has_open_end));
+                       (first.script.lines == line_end::lf && !first.script.has_open_end &&
+                        !has_unproven_events(first)));
 }
 
 /** The rule that the caller's response breaks. */
