Fail a response without length whose connection is reset while the request is sent

A reset that arrives while the request is still being written is reported to the write, which takes the socket's error; the read then sees an orderly end, and a body without length counted as complete. Change: a failed write makes such a body incomplete. The completion of the write may be queued behind that of the read, so the end is decided after it. A server that ends its response in an orderly way before it has read the whole request is still heard (new case of the test).

--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -81,6 +81,8 @@
         record_carried_id();
     }
     is_written_ = false;
+    is_write_failed_ = false;
+    is_end_deferred_ = false;
     is_unrelated_response_ = false;
     skipped_responses_ = 0;
     skipped_bytes_ = 0;
@@ -189,6 +191,7 @@
             // On an error, the read may still succeed: a server may respond and close the
             // connection before it has read the whole request.
             self->is_written_ = !error;
+            self->is_write_failed_ = static_cast<bool>(error);
         });
     read_head();
 }
@@ -326,6 +329,10 @@
     if (!parser_->need_eof()) {
         return true;
     }
+    if (is_write_failed_) {
+        fail(upstream_failure::reset); // the write took the error, so the read saw an orderly end
+        return false;
+    }
     const auto held_bytes = detector_.finish();
     if (detector_.is_found()) {
         fail(upstream_failure::malformed);
@@ -342,6 +349,16 @@
         read_head();
         return;
     }
+    const bool is_still_writing = !is_written_ && !is_write_failed_;
+    if (parser_->need_eof() && is_still_writing && !std::exchange(is_end_deferred_, true)) {
+        // A reset fails the write as well; its completion may still be queued.
+        boost::asio::post(shared_->loop, [self = shared_from_this()] {
+            if (!self->is_closed_) {
+                self->complete();
+            }
+        });
+        return;
+    }
     if (!confirm_end()) {
         return;
     }
--- a/libs/edge/tests/raw_socket.h
+++ b/libs/edge/tests/raw_socket.h
@@ -63,6 +63,9 @@
 
     void close() { socket_.close(); }
 
+    /** Ends the sending direction in an orderly way and goes on receiving. */
+    void shut_down_sending() { socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send); }
+
     /** Closes the connection with a TCP reset. */
     void reset() {
         socket_.set_option(boost::asio::socket_base::linger(true, 0));
--- a/libs/edge/tests/test_reset_while_sending.cpp
+++ b/libs/edge/tests/test_reset_while_sending.cpp
@@ -28,3 +28,22 @@
     CHECK_FALSE(received.is_complete);
     CHECK(received.failure == upstream_failure::reset);
 }
+
+TEST_CASE("a response without length that ends before the whole request was sent is complete") {
+    upstream_fixture fixture;
+    upstream_request request;
+    request.method = "POST";
+    request.target = "/work";
+    request.headers = {{"Host", "x"}, {"X-Id", "r1"}};
+    request.body = std::string(std::size_t{32} * 1024 * 1024, 'b'); // exceeds all buffers
+    request.correlation_header = "X-Id";
+    request.correlation_id = "r1";
+    auto& sink = fixture.start(fixture.address(), request);
+    auto server = fixture.accept();
+    server.read_until("\r\n\r\n");
+    server.send("HTTP/1.1 413 Too Large\r\nX-Id: r1\r\n\r\ntoo large");
+    server.shut_down_sending();
+    const auto received = wait_for_end(sink);
+    CHECK(received.is_complete);
+    CHECK(received.body == "too large");
+}
