Don't handle a request that a timeout has rejected

If the rest of a request arrived while its timeout was due, both handlers were queued: 408 was sent and the request was handled too, so that its connection carried two responses to one request, and 408 promised that it hadn't run. Change: a request that was rejected isn't read on. Evidence: the case of test_single_response got two responses and one handled request for a rest of the headers and for a rest of the body; it passes now.

--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -87,7 +87,7 @@
 }
 
 void caller_server::connection::on_headers(const boost::system::error_code& error) {
-    if (is_closed_) {
+    if (is_closed_ || is_response_queued_) { // closed, or rejected by a timeout
         return;
     }
     if (error) {
@@ -110,7 +110,7 @@
 }
 
 void caller_server::connection::on_request_read(const boost::system::error_code& error) {
-    if (is_closed_) {
+    if (is_closed_ || is_response_queued_) { // closed, or rejected by a timeout
         return;
     }
     if (error) {
--- /dev/null
+++ b/libs/edge/tests/test_single_response.cpp
@@ -0,0 +1,114 @@
+// Guards against two responses to one request, and cut responses that look complete (incident
+// MIXED).
+#include "loop_thread.h"
+#include "raw_socket.h"
+
+#include <edge/caller_server.h>
+
+#include <catch2/catch.hpp>
+
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+using namespace camphorgrade;
+using namespace camphorgrade::edge;
+using namespace camphorgrade::testing;
+
+namespace {
+
+using exchange_ptr = std::shared_ptr<caller_exchange>;
+
+class counting_handler final : public caller_handler {
+public:
+    void on_request(exchange_ptr exchange) override {
+        ++requests;
+        respond(exchange);
+    }
+    void on_bad_request(int status) override { rejected_status = status; }
+
+    std::function<void(const exchange_ptr&)> respond = [](const exchange_ptr& exchange) {
+        exchange->answer({200, {}}, "handled");
+    };
+    int requests = 0;
+    int rejected_status = 0;
+};
+
+struct server_fixture {
+    server_fixture() : server(thread, thread.loop, clock, handler) {
+        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
+    }
+
+    raw_socket connect() { return raw_socket::connect_to(client_loop, server->bound_port()); }
+
+    monotonic_clock clock;
+    counting_handler handler;
+    boost::asio::io_context client_loop;
+    loop_thread thread;
+    on_loop<caller_server> server;
+};
+
+std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
+        ++count;
+    }
+    return count;
+}
+
+} // namespace
+
+TEST_CASE("a request whose rest arrives when its timeout is due gets one response") {
+    server_fixture fixture;
+    constexpr duration timeout{60};
+    fixture.thread.run([&] {
+        caller_limits limits;
+        limits.header_timeout = timeout;
+        limits.idle_timeout = timeout;
+        fixture.server->set_limits(limits);
+    });
+    const std::string begin = GENERATE(as<std::string>{}, "GET /1 HTTP/1.1\r\nHo",
+                                       "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\na");
+    const std::string rest = begin.front() == 'G' ? "st: x\r\n\r\n" : "b";
+    auto caller = fixture.connect();
+    caller.send(begin);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20)); // the begin is read
+    fixture.thread.run([&] {
+        std::this_thread::sleep_for(std::chrono::milliseconds(2 * timeout.count()));
+        caller.send(rest);
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    });
+    const auto received = caller.read_all();
+    CHECK(count_of(received, "HTTP/1.1 ") == 1);
+    if (received.find(" 408 ") != std::string::npos) {
+        CHECK(fixture.handler.requests == 0);
+    }
+}
+
+TEST_CASE("an interrupted response to a caller of HTTP/1.0 doesn't end like a complete one") {
+    server_fixture fixture;
+    std::promise<exchange_ptr> begun;
+    fixture.handler.respond = [&](const exchange_ptr& exchange) {
+        exchange->begin({200, {}}, std::nullopt);
+        exchange->write("id: 1\n\n");
+        begun.set_value(exchange);
+    };
+    auto caller = fixture.connect();
+    caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n\r\n");
+    auto exchange = begun.get_future().get();
+    CHECK(caller.read_until("id: 1\n\n").find("id: 1\n\n") != std::string::npos);
+    bool was_reset = false;
+    SECTION("which is aborted") {
+        fixture.thread.run([&] { exchange->abort(); });
+        was_reset = true;
+    }
+    SECTION("which is finished") {
+        fixture.thread.run([&] { exchange->finish(); });
+    }
+    caller.read_all();
+    CHECK(caller.was_reset() == was_reset);
+    fixture.thread.run([&] { exchange.reset(); });
+}
