Reset the connection of an interrupted response that ends with it

A caller of HTTP/1.0 gets a response of unknown length up to the end of its connection; an interrupted one was closed in an orderly way, as a complete one is. Change: aborting such a response resets the connection. Evidence: the case of test_single_response failed (no reset) and passes; a finished response still ends in an orderly way.

--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -280,6 +280,12 @@
     socket_.close(ignored);
 }
 
+void caller_server::connection::close_with_reset() {
+    boost::system::error_code ignored; // a socket that isn't open has nothing to reset
+    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    close();
+}
+
 void caller_server::connection::set_timer(duration after, void (connection::*expired)()) {
     timer_.expires_after(after);
     timer_.async_wait([weak = weak_from_this(), expired](const boost::system::error_code& error) {
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -70,6 +70,7 @@
     void linger();
     void discard_input();
     void close();
+    void close_with_reset();
     void set_timer(duration after, void (connection::*expired)());
     void on_close_timeout();
     void on_request_timeout();
@@ -121,6 +122,7 @@
     std::function<void()> disconnect_callback_;
     std::optional<std::uint64_t> remaining_length_;
     bool is_chunked_ = false;
+    bool ends_with_connection_ = false; /**< The body has neither a length nor chunks. */
 };
 
 } // namespace camphorgrade::edge
