Fail a call at once when an earlier response without length is repeated

Cause: callers waited for five seconds or more. A repeated response to an earlier request was skipped up to the end of its body; one with neither a length nor chunks has none but the end of the connection, so that the call stayed open until its own timeout. Change: such a repetition fails the call as malformed. Evidence: the new section of test_repeated_responses wasn't over after five seconds; it passes now.

--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -249,6 +249,8 @@
 void upstream_pool::connection::skip_response() {
     if (++skipped_responses_ > shared_->settings.max_skipped_responses) {
         fail(upstream_failure::malformed);
+    } else if (is_unrelated_response_ && parser_->need_eof()) {
+        fail(upstream_failure::malformed); // no other response can be told from its body
     } else if (is_unrelated_response_) {
         begin_body();
     } else {
--- a/libs/edge/tests/test_repeated_responses.cpp
+++ b/libs/edge/tests/test_repeated_responses.cpp
@@ -130,6 +130,12 @@
         context.server.close();
         CHECK(wait_for_end(second).failure == upstream_failure::closed);
     }
+    SECTION("without length, so that its end isn't known") {
+        auto& second = context.fixture.start("r2");
+        context.server.read_until("body");
+        context.server.send("HTTP/1.1 503 Full\r\nX-Id: r1\r\n\r\nnot run");
+        CHECK(wait_for_end(second).failure == upstream_failure::malformed);
+    }
     SECTION("while the connection is idle") {
         context.server.send(repeated);
         std::this_thread::sleep_for(std::chrono::milliseconds(50));
