Ignore a request timeout that was cancelled after it had expired

When the rest of a request was read before the queued handler of its timeout ran, the request was handled and answered, and 408 was sent behind it as the answer to the next request of the connection. Change: each setting and cancelling of the timer gives it a new number; a handler with an older one does nothing.

--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -117,7 +117,7 @@
         reject_for_error(error);
         return;
     }
-    timer_.cancel();
+    cancel_timer();
     dispatch_request();
 }
 
@@ -287,15 +287,22 @@
 }
 
 void caller_server::connection::set_timer(duration after, void (connection::*expired)()) {
+    cancel_timer();
     timer_.expires_after(after);
-    timer_.async_wait([weak = weak_from_this(), expired](const boost::system::error_code& error) {
+    timer_.async_wait([weak = weak_from_this(), expired,
+                       number = timer_number_](const boost::system::error_code& error) {
         const auto self = weak.lock();
-        if (!error && self && !self->is_closed_) {
+        if (!error && self && !self->is_closed_ && self->timer_number_ == number) {
             ((*self).*expired)();
         }
     });
 }
 
+void caller_server::connection::cancel_timer() {
+    ++timer_number_; // a wait that has expired may be queued already
+    timer_.cancel();
+}
+
 void caller_server::connection::on_close_timeout() {
     close();
 }
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -72,6 +72,7 @@
     void close();
     void close_with_reset();
     void set_timer(duration after, void (connection::*expired)());
+    void cancel_timer();
     void on_close_timeout();
     void on_request_timeout();
     /** The head of a response; `framing` holds the header line that delimits its body. */
@@ -80,6 +81,7 @@
     std::shared_ptr<state> shared_;
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
+    std::uint64_t timer_number_ = 0; /**< Changes when the timer is set or cancelled. */
     boost::beast::flat_buffer input_;
     std::optional<parser> parser_;
     std::weak_ptr<exchange> current_exchange_;
