--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -247,10 +247,10 @@
 }
 
 void upstream_pool::connection::skip_response() {
-    if (++skipped_responses_ > shared_->settings.max_skipped_responses) {
+    // No other response can be told from a body that has no end but that of the connection.
+    const bool is_endless = is_unrelated_response_ && parser_->need_eof();
+    if (++skipped_responses_ > shared_->settings.max_skipped_responses || is_endless) {
         fail(upstream_failure::malformed);
-    } else if (is_unrelated_response_ && parser_->need_eof()) {
-        fail(upstream_failure::malformed); // no other response can be told from its body
     } else if (is_unrelated_response_) {
         begin_body();
     } else {
