Reject peers' messages with ages, amounts or senders that can't be used

Cause: ages of 64 bits were converted to durations of any size and then subtracted from the present time, which overflows; NaN, infinite and negative megabytes and limits were taken; a port over 65,535 was cut to 16 bits; and the sender's text of a datagram, which other code connects to with a call that throws, was never checked to be an address (such an exception ends the process; seen by reading, not run).

Change: ages are limited to a year, negative ones mean never. A demand with such an amount is malformed, a limit report with one is left out, as requests for permits were. peer_socket counts a message whose sender is no address as malformed. A registration's port over 65,535 is read as none.

Evidence: test_malformed_messages, with a property test on changed bytes of each kind of message; before, 3 of its 4 cases failed (14 assertions). After, test_peering passes (25 cases).

--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -1,5 +1,7 @@
 #include <peering/peer_messages.h>
 
+#include "message_ages.h"
+
 #include <wire/peering.pb.h>
 
 #include <algorithm>
@@ -12,6 +14,18 @@
 // Bounds the queue that one request can cause.
 constexpr std::uint32_t max_wanted_permits = 1'000;
 
+bool is_amount(double value) {
+    return std::isfinite(value) && value >= 0;
+}
+
+/** Whether the numbers of a demand can be computed with. */
+bool has_valid_amounts(const wire::engine_demand& in) {
+    return is_amount(in.weights_mb()) &&
+           std::all_of(in.models().begin(), in.models().end(), [](const auto& each) {
+               return is_amount(each.weights_mb()) && is_amount(each.adapter_mb());
+           });
+}
+
 void write(const adapters::engine_demand& demand, wire::engine_demand& out) {
     out.set_backend_id(demand.backend_id);
     out.set_backend_born(demand.backend_started_at_ms);
@@ -160,7 +174,7 @@
 serving::permit_requests read(const wire::permit_requests& in) {
     serving::permit_requests out;
     for (const auto& each : in.requests()) {
-        if (std::isfinite(each.limit_per_s()) && each.limit_per_s() >= 0) {
+        if (is_amount(each.limit_per_s())) {
             out.requests.push_back({{each.backend_id(), each.born()},
                                     each.limit_per_s(),
                                     each.session(),
@@ -241,8 +255,8 @@
     }
     report.gateways.assign(in.gateways().begin(), in.gateways().end());
     report.catalogue_version = in.catalogue_version();
-    report.store_age = duration{static_cast<duration::rep>(in.store_age_ms())};
-    report.process_age = duration{static_cast<duration::rep>(in.process_age_ms())};
+    report.store_age = read_age(in.store_age_ms());
+    report.process_age = read_age(in.process_age_ms());
     for (const auto& each : in.versions()) {
         report.versions[each.weights()] = each.version();
     }
@@ -251,7 +265,9 @@
         report.avoided_servers.push_back({each.backend_id(), each.born()});
     }
     for (const auto& each : in.limits()) {
-        report.limits.push_back(read(each));
+        if (!each.has_limit() || is_amount(each.limit_per_s())) {
+            report.limits.push_back(read(each));
+        }
     }
     return report;
 }
@@ -326,6 +342,9 @@
     message.options = {in.is_to_be_relayed(), in.is_urgent()};
     switch (in.body_case()) {
     case wire::datagram::kDemand:
+        if (!has_valid_amounts(in.demand())) {
+            return std::nullopt;
+        }
         message.body = read(in.demand());
         return message;
     case wire::datagram::kEngine:
--- a/libs/peering/src/peer_socket.cpp
+++ b/libs/peering/src/peer_socket.cpp
@@ -28,6 +28,12 @@
     return boost::asio::ip::udp::endpoint(ip, port);
 }
 
+/** Decodes a message; nullopt unless it is valid and from an address that can be sent to. */
+std::optional<peer_message> read_message(std::string_view datagram) {
+    auto message = decode(datagram);
+    return message && parse_endpoint(message->sender) ? std::move(message) : std::nullopt;
+}
+
 } // namespace
 
 peer_socket::peer_socket(boost::asio::io_context& loop, const clock& clock,
@@ -76,7 +82,7 @@
 }
 
 void peer_socket::on_datagram(std::string_view datagram) {
-    auto message = decode(datagram);
+    auto message = read_message(datagram);
     if (!message) {
         ++malformed_datagrams_;
         return;
@@ -99,7 +105,7 @@
              is_outdated(sender->second, each.incarnation, each.sequence, each.kind))) {
             continue;
         }
-        auto message = decode(each.datagram);
+        auto message = read_message(each.datagram);
         if (!message || message->sender != each.sender || message->kind() != each.kind ||
             message->incarnation != each.incarnation || message->sequence != each.sequence) {
             ++malformed_datagrams_;
--- a/libs/peering/src/registrations.cpp
+++ b/libs/peering/src/registrations.cpp
@@ -1,7 +1,11 @@
 #include <peering/registrations.h>
 
+#include "message_ages.h"
+
 #include <wire/peering.pb.h>
 
+#include <limits>
+
 namespace camphorgrade::peering {
 
 namespace {
@@ -10,7 +14,8 @@
     serving::backend_server out;
     out.id = in.id();
     out.service = in.service();
-    out.address = {in.ip(), static_cast<std::uint16_t>(in.port())};
+    const bool is_port = in.port() <= std::numeric_limits<std::uint16_t>::max();
+    out.address = {in.ip(), is_port ? static_cast<std::uint16_t>(in.port()) : std::uint16_t{0}};
     out.data_centre = in.data_centre();
     out.slots = in.slots();
     out.is_draining = in.is_draining();
@@ -67,7 +72,7 @@
     }
     out.revision = in.revision();
     out.is_settled = in.is_settled();
-    out.store_age = duration{static_cast<duration::rep>(in.store_age_ms())};
+    out.store_age = read_age(in.store_age_ms());
     out.catalogue_version = in.catalogue_version();
     return out;
 }
