Leave out a peer's registrations without an address or id

Cause: what a peer relays of the registered servers was used unchecked. A request to a server whose address is no IP address throws within the event loop; port 0 and an empty id were used as well.

Evidence: "a peer's registration without an address or an id names no server" failed before (four servers in use instead of one), test_entry passes after (28 cases).

--- a/libs/entry/src/fleet_state.cpp
+++ b/libs/entry/src/fleet_state.cpp
@@ -2,6 +2,8 @@
 
 #include <serving/store_contacts.h>
 
+#include <boost/asio/ip/address_v4.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,6 +17,13 @@
     std::vector<serving::backend_server> awaited;
 };
 
+/** Whether `address` can be connected to. */
+bool is_address(const serving::network_address& address) {
+    boost::system::error_code error;
+    static_cast<void>(boost::asio::ip::make_address_v4(address.ip, error));
+    return !error && address.port != 0;
+}
+
 split_servers split_awaited(const peering::registration_snapshot& snapshot) {
     split_servers out;
     for (const auto& each : snapshot.servers) {
@@ -146,7 +155,7 @@
     registrations_revision_ = snapshot.revision;
     data_as_of_ = std::max(data_as_of_, now - snapshot.store_age);
     has_registrations_ = true;
-    const auto [registered, awaited] = split_awaited(snapshot);
+    const auto [registered, awaited] = split_awaited(without_unusable(snapshot));
     if (snapshot.is_settled) {
         for (const auto& id : registrations_.on_settled_peer_list(registered, now)) {
             remove_server(id, "not_registered_at_peer");
@@ -164,6 +173,18 @@
     }
 }
 
+peering::registration_snapshot
+fleet_state::without_unusable(peering::registration_snapshot snapshot) {
+    std::erase_if(snapshot.servers, [this](const auto& each) {
+        const bool is_unusable = each.id.empty() || !is_address(each.address);
+        if (is_unusable) {
+            on_bad_record(each.id, "a peer's registration without id or address");
+        }
+        return is_unusable;
+    });
+    return snapshot;
+}
+
 void fleet_state::apply_peer_registration(const serving::backend_server& server) {
     const auto* known = dispatcher_.backends().find(server.id);
     // Draining is final for a process, so a record from a peer can't be newer.
--- a/libs/entry/src/fleet_state.h
+++ b/libs/entry/src/fleet_state.h
@@ -78,6 +78,8 @@
 
 private:
     void apply_registration(const serving::backend_server& server);
+    /** The snapshot without servers that can't be called, each of which is logged. */
+    peering::registration_snapshot without_unusable(peering::registration_snapshot snapshot);
     void apply_peer_registration(const serving::backend_server& server);
     void remove_server(const std::string& id, const char* reason);
 
--- a/libs/entry/tests/test_fleet_state_pages.cpp
+++ b/libs/entry/tests/test_fleet_state_pages.cpp
@@ -220,3 +220,14 @@
     CHECK(own.servers.size() == 1);
     CHECK_FALSE(own.is_settled); // the store has been reachable for too short a time
 }
+
+TEST_CASE("a peer's registration without an address or an id names no server") {
+    fixture context;
+    auto no_ip = make_server("b");
+    no_ip.address.ip = "nowhere";
+    auto no_port = make_server("c");
+    no_port.address.port = 0;
+    context.fleet.on_peer_registrations(
+        make_snapshot({make_server("a"), no_ip, no_port, make_server("")}, 5), "p1");
+    CHECK(context.usable_servers() == ids{"a"});
+}
