Don't end a buffered call that was destroyed while its timeout was due

Cause: the process ended. Change: the handler checks that the call is still there, as the posted completion does. Evidence: test_ended_calls ended with SIGSEGV in 3 of 3 runs before, and passes.

--- a/libs/edge/src/buffered_calls.cpp
+++ b/libs/edge/src/buffered_calls.cpp
@@ -14,8 +14,9 @@
 
     void begin(const upstream_address& to, const upstream_request& request, duration timeout) {
         timer_.expires_after(timeout);
-        timer_.async_wait([this](const boost::system::error_code& error) {
-            if (!error) {
+        timer_.async_wait([this, is_alive = std::weak_ptr<int>(liveness_)](
+                              const boost::system::error_code& error) {
+            if (!error && !is_alive.expired()) {
                 finish(call_outcome::timed_out);
             }
         });
