Answer each request that was read before a planned stop ends the process

What callers saw: after SIGTERM a gateway accepts requests for 2.6 s, and at the end of the grace it ended with whatever was open.

Change: graceful_shutdown keeps the order of a stop. dispatcher::begin_shutdown() limits every deadline to 0.7 s before the end of the grace: what waits or arrives is refused as not run once it can't start in time, what is at a server gets 504 then (the server isn't blamed), a response that has begun is aborted. The process exits once all callers have closed their connections, 0.4 s before the end of the grace at the latest. caller_server: connections in the accept queue are accepted before the listener closes; a request that has arrived is answered on a connection that was idle, and one that was sent early on a connection that is drained; one that has arrived in part gets 408 in the end. process_stopped counts what the stop ended.

A wait for weights is tested in the dispatcher only, not with real processes.

--- a/libs/edge/include/edge/caller_server.h
+++ b/libs/edge/include/edge/caller_server.h
@@ -72,12 +72,27 @@
     /** Sets the limits for requests that begin after this call. */
     void set_limits(const caller_limits& limits);
 
-    /** Closes idle connections at once and every other connection after its current response. */
+    /**
+     * Closes idle connections at once and every other connection after its current response. A
+     * request that has arrived is still passed to the handler, on a connection that was idle too.
+     */
     void begin_drain();
 
-    /** Stops accepting connections; open connections are still served. */
+    /**
+     * Accepts the connections that wait in the accept queue, then stops accepting; open connections
+     * are still served.
+     */
     void stop_accepting();
 
+    /** Rejects (408) each request that has arrived in part only, and closes its connection. */
+    void reject_incomplete_requests();
+
+    /**
+     * Number of connections that have received a part of a request, whose response is not complete,
+     * or that wait for the caller to close after the last response.
+     */
+    std::size_t busy_connections() const;
+
     /** Number of requests that were passed to the handler and have no complete response yet. */
     std::size_t open_exchanges() const;
 
--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -48,12 +48,28 @@
     read_request();
 }
 
+bool caller_server::connection::is_idle() {
+    return is_closed_ || (is_idle_ && !has_unread_input());
+}
+
 void caller_server::connection::close_if_idle() {
-    if (is_idle_) {
+    if (is_idle()) {
         close();
     }
 }
 
+void caller_server::connection::reject_incomplete_request() {
+    if (is_reading_ && !is_closed_) {
+        on_request_timeout();
+    }
+}
+
+bool caller_server::connection::has_unread_input() {
+    char byte = 0;
+    return input_.size() > 0 ||
+           ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 void caller_server::connection::read_request() {
     if (is_closed_) {
         return;
@@ -80,6 +96,7 @@
         return;
     }
     is_idle_ = false;
+    is_reading_ = true;
     set_timer(shared_->limits.header_timeout, &connection::on_request_timeout);
     http::async_read_header(socket_, input_, *parser_,
                             [self = shared_from_this()](const boost::system::error_code& failed,
@@ -118,6 +135,7 @@
         return;
     }
     cancel_timer();
+    is_reading_ = false;
     dispatch_request();
 }
 
@@ -135,6 +153,7 @@
 
 void caller_server::connection::reject(int status) {
     shared_->handler.on_bad_request(status);
+    is_reading_ = false;
     keep_alive_ = false;
     is_response_queued_ = true;
     send(head_text({status, {}}, "Content-Length: 0\r\n"));
@@ -190,7 +209,8 @@
 }
 
 std::string caller_server::connection::head_text(const http_head& head, std::string_view framing) {
-    if (shared_->is_draining) {
+    // A request that has already arrived is answered on this connection.
+    if (shared_->is_draining && !has_unread_input()) {
         keep_alive_ = false;
     }
     std::string out = "HTTP/1.1 " + std::to_string(head.status) + ' ';
@@ -243,7 +263,7 @@
 }
 
 void caller_server::connection::on_response_sent() {
-    if (keep_alive_ && !shared_->is_draining) {
+    if (keep_alive_ && (!shared_->is_draining || has_unread_input())) {
         read_request();
     } else {
         linger();
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -40,8 +40,12 @@
     connection& operator=(const connection&) = delete;
 
     void start();
-    /** Closes the connection if it waits for the first byte of a request. */
+    /** Whether the connection waits for the first byte of a request. */
+    bool is_idle();
+    /** Closes the connection if it is idle. */
     void close_if_idle();
+    /** Rejects a request that has arrived in part only, and closes the connection afterwards. */
+    void reject_incomplete_request();
 
 private:
     class exchange;
@@ -63,6 +67,8 @@
 
     /** Queues `bytes` and starts to write unless a write is pending. */
     void send(std::string_view bytes);
+    /** Whether a byte after the current request has arrived. */
+    bool has_unread_input();
     void write_next();
     void on_written(const boost::system::error_code& error);
     void on_response_sent();
@@ -88,7 +94,8 @@
     std::string queued_;  /**< Bytes to write after the pending write. */
     std::string writing_; /**< Bytes of the pending write. */
     bool is_writing_ = false;
-    bool is_idle_ = true; /**< No byte of the next request was received. */
+    bool is_idle_ = true;     /**< No byte of the next request was received. */
+    bool is_reading_ = false; /**< A part of the next request was received. */
     bool keep_alive_ = true;
     bool supports_chunked_ = true;    /**< False for an HTTP/1.0 caller. */
     bool is_response_queued_ = false; /**< The whole response was passed to send(). */
--- a/libs/edge/src/caller_server.cpp
+++ b/libs/edge/src/caller_server.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace camphorgrade::edge {
@@ -18,7 +20,8 @@
     : state_(std::make_shared<state>(loop, clock, handler)) {}
 
 caller_server::~caller_server() {
-    stop_accepting();
+    boost::system::error_code ignored; // closing a closed acceptor has no effect
+    state_->acceptor.close(ignored);
 }
 
 namespace {
@@ -68,8 +71,34 @@
 }
 
 void caller_server::stop_accepting() {
-    boost::system::error_code ignored; // closing a closed acceptor has no effect
-    state_->acceptor.close(ignored);
+    auto& acceptor = state_->acceptor;
+    if (!acceptor.is_open()) {
+        return;
+    }
+    // Closing the acceptor would reset the connections that wait in its queue.
+    boost::system::error_code error;
+    acceptor.non_blocking(true, error);
+    while (!error) {
+        boost::asio::ip::tcp::socket socket(acceptor.get_executor());
+        acceptor.accept(socket, error);
+        if (!error) {
+            std::make_shared<connection>(std::move(socket), state_)->start();
+        }
+    }
+    acceptor.close(error);
+}
+
+void caller_server::reject_incomplete_requests() {
+    const std::vector<connection*> all(state_->connections.begin(), state_->connections.end());
+    for (auto* each : all) {
+        each->reject_incomplete_request();
+    }
+}
+
+std::size_t caller_server::busy_connections() const {
+    const auto& all = state_->connections;
+    return static_cast<std::size_t>(
+        std::count_if(all.begin(), all.end(), [](connection* each) { return !each->is_idle(); }));
 }
 
 std::size_t caller_server::open_exchanges() const {
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -17,12 +17,6 @@
 constexpr duration tick_interval{50};
 constexpr int min_success_status = 200;
 constexpr int min_redirection_status = 300;
-// Time for the platform's load balancer to notice the failing readiness checks. Requests that
-// arrive after this time are refused, because they might not finish before the process must have
-// exited.
-constexpr duration load_balancer_delay{2'600};
-// Reserved at the end of the shutdown grace for sending the last bytes and for the exit itself.
-constexpr duration exit_margin{400};
 
 boost::asio::ip::tcp::endpoint endpoint_of(const serving::network_address& address) {
     return {boost::asio::ip::make_address(address.ip), address.port};
@@ -43,7 +37,8 @@
              settings.incarnation, {settings.data_centre, settings.capacity_millicores, true},
              settings.seeds, {}),
       source_(make_source(loop_, pool_, fleet_)), timer_(loop_),
-      signals_(loop_, SIGTERM, SIGINT, SIGHUP) {}
+      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      shutdown_(settings.shutdown_grace, caller_server_, dispatcher_) {}
 
 gateway_node::~gateway_node() = default;
 
@@ -65,7 +60,13 @@
     });
     tick();
     loop_.run();
-    log_.line("process_stopped").number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    const auto& ended = shutdown_.counts();
+    log_.line("process_stopped")
+        .number("open_requests", static_cast<std::int64_t>(flows_.size()))
+        .number("refused_requests", static_cast<std::int64_t>(ended.refused))
+        .number("timed_out_requests", static_cast<std::int64_t>(ended.timed_out))
+        .number("aborted_responses", static_cast<std::int64_t>(ended.aborted))
+        .number("busy_connections", static_cast<std::int64_t>(caller_server_.busy_connections()));
     log_.flush();
 }
 
@@ -95,17 +96,15 @@
 }
 
 void gateway_node::begin_shutdown() {
-    if (is_shutting_down_) {
+    if (shutdown_.has_begun()) {
         return;
     }
-    is_shutting_down_ = true;
-    shutdown_began_ = now();
-    caller_server_.begin_drain();
+    shutdown_.begin(now());
     log_.line("shutdown_began").number("open_requests", static_cast<std::int64_t>(flows_.size()));
 }
 
 bool gateway_node::is_ready() const {
-    return !is_shutting_down_ && fleet_.is_complete();
+    return !shutdown_.has_begun() && fleet_.is_complete();
 }
 
 void gateway_node::tick() {
@@ -114,17 +113,9 @@
     dispatcher_.tick(at);
     execute_effects();
     log_.flush();
-    if (is_shutting_down_) {
-        const auto elapsed = at - shutdown_began_;
-        if (elapsed >= load_balancer_delay) {
-            caller_server_.stop_accepting();
-        }
-        const bool is_drained =
-            caller_server_.open_exchanges() == 0 && elapsed >= load_balancer_delay;
-        if (is_drained || elapsed >= settings_.shutdown_grace - exit_margin) {
-            loop_.stop();
-            return;
-        }
+    if (shutdown_.advance(at)) {
+        loop_.stop();
+        return;
     }
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& error) {
@@ -135,7 +126,7 @@
 }
 
 void gateway_node::on_request(std::shared_ptr<edge::caller_exchange> exchange) {
-    if (is_shutting_down_ && now() - shutdown_began_ >= load_balancer_delay) {
+    if (shutdown_.refuses_requests(now())) {
         refuse_during_shutdown(*exchange);
         return;
     }
@@ -158,6 +149,7 @@
     log_.line("request_ended", log_category::failure)
         .text("request", codec_.decode(request.target, request.headers).id)
         .text("reason", to_string(serving::end_reason::shutting_down));
+    shutdown_.on_request_ended(serving::end_reason::shutting_down, false);
     const auto refusal =
         make_refusal_response({0, serving::end_reason::shutting_down, duration{100}});
     exchange.answer(refusal.head, refusal.body);
@@ -283,6 +275,7 @@
     log_end(effect, found->second->correlation_id());
     metrics_.count("camphor_ended_requests_total",
                    {{"reason", std::string(to_string(effect.reason))}});
+    shutdown_.on_request_ended(effect.reason, found->second->has_response_started());
     found->second->finish(effect);
 }
 
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway_peers.h"
+#include "graceful_shutdown.h"
 #include "request_flow.h"
 
 #include <edge/buffered_calls.h>
@@ -107,8 +108,7 @@
     std::unique_ptr<fleet_source> source_;
     boost::asio::steady_timer timer_;
     boost::asio::signal_set signals_;
-    bool is_shutting_down_ = false;
-    time_point shutdown_began_;
+    graceful_shutdown shutdown_;
 };
 
 } // namespace camphorgrade::entry
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -252,6 +252,12 @@
         return permits_.next_advance_at(now);
     }
 
+    /**
+     * This process is shutting down: every request, open or new, ends at `answer_by` at the latest,
+     * and one that can't start before then is refused as not run.
+     */
+    void begin_shutdown(time_point answer_by);
+
     /** Ends requests past their deadline, and places requests again that have waited too long
         for weights. */
     void tick(time_point now);
@@ -337,9 +343,15 @@
     void send(request_handle id, request& entry, const placement& target, time_point now);
     void wait(request_handle id, request& entry, const placement& target, time_point now);
     void end(request_handle id, request& entry, end_reason reason, duration retry_after = {});
+    /** Whether the shutdown of this process, rather than the request itself, sets the deadline. */
+    bool is_limited_by_shutdown(const request& entry) const;
+    void end_for_shutdown(request_handle id, request& entry);
     void detach_from_backend(request& entry);
     /** Counts a failure of the server if the first byte is overdue (`first_byte_timeout`). */
     void record_timeout(const request& entry, time_point now);
+    /** Prompt tokens of the request that the server has yet to process. */
+    static std::uint64_t uncached_tokens(const request& entry, backend_view& view);
+    /** Precondition: `uncached` is set for this server. */
     duration estimate_first_byte(const request& entry, const backend_view& view,
                                  time_point now) const;
     void retry_or_end(request_handle id, request& entry, attempt_outcome outcome, time_point now);
@@ -361,6 +373,7 @@
     permit_exchange permits_;
     store_recovery_estimator store_recovery_;
     placement_chooser placement_chooser_;
+    std::optional<time_point> answer_by_; /**< Latest deadline of every request. */
     std::map<request_handle, request> requests_;
     std::vector<dispatch_effect> effects_;
     request_handle next_handle_ = 1;
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -64,6 +64,7 @@
     const auto limit = entry.found_route->timeout > duration::zero() ? entry.found_route->timeout
                                                                      : default_timeout;
     entry.deadline = now + std::min(entry.metadata.deadline.value_or(limit), limit);
+    entry.deadline = std::min(entry.deadline, answer_by_.value_or(entry.deadline));
     if (crashes_.is_quarantined(entry.fingerprint, now)) {
         return end_reason::quarantined;
     }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -96,6 +96,10 @@
     const auto* target = std::get_if<placement>(&chosen.target);
     const auto budget = std::min(scaled(entry.deadline - now, settings_.usable_time_share),
                                  caller_timeout(entry) - (now - entry.arrived));
+    if (target->time_to_first_byte > budget && is_limited_by_shutdown(entry)) {
+        end_for_shutdown(id, entry);
+        return;
+    }
     if (target->time_to_first_byte > budget) {
         const auto excess = target->time_to_first_byte - budget;
         end(id, entry, end_reason::no_capacity,
@@ -155,7 +159,7 @@
 }
 
 void dispatcher::send_waiting_requests(const std::string& backend_id, time_point now) {
-    const auto* view = backends_.find(backend_id);
+    auto* view = backends_.find(backend_id);
     if (view == nullptr || !backend_registry::accepts_requests(*view, now)) {
         return;
     }
@@ -166,7 +170,14 @@
         const bool has_weights =
             each.metadata.model.empty() ||
             backends_.holds(*view, each.weights.name, each.weights.version, now);
-        if (has_weights && permits_.may_send(view->server.process(), now)) {
+        if (!has_weights || !permits_.may_send(view->server.process(), now)) {
+            continue;
+        }
+        each.uncached = uncached_tokens(each, *view);
+        if (is_limited_by_shutdown(each) &&
+            now + estimate_first_byte(each, *view, now) > each.deadline) {
+            end_for_shutdown(id, each);
+        } else {
             detach_from_backend(each);
             send(id, each, {backend_id, true, {}, {}}, now);
         }
@@ -183,10 +194,7 @@
     entry.sent_to = view->server.process();
     entry.weights = {entry.metadata.weights_name(), entry.version};
     entry.sent = now;
-    entry.uncached =
-        entry.metadata.prompt_tokens -
-        std::min(entry.metadata.prompt_tokens,
-                 view->prompts.cached_tokens(entry.weights.name, entry.metadata.prompt_parts));
+    entry.uncached = uncached_tokens(entry, *view);
     entry.expected_first_byte = estimate_first_byte(entry, *view, now);
     ++entry.attempts;
     ++view->in_flight;
@@ -208,6 +216,11 @@
     effects_.emplace_back(std::move(effect));
 }
 
+std::uint64_t dispatcher::uncached_tokens(const request& entry, backend_view& view) {
+    const auto cached = view.prompts.cached_tokens(entry.weights.name, entry.metadata.prompt_parts);
+    return entry.metadata.prompt_tokens - std::min(entry.metadata.prompt_tokens, cached);
+}
+
 duration dispatcher::estimate_first_byte(const request& entry, const backend_view& view,
                                          time_point now) const {
     if (entry.metadata.model.empty()) {
@@ -383,7 +396,9 @@
         if (each.state != phase::waiting && each.state != phase::sent) {
             continue;
         }
-        if (now >= each.deadline) {
+        if (now >= each.deadline && is_limited_by_shutdown(each)) {
+            end_for_shutdown(id, each);
+        } else if (now >= each.deadline) {
             const bool was_sent = each.state == phase::sent || each.may_have_run;
             record_timeout(each, now);
             end(id, each, was_sent ? end_reason::timed_out_sent : end_reason::timed_out,
