Defer stop signals from the first statement of main() until they are handled

What operators saw: SIGHUP or SIGTERM right after the start of a program ended it (exit code -1 or -15) instead of being logged or leading to an orderly end. Change: main() of camphor-entry and camphor-engine-agent blocks SIGTERM, SIGINT and SIGHUP first of all, and unblocks them once their handlers are set; pending ones are delivered then.

--- a/daemons/engine_agent.cpp
+++ b/daemons/engine_agent.cpp
@@ -1,5 +1,6 @@
 #include "platform_daemon.h"
 
+#include <edge/stop_signals.h>
 #include <engine_agent/agent_process.h>
 #include <platform/engine_client.h>
 
@@ -26,5 +27,6 @@
 } // namespace camphorgrade
 
 int main(int argc, char** argv) {
+    camphorgrade::edge::defer_stop_signals();
     return camphorgrade::run_platform_daemon("camphor-engine-agent", argc, argv, camphorgrade::run);
 }
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -1,5 +1,6 @@
 #include "platform_daemon.h"
 
+#include <edge/stop_signals.h>
 #include <entry/entry_process.h>
 #include <platform/fleet_watcher.h>
 #include <platform/platform_codec.h>
@@ -68,5 +69,6 @@
 } // namespace camphorgrade
 
 int main(int argc, char** argv) {
+    camphorgrade::edge::defer_stop_signals();
     return camphorgrade::run_platform_daemon("camphor-entry", argc, argv, camphorgrade::run);
 }
--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -42,8 +42,9 @@
     std::function<std::unique_ptr<adapters::engine_port>(edge::buffered_calls&)>;
 
 /**
- * Runs the agent process beside an engine until SIGTERM or SIGINT. Returns the exit code. Call from
- * the main thread only. Throws boost::system::system_error when the peer address can't be bound.
+ * Runs the agent process beside an engine until SIGTERM or SIGINT. Returns the exit code. Ends the
+ * deferral of edge::defer_stop_signals(). Call from the main thread only. Throws
+ * boost::system::system_error when the peer address can't be bound.
  */
 int run_agent(const agent_settings& settings, const engine_port_factory& make_engine);
 
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -1,5 +1,7 @@
 #include "agent_node.h"
 
+#include <edge/stop_signals.h>
+
 #include <algorithm>
 #include <csignal>
 #include <utility>
@@ -48,6 +50,7 @@
         .number("life", static_cast<std::int64_t>(settings_.incarnation));
     listen_for_metrics();
     wait_for_signal();
+    edge::deliver_stop_signals();
     poll_engine();
     schedule_report(settings_.heartbeat_interval);
     loop_.run();
--- a/libs/entry/include/entry/entry_process.h
+++ b/libs/entry/include/entry/entry_process.h
@@ -67,9 +67,9 @@
 
 /**
  * Runs the gateway process on an entry VM. SIGTERM or SIGINT begins a graceful shutdown, after
- * which the function returns the exit code. Call from the main thread only. Throws
- * boost::system::system_error when a listen address other than entry_settings::metrics_address
- * can't be bound.
+ * which the function returns the exit code. Ends the deferral of edge::defer_stop_signals(). Call
+ * from the main thread only. Throws boost::system::system_error when a listen address other than
+ * entry_settings::metrics_address can't be bound.
  */
 int run_entry(const entry_settings& settings, const serving::request_codec& codec,
               const serving::catalogue_reader& reader, const fleet_source_factory& make_source);
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -3,6 +3,8 @@
 #include "operator_endpoints.h"
 #include "refusal_response.h"
 
+#include <edge/stop_signals.h>
+
 #include <boost/asio/post.hpp>
 
 #include <cmath>
@@ -58,6 +60,7 @@
             on_signal(signal);
         }
     });
+    edge::deliver_stop_signals();
     tick();
     loop_.run();
     const auto& ended = shutdown_.counts();
--- a/tests/path/child_process.h
+++ b/tests/path/child_process.h
@@ -20,6 +20,9 @@
     child_process& operator=(child_process&& other) noexcept;
     ~child_process();
 
+    /** The id of the process; -1 after its end was waited for. */
+    pid_t pid() const noexcept { return pid_; }
+
     void signal(int number) const;
 
     /** Waits for its end; the exit code, or minus the signal that ended it. */
