Add a failing test of responses to HEAD and with status 204 that are begun

Cause: callers would read "0\r\n\r\n" as the beginning of the answer to their next request. A response that is begun (an event stream) to HEAD, or with status 204, has no body, but finish() writes the last chunk; with a length it closes the connection instead, since the length wasn't written.

--- a/libs/edge/tests/test_single_response.cpp
+++ b/libs/edge/tests/test_single_response.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -112,3 +113,32 @@
     CHECK(caller.was_reset() == was_reset);
     fixture.thread.run([&] { exchange.reset(); });
 }
+
+TEST_CASE("a response that has no body is followed by the next response") {
+    server_fixture fixture;
+    int status = 200;
+    std::optional<std::uint64_t> length;
+    std::string method = "HEAD";
+    SECTION("to HEAD, of unknown length") {}
+    SECTION("to HEAD, with the length that a body would have") { length = 5; }
+    SECTION("with status 204") {
+        status = 204;
+        method = "GET";
+    }
+    fixture.handler.respond = [&](const exchange_ptr& exchange) {
+        if (exchange->request().target == "/1") {
+            exchange->begin({status, {}}, length);
+            exchange->finish();
+        } else {
+            exchange->answer({200, {}}, "second");
+        }
+    };
+    auto caller = fixture.connect();
+    caller.send(method + " /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+                         "GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    const auto received = caller.read_all();
+    const auto head_end = received.find("\r\n\r\n");
+    REQUIRE(head_end != std::string::npos);
+    CHECK(received.substr(head_end + 4, 9) == "HTTP/1.1 ");
+    CHECK(received.find("second") != std::string::npos);
+}
