Add a failing test of given up responses that look complete

Cause: callers of HTTP/1.0 would take a cut answer for a whole one. exchange::abort() resets the connection of a response that ends with it, but on_caller_disconnected() (the caller leaves too many bytes unread, or has ended its sending direction) closes it in an orderly way. Evidence: the new case of test_single_response fails in both sections.

--- a/libs/edge/tests/test_single_response.cpp
+++ b/libs/edge/tests/test_single_response.cpp
@@ -142,3 +142,28 @@
     CHECK(received.substr(head_end + 4, 9) == "HTTP/1.1 ");
     CHECK(received.find("second") != std::string::npos);
 }
+
+TEST_CASE("a response to a caller of HTTP/1.0 that is given up doesn't end like a complete one") {
+    server_fixture fixture;
+    std::promise<exchange_ptr> begun;
+    fixture.handler.respond = [&](const exchange_ptr& exchange) {
+        exchange->begin({200, {}}, std::nullopt);
+        exchange->write("id: 1\n\n");
+        begun.set_value(exchange);
+    };
+    auto caller = fixture.connect();
+    caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n\r\n");
+    auto exchange = begun.get_future().get();
+    CHECK(caller.read_until("id: 1\n\n").find("id: 1\n\n") != std::string::npos);
+    SECTION("since the caller leaves too many bytes unread") {
+        constexpr std::size_t piece_bytes = std::size_t{1} << 20U;
+        constexpr int pieces = 64; // beyond the limit and what both sockets buffer
+        for (int written = 0; written < pieces; ++written) {
+            fixture.thread.run([&] { exchange->write(std::string(piece_bytes, 'x')); });
+        }
+    }
+    SECTION("since the caller has ended its sending direction") { caller.shut_down_sending(); }
+    caller.read_all();
+    CHECK(caller.was_reset());
+    fixture.thread.run([&] { exchange.reset(); });
+}
