Add a failing test of streams that quote a status line

Cause: callers of a stream with CR LF lines and without length and chunks would get it broken off at an event whose data ends with a status line and is followed by another field: following_response_detector takes it for the head of another response. Each server that is tried next does the same. Evidence: the new case of test_unframed_responses fails for both texts.

--- a/libs/edge/tests/test_unframed_responses.cpp
+++ b/libs/edge/tests/test_unframed_responses.cpp
@@ -133,3 +133,11 @@
         CHECK(received.body == body);
     }
 }
+
+TEST_CASE("an event stream with CR LF lines may quote a status line before another field") {
+    const auto body = GENERATE(as<std::string>{}, "data: HTTP/1.1 200 OK\r\nid: 1\r\n\r\n",
+                               "id: 1\r\ndata: HTTP/1.1 200 OK\r\ndata: second line\r\n\r\n");
+    const auto received = play(unframed("r1", body), 10'000);
+    CHECK(received.is_complete);
+    CHECK(received.body == body);
+}
