Add a failing test of a resumed stream that ends before its first event

Cause: callers would take a cut stream for a whole one. A resumed run without length and chunks whose connection ends in an orderly way before its first event counts as complete, though the first run was cut.

--- a/libs/entry/tests/test_foreign_pieces.cpp
+++ b/libs/entry/tests/test_foreign_pieces.cpp
@@ -93,3 +93,11 @@
     CHECK(context.server.requests.size() == 1);
     CHECK(context.dispatcher().crashes().newest(1).empty());
 }
+
+TEST_CASE("a resumed stream without length that ends before its first event isn't complete") {
+    flow_fixture context(kind::streaming, true,
+                         {stream_head + event(1, "a1") + "id: 2\nda", stream_begin()});
+    const auto response = context.run();
+    CHECK(response.body == event(1, "a1"));
+    CHECK_FALSE(response.is_finished);
+}
