Add a failing test of an interim response within a stream

Cause: callers would get bytes of no event as a piece of their stream. following_response_detector requires the name of a header behind the status line, which an interim response doesn't have: a stream without length and chunks that is followed by 100 Continue, alone or before a late second response, forwards it as an event without id; alone, the stream counts as complete, too.

--- a/libs/entry/tests/test_foreign_pieces.cpp
+++ b/libs/entry/tests/test_foreign_pieces.cpp
@@ -101,3 +101,13 @@
     CHECK(response.body == event(1, "a1"));
     CHECK_FALSE(response.is_finished);
 }
+
+TEST_CASE("an interim response within a stream isn't forwarded as an event") {
+    const auto next = GENERATE(as<std::string>{}, "", other_stream);
+    flow_fixture context(
+        kind::streaming, false,
+        {stream_begin() + event(1, "a1") + "HTTP/1.1 100 Continue\r\n\r\n" + next});
+    const auto response = context.run();
+    CHECK(response.body == event(1, "a1"));
+    CHECK(response.is_aborted);
+}
