Add a failing test of a repeated response to HEAD

Cause: callers would wait up to their timeout. Evidence: the new case of test_repeated_responses isn't over after five seconds. It assumes that the connection is reused after HEAD; if the mending is not to do so, the case must accept a second connection.

--- a/libs/edge/tests/test_repeated_responses.cpp
+++ b/libs/edge/tests/test_repeated_responses.cpp
@@ -211,3 +211,25 @@
     server.send("HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\ntwo");
     CHECK(wait_for_end(second).body == "two");
 }
+
+TEST_CASE("the repetition of a response to HEAD doesn't take the call's own response as its body") {
+    upstream_fixture fixture;
+    upstream_request request;
+    request.method = "HEAD";
+    request.target = "/work";
+    request.headers = {{"Host", "x"}};
+    request.correlation_header = "X-Id";
+    request.correlation_id = "r1";
+    auto& first = fixture.start(fixture.address(), request);
+    auto server = fixture.accept();
+    server.read_until("\r\n\r\n");
+    const std::string head = "HTTP/1.1 200 OK\r\nX-Id: r1\r\nContent-Length: 500\r\n\r\n";
+    server.send(head);
+    REQUIRE(wait_for_end(first).is_complete);
+    request.method = "GET";
+    request.correlation_id = "r2";
+    auto& second = fixture.start(fixture.address(), request);
+    server.read_until("\r\n\r\n");
+    server.send(head + response_text("r2", "own"));
+    CHECK(wait_for_end(second).body == "own");
+}
