Add a failing test of an interim response to HTTP/1.0

Cause: a caller of HTTP/1.0 would read 100 Continue as the answer to its request, since its protocol has no interim responses; a server must ignore the expectation there. Evidence: the new case of test_single_response fails.

--- a/libs/edge/tests/test_single_response.cpp
+++ b/libs/edge/tests/test_single_response.cpp
@@ -167,3 +167,11 @@
     CHECK(caller.was_reset());
     fixture.thread.run([&] { exchange.reset(); });
 }
+
+TEST_CASE("a caller of HTTP/1.0 gets no interim response") {
+    server_fixture fixture;
+    auto caller = fixture.connect();
+    caller.send("POST /1 HTTP/1.0\r\nHost: x\r\nExpect: 100-continue\r\n"
+                "Content-Length: 1\r\n\r\na");
+    CHECK(caller.read_until("handled").rfind("HTTP/1.1 200 ", 0) == 0);
+}
