Find a following response without headers, and pass text that quotes a status line

A head without headers, such as 100 Continue, behind a body without length wasn't recognised and was forwarded as an event; and an event stream with CR LF lines that quotes a status line before its next field was broken off. Change: a status line that begins a line and is followed by an empty one is a head; the fields of an event stream (data, id, event, retry) don't count as headers. Evidence: 'an interim response within a stream isn't forwarded' and 'an event stream with CR LF lines may quote a status line' failed and pass.

--- a/libs/edge/src/following_response_detector.cpp
+++ b/libs/edge/src/following_response_detector.cpp
@@ -25,6 +25,11 @@
            std::string_view("!#$%&'*+-.^_`|~").find(byte) != std::string_view::npos;
 }
 
+/** Whether `name` is a field of an event stream, whose text may quote a status line. */
+bool is_event_field(std::string_view name) {
+    return name == "data" || name == "id" || name == "event" || name == "retry";
+}
+
 bool matches_pattern(std::string_view text) {
     const auto count = std::min(text.size(), status_line_pattern.size());
     return std::equal(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(count),
@@ -35,7 +40,8 @@
 
 } // namespace
 
-following_response_detector::match following_response_detector::match_head(std::string_view text) {
+following_response_detector::match following_response_detector::match_head(std::string_view text,
+                                                                           bool begins_line) {
     if (!matches_pattern(text)) {
         return match::none;
     }
@@ -55,12 +61,21 @@
         return text == "\r" ? match::partial : match::none;
     }
     text.remove_prefix(2);
+    return match_after_status_line(text, begins_line);
+}
+
+following_response_detector::match
+following_response_detector::match_after_status_line(std::string_view text, bool begins_line) {
+    if (begins_line && !text.empty() && text.front() == '\r') {
+        return text.size() == 1 ? match::partial : (text[1] == '\n' ? match::whole : match::none);
+    }
     const auto name_end = std::find_if_not(text.begin(), text.end(), is_token_byte);
-    const auto name_bytes = static_cast<std::size_t>(name_end - text.begin());
+    const auto name = text.substr(0, static_cast<std::size_t>(name_end - text.begin()));
     if (name_end == text.end()) {
-        return name_bytes > max_header_name_bytes ? match::none : match::partial;
+        return name.size() > max_header_name_bytes ? match::none : match::partial;
     }
-    return name_bytes > 0 && *name_end == ':' ? match::whole : match::none;
+    const bool is_header = !name.empty() && *name_end == ':' && !is_event_field(name);
+    return is_header ? match::whole : match::none;
 }
 
 std::string following_response_detector::append(std::string_view bytes) {
@@ -72,7 +87,8 @@
     const std::string_view view = text;
     for (auto at = view.find(status_line_pattern.front()); at != std::string_view::npos;
          at = view.find(status_line_pattern.front(), at + 1)) {
-        const auto found = match_head(view.substr(at));
+        const char previous = at == 0 ? last_byte_ : view[at - 1];
+        const auto found = match_head(view.substr(at), previous == '\n');
         if (found == match::none) {
             continue;
         }
@@ -81,6 +97,7 @@
         text.resize(at);
         break;
     }
+    last_byte_ = text.empty() ? last_byte_ : text.back();
     return text;
 }
 
