Don't end a resumed stream as complete if its server sent no event and no framing

Cause: what callers saw is a stream that isn't whole. A resumed run without length and chunks whose connection ended in an orderly way before its first event counted as the rest of the stream. Change: such a run is incomplete.

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -232,7 +232,10 @@
 }
 
 void request_flow::complete_stream(body_end end) {
-    if (attempt_->events.incomplete_bytes() > 0) {
+    // Without an event, nothing shows that a body without length and chunks continues the stream.
+    const bool is_unproven = attempt_->framing.ends_with_connection && attempt_->resumed_after &&
+                             attempt_->accepted_events == 0;
+    if (attempt_->events.incomplete_bytes() > 0 || is_unproven) {
         end_attempt(end, serving::attempt_outcome::invalid_response);
         return;
     }
