Send no interim response to a caller of HTTP/1.0

Cause: a caller of HTTP/1.0 that sent Expect read 100 Continue as its answer (found by the review). Change: 100 Continue is sent to callers of HTTP/1.1 only. Evidence: the case of test_single_response failed and passes.

--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -117,7 +117,8 @@
         reject(400);
         return;
     }
-    if (same_header_name(std::string(head[http::field::expect]), "100-continue")) {
+    if (same_header_name(std::string(head[http::field::expect]), "100-continue") &&
+        supports_chunked_) { // HTTP/1.0 has no interim responses
         send("HTTP/1.1 100 Continue\r\n\r\n");
     }
     set_timer(shared_->limits.idle_timeout, &connection::on_request_timeout);
