--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -76,6 +76,7 @@
     }
     is_idle_ = true;
     is_response_queued_ = false;
+    body_ends_with_connection_ = false;
     parser_.emplace();
     parser_->header_limit(static_cast<std::uint32_t>(shared_->limits.max_header_bytes));
     parser_->body_limit(shared_->limits.max_body_bytes);
@@ -203,7 +204,7 @@
 
 void caller_server::connection::on_caller_disconnected() {
     const auto interrupted = current_exchange_.lock();
-    close();
+    interrupt();
     if (interrupted) {
         interrupted->notify_disconnected();
     }
@@ -301,9 +302,11 @@
     socket_.close(ignored);
 }
 
-void caller_server::connection::close_with_reset() {
-    boost::system::error_code ignored; // a socket that isn't open has nothing to reset
-    socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+void caller_server::connection::interrupt() {
+    if (body_ends_with_connection_) {
+        boost::system::error_code ignored; // a socket that isn't open has nothing to reset
+        socket_.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+    }
     close();
 }
 
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -76,7 +76,9 @@
     void linger();
     void discard_input();
     void close();
-    void close_with_reset();
+    /** Closes the connection before the present response is complete, so that the response doesn't
+        look complete. */
+    void interrupt();
     void set_timer(duration after, void (connection::*expired)());
     void cancel_timer();
     void on_close_timeout();
@@ -97,8 +99,9 @@
     bool is_idle_ = true;     /**< No byte of the next request was received. */
     bool is_reading_ = false; /**< A part of the next request was received. */
     bool keep_alive_ = true;
-    bool supports_chunked_ = true;    /**< False for an HTTP/1.0 caller. */
-    bool is_response_queued_ = false; /**< The whole response was passed to send(). */
+    bool supports_chunked_ = true;           /**< False for an HTTP/1.0 caller. */
+    bool is_response_queued_ = false;        /**< The whole response was passed to send(). */
+    bool body_ends_with_connection_ = false; /**< Of the present response. */
     bool is_closed_ = false;
     std::string discard_buffer_;
 };
@@ -131,7 +134,6 @@
     std::function<void()> disconnect_callback_;
     std::optional<std::uint64_t> remaining_length_;
     bool is_chunked_ = false;
-    bool ends_with_connection_ = false; /**< The body has neither a length nor chunks. */
 };
 
 } // namespace camphorgrade::edge
--- a/libs/edge/src/caller_exchange.cpp
+++ b/libs/edge/src/caller_exchange.cpp
@@ -81,7 +81,7 @@
         framing = "Transfer-Encoding: chunked\r\n";
     } else {
         connection_->keep_alive_ = false;
-        ends_with_connection_ = true;
+        connection_->body_ends_with_connection_ = true;
     }
     connection_->send(connection_->head_text(head, framing));
 }
@@ -122,11 +122,7 @@
 
 void caller_server::connection::exchange::abort() {
     if (const auto connection = detach()) {
-        if (ends_with_connection_) {
-            connection->close_with_reset(); // an orderly end would look like that of the body
-        } else {
-            connection->close();
-        }
+        connection->interrupt();
     }
 }
 
