Write no body, chunks or last chunk behind a response that has none

A begun response to HEAD, or with status 204 or 304, was followed by the last chunk, which the caller reads as the start of its next answer; one to HEAD with a length was aborted. Change: such a response ends with its head.

--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -134,6 +134,7 @@
     std::function<void()> disconnect_callback_;
     std::optional<std::uint64_t> remaining_length_;
     bool is_chunked_ = false;
+    bool has_body_ = true; /**< False for a response to HEAD and for a status without a body. */
 };
 
 } // namespace camphorgrade::edge
--- a/libs/edge/src/caller_exchange.cpp
+++ b/libs/edge/src/caller_exchange.cpp
@@ -11,6 +11,13 @@
 // A caller that leaves this many bytes of its response unread is treated as disconnected.
 constexpr std::size_t max_queued_bytes = std::size_t{4} * 1024 * 1024;
 
+/** Whether a response with `status` has a body unless it is one to HEAD. */
+bool may_have_body(int status) {
+    constexpr int no_content = 204;
+    constexpr int not_modified = 304;
+    return status != no_content && status != not_modified;
+}
+
 std::string encode_chunk(std::string_view bytes) {
     std::array<char, 24> size{};
     const int digits = std::snprintf(size.data(), size.size(), "%zx\r\n", bytes.size());
@@ -72,14 +79,17 @@
     if (!connection_) {
         return;
     }
-    remaining_length_ = length;
-    is_chunked_ = !length && connection_->supports_chunked_;
+    has_body_ = request_.method != "HEAD" && may_have_body(head.status);
+    remaining_length_ = has_body_ ? length : std::nullopt;
+    is_chunked_ = has_body_ && !length && connection_->supports_chunked_;
     std::string framing;
-    if (length) {
+    if (!may_have_body(head.status)) {
+        framing.clear(); // the response ends with its head
+    } else if (length) {
         framing = "Content-Length: " + std::to_string(*length) + "\r\n";
-    } else if (is_chunked_) {
+    } else if (connection_->supports_chunked_) {
         framing = "Transfer-Encoding: chunked\r\n";
-    } else {
+    } else if (has_body_) {
         connection_->keep_alive_ = false;
         connection_->body_ends_with_connection_ = true;
     }
@@ -87,7 +97,7 @@
 }
 
 void caller_server::connection::exchange::write(std::string_view bytes) {
-    if (!connection_ || bytes.empty()) {
+    if (!connection_ || bytes.empty() || !has_body_) {
         return;
     }
     if (remaining_length_) {
