Don't reuse a connection after a HEAD request

Cause: a call hung (found by the review). Whether a response has a body is decided by the method of the present call; the repetition of a response to HEAD with a length took the call's own response as its body. Change: a connection that carried HEAD is closed. The test assumed that it is reused; it now requires that nothing more is read on it and that the next call gets its own response elsewhere. Evidence: the case waited five seconds in vain before, and passes.

--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -368,7 +368,8 @@
         (!correlation_header_.empty() && correlation_id_.empty()) ||
         shared_->unframed.contains(address_, shared_->time_source.now());
     const bool reusable = parser_->get().keep_alive() && is_written_ && input_.size() == 0 &&
-                          !parser_->need_eof() && !has_own_connection;
+                          !parser_->need_eof() && !has_own_connection &&
+                          !is_head_request_; // a repetition would be read as if it had a body
     const auto idle_for = reuse_time();
     auto* sink = std::exchange(sink_, nullptr);
     const auto self = shared_from_this();
