--- a/libs/entry/tests/test_foreign_pieces.cpp
+++ b/libs/entry/tests/test_foreign_pieces.cpp
@@ -85,9 +85,8 @@
 }
 
 TEST_CASE("a response that can't be told from another one isn't a crash of its request") {
-    const auto response =
-        GENERATE(as<std::string>{}, own_stream + own_stream,
-                 plain_response("whole") + plain_response("whole"));
+    const auto response = GENERATE(as<std::string>{}, own_stream + own_stream,
+                                   plain_response("whole") + plain_response("whole"));
     flow_fixture context(kind::non_idempotent, false, {response});
     context.run();
     CHECK(context.server.requests.size() == 1);
