Refuse requests with a part that crashes servers, before they are sent

The dispatcher records crashes and starts for the parts of its requests: new and waiting requests with a held part end as quarantined, 'not run'; those sent whose answers haven't begun end as possibly run; none is sent again. A response head that isn't the server's own makes no part suspect. crash_register stays as it is.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -5,6 +5,7 @@
 #include <serving/account_limiter.h>
 #include <serving/backend_registry.h>
 #include <serving/crash_register.h>
+#include <serving/crashing_parts.h>
 #include <serving/permit_exchange.h>
 #include <serving/placement.h>
 #include <serving/request_metadata.h>
@@ -32,7 +33,8 @@
     no_route,
     unknown_key,
     over_rate,       /**< The client account has used up its rate and burst. */
-    quarantined,     /**< The request crashed several backend servers. */
+    quarantined,     /**< The request, or others with a part of its prompt, crashed several
+                          backend servers. */
     no_backend,      /**< No backend server accepts requests. */
     no_capacity,     /**< The request could not be served in time. */
     refused,         /**< Backend servers refused the request or were unreachable, and no further
@@ -159,6 +161,7 @@
     retry_limiter_settings retries;
     placement_settings placement_estimates;
     store_recovery_estimator_settings store_recovery;
+    crashing_parts_settings crashing_parts;
     server_limits_settings server_limits;
     permit_exchange_settings permits;
 
@@ -187,6 +190,8 @@
     const backend_registry& backends() const noexcept { return backends_; }
     account_limiter& limiter() noexcept { return limiter_; }
     crash_register& crashes() noexcept { return crashes_; }
+    crashing_parts& parts() noexcept { return parts_; }
+    const crashing_parts& parts() const noexcept { return parts_; }
     const server_limits& limits() const noexcept { return limits_; }
     const permit_exchange& permits() const noexcept { return permits_; }
     store_recovery_estimator& store_recovery() noexcept { return store_recovery_; }
@@ -226,12 +231,14 @@
         return limits_.next_reports(is_complete, now);
     }
 
-    /** Sets this gateway's address and the live gateways that share request limits, itself
-        included. */
-    void set_gateways(const std::string& own, const std::vector<std::string>& live,
-                      time_point now) {
-        permits_.set_gateways(own, live, now);
-    }
+    /** Sets this gateway's address and the live gateways that share request limits and trials of
+        parts, itself included. */
+    void set_gateways(const std::string& own, const std::vector<std::string>& live, time_point now);
+
+    /** Applies what a peer knows of parts that crash servers; ends requests with newly held
+        parts. */
+    void on_parts_report(const std::string& peer, const crashing_parts_report& report,
+                         time_point now);
 
     /** A peer requests permits from this gateway. */
     void on_permit_requests(const std::string& peer, const permit_requests& requests,
@@ -311,6 +318,8 @@
         bool is_retry_forbidden = false;
         phase state = phase::placing;
         bool has_first_byte = false;
+        bool is_part_trial = false;    /**< Sent although a part of its prompt is held. */
+        bool has_invalid_head = false; /**< The present response isn't the server's own. */
         std::string backend_id;
         server_process sent_to; /**< Process that the request was last sent to. */
         versioned_weights weights;
@@ -347,6 +356,14 @@
     bool is_limited_by_shutdown(const request& entry) const;
     void end_for_shutdown(request_handle id, request& entry);
     void detach_from_backend(request& entry);
+    /** Whether a part of the prompt is held and this isn't a trial of it. */
+    bool is_held(request& entry, time_point now);
+    /** The connection broke: records it for the request's parts unless its answer had begun. */
+    void record_crash(const request& entry, time_point now);
+    /** Ends requests with held parts that wait or whose answers haven't begun. */
+    void end_held_requests(time_point now);
+    /** Decides anew which parts are held and ends the requests with new ones. */
+    void update_parts(time_point now);
     /** Counts a failure of the server if the first byte is overdue (`first_byte_timeout`). */
     void record_timeout(const request& entry, time_point now);
     /** Prompt tokens of the request that the server has yet to process. */
@@ -369,6 +386,7 @@
     account_limiter limiter_;
     retry_limiter retries_;
     crash_register crashes_;
+    crashing_parts parts_;
     server_limits limits_;
     permit_exchange permits_;
     store_recovery_estimator store_recovery_;
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -68,6 +68,11 @@
     if (crashes_.is_quarantined(entry.fingerprint, now)) {
         return end_reason::quarantined;
     }
+    if (is_held(entry, now)) {
+        retry_after = parts_.retry_after(entry.metadata.prompt_parts, now)
+                          .value_or(settings_.max_retry_after);
+        return end_reason::quarantined;
+    }
     entry.service = choose_service(*entry.found_route);
     if (const auto wait = limiter_.charge(entry.account, entry.cost, now)) {
         entry.refused_cost = std::exchange(entry.cost, 0);
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -11,8 +11,9 @@
 dispatcher::dispatcher(dispatcher_settings settings, std::string own_data_centre,
                        std::uint64_t seed)
     : settings_(settings), random_(seed), backends_({}), limiter_(settings.limits),
-      retries_(settings.retries), crashes_({}), limits_(settings.server_limits),
-      permits_(limits_, settings.permits), store_recovery_(settings.store_recovery),
+      retries_(settings.retries), crashes_({}), parts_(settings.crashing_parts),
+      limits_(settings.server_limits), permits_(limits_, settings.permits),
+      store_recovery_(settings.store_recovery),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -145,6 +146,7 @@
         return;
     }
     const auto backend = found->second.backend_id;
+    found->second.has_invalid_head = !head.is_sealed || head.is_encoded;
     record_limit(id, found->second, head, now);
     if (head.is_shutting_down) {
         backends_.on_leaving(backend);
@@ -190,6 +192,7 @@
     permits_.take(view->server.process(), now);
     entry.state = phase::sent;
     entry.has_first_byte = false;
+    entry.has_invalid_head = false;
     entry.backend_id = target.backend_id;
     entry.sent_to = view->server.process();
     entry.weights = {entry.metadata.weights_name(), entry.version};
@@ -289,6 +292,7 @@
     }
     auto& entry = found->second;
     entry.has_first_byte = true;
+    parts_.on_start(entry.metadata.prompt_parts, entry.sent_to, now);
     if (auto* view = backends_.find(entry.backend_id)) {
         view->queued_prompt_tokens -= entry.uncached;
         backends_.on_latency(entry.backend_id, now - entry.sent, entry.expected_first_byte);
@@ -310,9 +314,13 @@
     auto& entry = found->second;
     const auto backend = entry.backend_id;
     const auto* view = backends_.find(backend);
-    if (outcome == attempt_outcome::invalid_response && view != nullptr) {
-        crashes_.add({entry.fingerprint, backend, view->server.started_at_ms}, now);
+    if (outcome == attempt_outcome::invalid_response) {
+        if (view != nullptr) {
+            crashes_.add({entry.fingerprint, backend, view->server.started_at_ms}, now);
+        }
+        record_crash(entry, now);
     }
+    const bool has_newly_held = parts_.update(now);
     detach_from_backend(entry);
     if (outcome == attempt_outcome::wrong_weights) {
         backends_.on_weights_missing(backend, entry.weights);
@@ -331,9 +339,12 @@
     }
     if (outcome == attempt_outcome::completed) {
         entry.state = phase::ended;
-        return;
+    } else {
+        retry_or_end(id, entry, outcome, now);
+    }
+    if (has_newly_held) {
+        end_held_requests(now);
     }
-    retry_or_end(id, entry, outcome, now);
 }
 
 void dispatcher::retry_or_end(request_handle id, request& entry, attempt_outcome outcome,
@@ -345,6 +356,12 @@
     entry.attempts -= has_run || entry.attempts == 0 ? 0 : 1;
     const auto reason = has_run ? end_reason::invalid_response : end_reason::refused;
     entry.excluded.insert(entry.backend_id);
+    if (is_held(entry, now)) {
+        end(id, entry, has_run ? end_reason::invalid_response : end_reason::quarantined,
+            parts_.retry_after(entry.metadata.prompt_parts, now)
+                .value_or(settings_.max_retry_after));
+        return;
+    }
     const bool may_run_again =
         !entry.is_retry_forbidden && (!entry.may_have_run || entry.found_route->is_retryable());
     const bool has_attempts_left =
@@ -409,6 +426,7 @@
             place(id, each, now);
         }
     }
+    update_parts(now);
     backends_.erase_removed();
     erase_ended_limits(now);
 }
--- a/libs/serving/tests/crashing_fleet.h
+++ b/libs/serving/tests/crashing_fleet.h
@@ -42,6 +42,7 @@
     duration answer_time{500}; /**< From the first event to the last. */
     duration restart_time{4'000};
     duration report_interval{100};
+    duration complete_interval{900};
     duration report_delay{100};
     duration stable_time{3'000};
     std::uint64_t seed = 1;
@@ -113,6 +114,7 @@
         time_point arrives_at;
         std::size_t sender = 0;
         std::vector<crash_record> crashes;
+        crashing_parts_report parts;
     };
 
     bool is_after(int spans) const {
@@ -275,10 +277,14 @@
     }
 
     void exchange() {
-        if (now_.time_since_epoch().count() % script_.report_interval.count() == 0) {
-            for (std::size_t i = 0; i < gateways_.size(); ++i) {
-                messages_.push_back(
-                    {now_ + script_.report_delay, i, gateways_[i]->crashes().newest(64)});
+        const auto at = now_.time_since_epoch().count();
+        const bool is_regular = at % script_.report_interval.count() == 0;
+        const bool is_complete = at % script_.complete_interval.count() == 0;
+        for (std::size_t i = 0; i < gateways_.size(); ++i) {
+            if (is_regular || gateways_[i]->parts().has_news()) {
+                messages_.push_back({now_ + script_.report_delay, i,
+                                     gateways_[i]->crashes().newest(64),
+                                     gateways_[i]->parts().next_report(is_complete, now_)});
             }
         }
         while (!messages_.empty() && messages_.front().arrives_at <= now_) {
@@ -296,6 +302,9 @@
         for (const auto& each : arrived.crashes) {
             gateways_[gateway]->crashes().add(each, now_);
         }
+        gateways_[gateway]->on_parts_report("gateway-" + std::to_string(arrived.sender),
+                                            arrived.parts, now_);
+        execute(gateway);
     }
 
     static constexpr std::size_t fifth = 5;
