Tell the fleet at once of parts that crash servers, and log what is held

Gateways other than the one that saw a crash sent requests with the part for up to 0.9 s more, since crash records go out with complete reports only. A report is now sent at once (at most every 20 ms) when a crash was observed, and repeats it for 1 s; complete reports carry the newest crashes and those behind held parts, so that a gateway that has just started learns them within one such interval. Reports also count the starts with suspect parts.

No fleet of processes was played with the change.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -1,6 +1,7 @@
 #include "gateway_node.h"
 
 #include "operator_endpoints.h"
+#include "part_state_log.h"
 #include "refusal_response.h"
 
 #include <edge/stop_signals.h>
@@ -229,6 +230,7 @@
         metrics_.count("camphor_failed_attempts_total",
                        {{"outcome", std::string(to_string(outcome))}});
     }
+    peers_.crashes_changed();
     execute_effects();
 }
 
@@ -268,6 +270,15 @@
             std::visit([this](const auto& effect) { execute(effect); }, each);
         }
     }
+    log_part_changes();
+}
+
+void gateway_node::log_part_changes() {
+    for (const auto& each : dispatcher_.parts().take_changes()) {
+        log_part_change(log_, each);
+        metrics_.count("camphor_prompt_part_states_total",
+                       {{"state", std::string(to_string(each.state))}});
+    }
 }
 
 void gateway_node::execute(const serving::end_request& effect) {
@@ -291,6 +302,9 @@
         .number("retry_after_ms", effect.retry_after.count())
         .number("open_requests", static_cast<std::int64_t>(flows_.size()))
         .number("store_age_ms", fleet_.data_age().count());
+    if (effect.held_part) {
+        line.text("part", part_name(*effect.held_part));
+    }
     if (effect.reason == serving::end_reason::over_rate) {
         const auto bucket = dispatcher_.limiter().bucket_state(account);
         line.number("cost", static_cast<std::int64_t>(effect.refused_cost))
@@ -393,6 +407,10 @@
                  static_cast<double>(dispatcher_.limits().all().size()));
     metrics_.set("camphor_granted_permits", {},
                  static_cast<double>(dispatcher_.permits().granted_permits()));
+    metrics_.set("camphor_prompt_parts", {{"state", "suspect"}},
+                 static_cast<double>(dispatcher_.parts().suspects()));
+    metrics_.set("camphor_prompt_parts", {{"state", "held"}},
+                 static_cast<double>(dispatcher_.parts().held()));
     metrics_.set("camphor_unreadable_peer_datagrams", {},
                  static_cast<double>(peers_.unreadable_datagrams()));
     return metrics_.prometheus_text();
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -73,6 +73,7 @@
     friend class operator_endpoints;
 
     void execute_effects();
+    void log_part_changes();
     void execute(const serving::end_request& effect);
     void log_end(const serving::end_request& effect, const std::string& correlation_id);
     void execute(const serving::send_attempt& effect);
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -109,7 +109,10 @@
     for (const auto& each : report.limits) {
         dispatcher_.on_limit_report(sender, each, now);
     }
-    if (!report.limits.empty()) {
+    if (!report.parts.is_empty()) {
+        dispatcher_.on_parts_report(sender, report.parts, now);
+    }
+    if (!report.limits.empty() || !report.parts.is_empty()) {
         host_.on_effects_pending();
     }
     for (const auto& [weights, version] : report.versions) {
@@ -317,6 +320,13 @@
     }
 }
 
+void gateway_peers::crashes_changed() {
+    const bool may_send = clock_.now() - last_report_ >= settings_.urgent_report_interval;
+    if (may_send && dispatcher_.parts().has_news()) {
+        send_reports(true);
+    }
+}
+
 void gateway_peers::send_reports(bool is_urgent) {
     update_granters();
     const auto now = clock_.now();
@@ -324,9 +334,9 @@
     const auto& usage = dispatcher_.limiter().own_usage();
     peering::gateway_report report;
     report.catalogue_version = fleet_.catalogue_version();
-    const bool has_changes = usage != reported_usage_ ||
-                             report.catalogue_version != reported_catalogue_version_ ||
-                             dispatcher_.limits().has_recent_changes(now);
+    const bool has_changes =
+        usage != reported_usage_ || report.catalogue_version != reported_catalogue_version_ ||
+        dispatcher_.limits().has_recent_changes(now) || dispatcher_.parts().has_changes(now);
     // Relays delay reports, so no report is skipped when relays are in use.
     const bool may_skip = transport_.sends_directly() && !is_full && !has_changes;
     if (may_skip && now - last_report_ < settings_.report_heartbeat_interval) {
@@ -339,6 +349,7 @@
     report.process_age = now - started_;
     report.avoided_servers = dispatcher_.backends().avoided_servers(now);
     report.limits = dispatcher_.next_limit_reports(is_full, now);
+    report.parts = dispatcher_.parts().next_report(is_full, now);
     if (is_full) {
         last_full_report_ = now;
         report.crashes = dispatcher_.crashes().newest(settings_.max_crash_records);
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -99,6 +99,9 @@
     /** A request was admitted; sends an urgent report if one is due. */
     void usage_changed();
 
+    /** An attempt ended; reports at once what was observed of parts that crash servers. */
+    void crashes_changed();
+
     /** Schedules an exchange of permits, since requests may wait for some. */
     void permits_changed();
 
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -4,6 +4,7 @@
 #include <serving/account_limiter.h>
 #include <serving/backend_server.h>
 #include <serving/crash_register.h>
+#include <serving/crashing_parts.h>
 #include <serving/permit_messages.h>
 #include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
@@ -38,7 +39,8 @@
 struct gateway_report {
     serving::account_usage usage;
     std::vector<serving::crash_record> crashes;
-    std::vector<std::string> gateways; /**< Addresses of some of the sender's live peers. */
+    serving::crashing_parts_report parts; /**< Parts of prompts that may crash servers. */
+    std::vector<std::string> gateways;    /**< Addresses of some of the sender's live peers. */
     std::uint64_t catalogue_version = 0;
     /** Time since the store last responded to the sender; negative if it never did. */
     duration store_age{};
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -13,6 +13,11 @@
 
 // Bounds the queue that one request can cause.
 constexpr std::uint32_t max_wanted_permits = 1'000;
+// Bounds of what one report may say of parts of prompts.
+constexpr int max_part_crashes = 64;
+constexpr int max_parts_per_crash = 64;
+constexpr int max_part_starts = 256;
+constexpr std::uint32_t max_starts_of_part = 10'000;
 
 bool is_amount(double value) {
     return std::isfinite(value) && value >= 0;
@@ -210,6 +215,46 @@
     return out;
 }
 
+void write(const serving::crashing_parts_report& report, wire::gateway_report& out) {
+    for (const auto& each : report.crashes) {
+        auto& crash = *out.add_part_crashes();
+        crash.set_backend_id(each.server.id);
+        crash.set_born(each.server.started_at_ms);
+        crash.mutable_parts()->Add(each.parts.begin(), each.parts.end());
+    }
+    for (const auto& each : report.starts) {
+        auto& starts = *out.add_part_starts();
+        starts.set_part(each.part);
+        starts.set_before(each.before);
+        starts.set_since(each.since);
+    }
+    for (const auto& each : report.alive) {
+        auto& server = *out.add_alive_servers();
+        server.set_backend_id(each.id);
+        server.set_born(each.started_at_ms);
+    }
+}
+
+/** Decodes what a report says of parts; what exceeds the bounds is left out. */
+serving::crashing_parts_report read_parts(const wire::gateway_report& in) {
+    serving::crashing_parts_report out;
+    for (int i = 0; i < std::min(in.part_crashes_size(), max_part_crashes); ++i) {
+        const auto& each = in.part_crashes(i);
+        const auto count = std::min(each.parts_size(), max_parts_per_crash);
+        out.crashes.push_back({{each.backend_id(), each.born()},
+                               {each.parts().begin(), each.parts().begin() + count}});
+    }
+    for (int i = 0; i < std::min(in.part_starts_size(), max_part_starts); ++i) {
+        const auto& each = in.part_starts(i);
+        out.starts.push_back({each.part(), std::min(each.before(), max_starts_of_part),
+                              std::min(each.since(), max_starts_of_part)});
+    }
+    for (int i = 0; i < std::min(in.alive_servers_size(), max_part_crashes); ++i) {
+        out.alive.push_back({in.alive_servers(i).backend_id(), in.alive_servers(i).born()});
+    }
+    return out;
+}
+
 void write(const gateway_report& report, wire::gateway_report& out) {
     for (const auto& [account, usage] : report.usage) {
         auto& count = *out.add_usage();
@@ -243,6 +288,7 @@
     for (const auto& each : report.limits) {
         write(each, *out.add_limits());
     }
+    write(report.parts, out);
 }
 
 gateway_report read(const wire::gateway_report& in) {
@@ -269,6 +315,7 @@
             report.limits.push_back(read(each));
         }
     }
+    report.parts = read_parts(in);
     return report;
 }
 
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -53,6 +53,7 @@
     gateway_report report;
     report.usage = {{"studio", {12'345, 678}}};
     report.crashes = {{42, "e1", 77}};
+    report.parts = {{{{"e1", 77}, {5, 6}}}, {{5, 3, 1}}, {{"e2", 78}}};
     report.gateways = {"10.0.0.3:7600"};
     report.catalogue_version = 8;
     report.store_age = duration{150};
@@ -216,3 +217,22 @@
     fixture.send(encode(gateway_message()));
     CHECK(fixture.received.size() == 2);
 }
+
+TEST_CASE("a report about parts of prompts is decoded within bounds") {
+    gateway_report report;
+    for (std::uint64_t i = 0; i < 1'000; ++i) {
+        report.parts.crashes.push_back({{"e" + std::to_string(i), 1}, std::vector(1'000, i)});
+        report.parts.starts.push_back({i, 4'000'000'000, 4'000'000'000});
+        report.parts.alive.push_back({"e" + std::to_string(i), 1});
+    }
+    peer_message message;
+    message.body = report;
+    const auto decoded = decode(encode(message));
+    REQUIRE(decoded);
+    const auto& parts = std::get<gateway_report>(decoded->body).parts;
+    CHECK(parts.crashes.size() == 64);
+    CHECK(parts.crashes.front().parts.size() == 64);
+    CHECK(parts.starts.size() == 256);
+    CHECK(parts.starts.front() == serving::part_starts{0, 10'000, 10'000});
+    CHECK(parts.alive.size() == 64);
+}
--- a/libs/serving/include/serving/crashing_parts.h
+++ b/libs/serving/include/serving/crashing_parts.h
@@ -157,6 +157,9 @@
     std::optional<duration> retry_after(const std::vector<prompt_part>& prompt,
                                         time_point now) const;
 
+    /** The first held part of the prompt; empty if none is held. */
+    std::optional<std::uint64_t> held_part(const std::vector<prompt_part>& prompt) const;
+
     /** Whether a request with this prompt, whose parts are held, may be sent as a trial; counts it
         as one if so. */
     bool try_trial(const std::vector<prompt_part>& prompt, time_point now);
@@ -164,6 +167,10 @@
     /** Whether this gateway observed a crash that no report has told yet. */
     bool has_news() const noexcept { return has_news_; }
 
+    /** Whether a report must be sent although nothing else changed: this gateway observed a crash
+        within `repeat_duration`, or parts are suspect. */
+    bool has_changes(time_point now) const;
+
     /** Evidence for the next report to the peers; `is_complete`: for peers that know nothing. */
     crashing_parts_report next_report(bool is_complete, time_point now);
 
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -17,6 +17,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -59,6 +60,7 @@
     duration retry_after{};  /**< 0: the response has no Retry-After. */
     double refused_cost = 0; /**< Charge that the account could not cover; 0 unless the reason is
                                   over_rate. */
+    std::optional<std::uint64_t> held_part{}; /**< Part of the prompt for which the request ends. */
 
     friend bool operator==(const end_request&, const end_request&) = default;
 };
--- a/libs/serving/src/crashing_parts_hold.cpp
+++ b/libs/serving/src/crashing_parts_hold.cpp
@@ -29,6 +29,16 @@
     return longest;
 }
 
+std::optional<std::uint64_t>
+crashing_parts::held_part(const std::vector<prompt_part>& prompt) const {
+    for (const auto part : parts_of(prompt)) {
+        if (held_.contains(part)) {
+            return part;
+        }
+    }
+    return std::nullopt;
+}
+
 bool crashing_parts::has_turn(const candidate& each, time_point now) const {
     const auto turns = (now - each.second.held_until) / settings_.trial_turn;
     return (each.first + static_cast<std::uint64_t>(turns)) % gateways_ == rank_;
--- a/libs/serving/src/crashing_parts_report.cpp
+++ b/libs/serving/src/crashing_parts_report.cpp
@@ -5,6 +5,17 @@
 
 namespace camphorgrade::serving {
 
+bool crashing_parts::has_changes(time_point now) const {
+    const bool has_own_crash = std::any_of(crashes_.begin(), crashes_.end(), [&](const auto& each) {
+        return each.second.is_own && now - each.second.known_since < settings_.repeat_duration;
+    });
+    return has_news_ || has_own_crash ||
+           std::any_of(suspects_.begin(), suspects_.end(), [](const candidate& each) {
+               return each.second.suspect_since && each.second.own != each.second.reported &&
+                      each.second.own.before + each.second.own.since > 0;
+           });
+}
+
 crashing_parts_report crashing_parts::next_report(bool is_complete, time_point now) {
     has_news_ = false;
     crashing_parts_report out;
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -281,7 +281,9 @@
         limiter_.credit(entry.account, entry.cost);
         entry.cost = 0;
     }
-    effects_.emplace_back(end_request{id, reason, retry_after, entry.refused_cost});
+    effects_.emplace_back(end_request{
+        id, reason, retry_after, entry.refused_cost,
+        entry.is_part_trial ? std::nullopt : parts_.held_part(entry.metadata.prompt_parts)});
 }
 
 void dispatcher::on_first_byte(request_handle id, time_point now) {
