Don't count a response that can't be told from another one as a crash

Cause: what callers saw is a refusal. A call that failed because its response can't be proven was counted like a broken connection: as a crash of the server by the request, which is quarantined after three, told to all gateways, and the server was avoided for up to three seconds (found by the review). Change: such an attempt ends as unproven_response: the request may have run, the server counts as one that responded with an error.

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -267,6 +267,9 @@
 void request_flow::on_failure(edge::upstream_failure why) {
     if (why == edge::upstream_failure::not_connected) {
         end_attempt(body_end_of(why), serving::attempt_outcome::unreachable);
+    } else if (why == edge::upstream_failure::malformed && attempt_->metadata.is_sealed &&
+               !attempt_->metadata.has_not_run) {
+        end_attempt(body_end_of(why), serving::attempt_outcome::unproven_response);
     } else {
         abort_attempt(body_end_of(why));
     }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -107,13 +107,15 @@
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
-    completed,       /**< The complete response was forwarded. */
-    error_response,  /**< The request ran, and the backend server responded with an error. */
-    refused,         /**< The backend server states that the request did not run. */
-    wrong_weights,   /**< Refused: the backend server does not hold this version of the
-                          weights, or another process runs there. */
-    unreachable,     /**< The connection failed: nothing was sent. */
-    invalid_response /**< The connection broke, or the response was invalid. */
+    completed,        /**< The complete response was forwarded. */
+    error_response,   /**< The request ran, and the backend server responded with an error. */
+    refused,          /**< The backend server states that the request did not run. */
+    wrong_weights,    /**< Refused: the backend server does not hold this version of the
+                           weights, or another process runs there. */
+    unreachable,      /**< The connection failed: nothing was sent. */
+    invalid_response, /**< The connection broke, or the response was invalid. */
+    unproven_response /**< The backend server responded, but nothing tells which bytes are its
+                           response to this request. */
 };
 
 /** Returns the name of an outcome as written to logs and metrics. */
--- a/libs/serving/src/dispatch_names.cpp
+++ b/libs/serving/src/dispatch_names.cpp
@@ -44,6 +44,8 @@
         return "wrong_weights";
     case attempt_outcome::unreachable:
         return "unreachable";
+    case attempt_outcome::unproven_response:
+        return "unproven";
     case attempt_outcome::invalid_response:
         return "broken";
     }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -335,9 +335,11 @@
     if (is_unavailable) {
         backends_.on_failure(backend, now);
     } else {
-        backends_.on_response(
-            backend,
-            outcome == attempt_outcome::error_response || outcome == attempt_outcome::refused, now);
+        backends_.on_response(backend,
+                              outcome == attempt_outcome::error_response ||
+                                  outcome == attempt_outcome::unproven_response ||
+                                  outcome == attempt_outcome::refused,
+                              now);
     }
     if (outcome == attempt_outcome::completed) {
         entry.state = phase::ended;
@@ -351,8 +353,9 @@
 
 void dispatcher::retry_or_end(request_handle id, request& entry, attempt_outcome outcome,
                               time_point now) {
-    const bool has_run =
-        outcome == attempt_outcome::invalid_response || outcome == attempt_outcome::error_response;
+    const bool has_run = outcome == attempt_outcome::invalid_response ||
+                         outcome == attempt_outcome::error_response ||
+                         outcome == attempt_outcome::unproven_response;
     entry.may_have_run = entry.may_have_run || has_run;
     entry.refusals += has_run ? 0 : 1;
     entry.attempts -= has_run || entry.attempts == 0 ? 0 : 1;
