--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -26,6 +26,9 @@
 
 void ledger::on_sent(const sent_request& request) {
     requests_[request.id].request = request;
+    if (!request.parts.first_part.empty()) {
+        crashes_.on_sent(request.id, request.parts, request.sent);
+    }
     sent_times_[route_service(request.kind)].push_back(request.sent);
 }
 
@@ -34,6 +37,7 @@
     const auto sent = requests_.find(request);
     server_arrivals_[server].push_back(
         {now, sent == requests_.end() ? 0 : sent->second.request.gateway});
+    crashes_.on_arrival(request, now);
     const bool is_first = arrived_requests_[service].insert(request).second;
     arrivals_[service].push_back({now, !is_first});
 }
@@ -98,6 +102,8 @@
     record.has_ended = true;
     record.outcome = outcome;
     record.status = status;
+    crashes_.on_request_end(request,
+                            outcome == request_outcome::complete && record.runs.size() == 1);
     if (outcome == request_outcome::refused && !record.runs.empty()) {
         report_violation("a refused request has not run",
                          request + " status " + std::to_string(status) + ", ran at " +
@@ -134,6 +140,9 @@
 void ledger::check_aggregate_limits() {
     check_retries();
     check_quota();
+    for (const auto& each : crashes_.violations()) {
+        violations_.push_back(each);
+    }
 }
 
 void ledger::check_retries() {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "crash_ledger.h"
 #include "response_ledger.h"
 
 #include <kernel/clock.h>
@@ -30,12 +31,14 @@
 /** A request as the caller sent it. */
 struct sent_request {
     std::string id;
+    std::uint64_t number = 0; /**< Counted by its caller. */
     request_class kind = request_class::report;
     std::string method;
     std::string target;
     std::string body;
     std::string account;
     std::uint64_t tokens = 0;
+    prompt parts; /**< Of a stream. */
     duration deadline{};
     std::size_t gateway = 0; /**< Number of the gateway that the caller uses. */
     time_point sent;
@@ -102,6 +105,7 @@
     void check_late_body(const std::string& request, const std::string& body);
 
     response_ledger& responses() noexcept { return responses_; }
+    crash_ledger& crashes() noexcept { return crashes_; }
 
     /** Records how a request ended for its caller. */
     void on_request_end(const std::string& request, request_outcome outcome, int status,
@@ -171,6 +175,7 @@
     std::map<std::string, std::vector<time_point>> sent_times_;          // by service
     std::map<std::string, std::vector<token_charge>> token_charges_;     // by account
     response_ledger responses_;
+    crash_ledger crashes_;
     std::vector<std::string> violations_;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,9 @@
               << " failed, " << result.complete_share_after_recovery
               << " complete after recovery, stalled " << result.longest_stall.count() << " ms"
               << std::endl;
+    if (run_options.has_crashing_requests) {
+        std::cout << "  " << result.crashes << '\n';
+    }
     if (result.violations.empty() && !keep_logs) {
         std::filesystem::remove_all(result.log_folder);
         return true;
@@ -65,6 +68,7 @@
         "entries", options::value<int>()->default_value(3), "entry processes")(
         "engines", options::value<int>()->default_value(3), "engines, each with an agent")(
         "services", options::value<int>()->default_value(2), "plain backend servers")(
+        "crashing-requests", "inject only requests that crash the engines (try --engines 8)")(
         "response-faults", options::value<std::vector<std::string>>()->multitoken(),
         "also inject faults of responses, of these kinds: unframed, fragmented, cut, "
         "unframed-cut, repeated, early, wrong-ids")(
@@ -82,6 +86,7 @@
         run_options.callers = values["callers"].as<int>();
         run_options.sizes = {values["entries"].as<int>(), values["engines"].as<int>(),
                              values["services"].as<int>()};
+        run_options.has_crashing_requests = values.count("crashing-requests") != 0;
         if (values.count("response-faults") != 0) {
             run_options.response_faults =
                 read_kinds(values["response-faults"].as<std::vector<std::string>>());
--- a/tests/soak/soak_backend.h
+++ b/tests/soak/soak_backend.h
@@ -10,6 +10,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -56,6 +57,9 @@
     void on_invalid_request(const std::string& reason) override;
     response_faults faults_for(const edge::caller_request& request) const override;
 
+    /** Called when a request crashes the server, which must be restarted then. */
+    void on_crash(std::function<void()> callback) { crashed_ = std::move(callback); }
+
     backend_faults faults;
 
     /** Newest version of every adapter; loaded if an order names no version. */
@@ -69,6 +73,7 @@
         std::string adapter;
         std::string seal;
         int next_event = 1;
+        bool crashes_server = false;
         bool drops_response = false;
         int last_event = stream_event_count;
         int repeated_event = 0; // 0: none
@@ -120,6 +125,7 @@
     std::map<std::string, adapter_slot> adapters_;
     std::map<std::uint64_t, run> runs_;
     std::uint64_t next_run_ = 1;
+    std::function<void()> crashed_;
 };
 
 } // namespace camphorgrade::soak
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -34,6 +34,7 @@
     /** Time since the last fault of a gateway or of its links to callers and to the store. */
     std::function<duration(std::size_t gateway)> fault_free_time;
     std::vector<caller_key> keys;
+    double crashing_share = 0;  /**< Share of the streams whose prompt crashes servers. */
     double long_body_share = 0; /**< Share of the requests with a body that have a long one. */
     int adapters = 8;           /**< Number of adapters that callers select from. */
     bool is_stopping = false;   /**< Callers send no further requests. */
@@ -84,6 +85,7 @@
     void check_body(bool is_complete);
     void schedule(duration delay, void (soak_caller::*next)());
     sent_request next_request(const caller_key& key);
+    prompt next_prompt();
     const caller_key& pick_key();
     void record_outcome(const result& end);
     key_state key_state_at(const caller_key& key, time_point now) const;
