--- a/libs/edge/tests/test_reset_while_sending.cpp
+++ b/libs/edge/tests/test_reset_while_sending.cpp
@@ -8,8 +8,9 @@
 using namespace camphorgrade::edge;
 using namespace camphorgrade::testing;
 
-TEST_CASE("a reset while the request is being sent doesn't complete a response without length") {
-    upstream_fixture fixture;
+namespace {
+
+upstream_request large_request() {
     upstream_request request;
     request.method = "POST";
     request.target = "/work";
@@ -17,7 +18,14 @@
     request.body = std::string(std::size_t{32} * 1024 * 1024, 'b'); // exceeds all buffers
     request.correlation_header = "X-Id";
     request.correlation_id = "r1";
-    auto& sink = fixture.start(fixture.address(), request);
+    return request;
+}
+
+} // namespace
+
+TEST_CASE("a reset while the request is being sent doesn't complete a response without length") {
+    upstream_fixture fixture;
+    auto& sink = fixture.start(fixture.address(), large_request());
     auto server = fixture.accept();
     server.read_until("\r\n\r\n");
     server.send("HTTP/1.1 200 OK\r\nX-Id: r1\r\n\r\npart");
@@ -31,14 +39,7 @@
 
 TEST_CASE("a response without length that ends before the whole request was sent is complete") {
     upstream_fixture fixture;
-    upstream_request request;
-    request.method = "POST";
-    request.target = "/work";
-    request.headers = {{"Host", "x"}, {"X-Id", "r1"}};
-    request.body = std::string(std::size_t{32} * 1024 * 1024, 'b'); // exceeds all buffers
-    request.correlation_header = "X-Id";
-    request.correlation_id = "r1";
-    auto& sink = fixture.start(fixture.address(), request);
+    auto& sink = fixture.start(fixture.address(), large_request());
     auto server = fixture.accept();
     server.read_until("\r\n\r\n");
     server.send("HTTP/1.1 413 Too Large\r\nX-Id: r1\r\n\r\ntoo large");
