--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -50,6 +50,7 @@
      * differs from `correlation_id` belongs to another request and is skipped. A response without
      * this header is accepted only on a connection that has carried no other request; on a reused
      * one it fails the call, since it may repeat an earlier response. Empty to accept any response.
+     * With or without it, a response of neither length nor chunks fails on a reused connection.
      */
     std::string correlation_header;
     /**
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -126,6 +126,9 @@
     void notify_disconnected();
 
 private:
+    /** The header line that delimits a body; empty if there is none, or it ends with the
+       connection. A response to HEAD has the line that one to GET would have. */
+    std::string framing_line(int status, std::optional<std::uint64_t> length) const;
     /** Detaches the exchange from its connection; returns null if that was done before. */
     std::shared_ptr<connection> detach();
 
--- a/libs/edge/src/caller_exchange.cpp
+++ b/libs/edge/src/caller_exchange.cpp
@@ -82,18 +82,23 @@
     has_body_ = request_.method != "HEAD" && may_have_body(head.status);
     remaining_length_ = has_body_ ? length : std::nullopt;
     is_chunked_ = has_body_ && !length && connection_->supports_chunked_;
-    std::string framing;
-    if (!may_have_body(head.status)) {
-        framing.clear(); // the response ends with its head
-    } else if (length) {
-        framing = "Content-Length: " + std::to_string(*length) + "\r\n";
-    } else if (connection_->supports_chunked_) {
-        framing = "Transfer-Encoding: chunked\r\n";
-    } else if (has_body_) {
+    if (has_body_ && !length && !is_chunked_) {
         connection_->keep_alive_ = false;
         connection_->body_ends_with_connection_ = true;
     }
-    connection_->send(connection_->head_text(head, framing));
+    connection_->send(connection_->head_text(head, framing_line(head.status, length)));
+}
+
+std::string
+caller_server::connection::exchange::framing_line(int status,
+                                                  std::optional<std::uint64_t> length) const {
+    if (!may_have_body(status)) {
+        return {}; // the response ends with its head
+    }
+    if (length) {
+        return "Content-Length: " + std::to_string(*length) + "\r\n";
+    }
+    return connection_->supports_chunked_ ? "Transfer-Encoding: chunked\r\n" : "";
 }
 
 void caller_server::connection::exchange::write(std::string_view bytes) {
