Keep how far a request was written in one value, and share the setup of two tests

Two flags of upstream_connection, is_written_ and is_write_failed_, held one state of three; write_state names it. Two cases of test_single_response had the same setup. No change of behaviour, each assertion stays.

--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -80,8 +80,7 @@
     if (!correlation_header_.empty()) {
         record_carried_id();
     }
-    is_written_ = false;
-    is_write_failed_ = false;
+    request_write_ = write_state::pending;
     is_end_deferred_ = false;
     is_unrelated_response_ = false;
     skipped_responses_ = 0;
@@ -190,8 +189,7 @@
         [self = shared_from_this()](const boost::system::error_code& error, std::size_t) {
             // On an error, the read may still succeed: a server may respond and close the
             // connection before it has read the whole request.
-            self->is_written_ = !error;
-            self->is_write_failed_ = static_cast<bool>(error);
+            self->request_write_ = error ? write_state::failed : write_state::complete;
         });
     read_head();
 }
@@ -331,7 +329,7 @@
     if (!parser_->need_eof()) {
         return true;
     }
-    if (is_write_failed_) {
+    if (request_write_ == write_state::failed) {
         fail(upstream_failure::reset); // the write took the error, so the read saw an orderly end
         return false;
     }
@@ -351,7 +349,7 @@
         read_head();
         return;
     }
-    const bool is_still_writing = !is_written_ && !is_write_failed_;
+    const bool is_still_writing = request_write_ == write_state::pending;
     if (parser_->need_eof() && is_still_writing && !std::exchange(is_end_deferred_, true)) {
         // A reset fails the write as well; its completion may still be queued.
         boost::asio::post(shared_->loop, [self = shared_from_this()] {
@@ -367,8 +365,8 @@
     const bool has_own_connection =
         (!correlation_header_.empty() && correlation_id_.empty()) ||
         shared_->unframed.contains(address_, shared_->time_source.now());
-    const bool reusable = parser_->get().keep_alive() && is_written_ && input_.size() == 0 &&
-                          !parser_->need_eof() && !has_own_connection &&
+    const bool reusable = parser_->get().keep_alive() && request_write_ == write_state::complete &&
+                          input_.size() == 0 && !parser_->need_eof() && !has_own_connection &&
                           !is_head_request_; // a repetition would be read as if it had a body
     const auto idle_for = reuse_time();
     auto* sink = std::exchange(sink_, nullptr);
--- a/libs/edge/src/upstream_connection.h
+++ b/libs/edge/src/upstream_connection.h
@@ -76,6 +76,9 @@
     /** Ids of requests that a connection remembers; bounds its memory. */
     static constexpr std::size_t max_carried_ids = 256;
 
+    /** How far the present call's request has been written. */
+    enum class write_state : std::uint8_t { pending, complete, failed };
+
     /** Remembers the id of the present call, so that no later call with it is sent here. */
     void record_carried_id();
     void connect();
@@ -124,9 +127,8 @@
     std::uint64_t call_number_ = 0;
     std::deque<std::size_t> carried_ids_; /**< Hashes of the ids of the latest requests. */
     bool is_connected_ = false;
-    bool is_written_ = false;      /**< The whole request was written. */
+    write_state request_write_ = write_state::pending;
     bool is_end_deferred_ = false; /**< The end of the body waited for the write's completion. */
-    bool is_write_failed_ = false; /**< The connection failed while the request was written. */
     bool is_head_request_ = false;
     following_response_detector detector_; /**< For a body that ends with the connection. */
     bool is_unrelated_response_ = false;   /**< The response being read is to another request. */
--- a/libs/edge/tests/test_single_response.cpp
+++ b/libs/edge/tests/test_single_response.cpp
@@ -52,6 +52,29 @@
     on_loop<caller_server> server;
 };
 
+/** A response of unknown length to a caller of HTTP/1.0, whose first event is written. */
+struct begun_response {
+    begun_response() : caller(fixture.connect()) {
+        std::promise<exchange_ptr> begun;
+        fixture.handler.respond = [&](const exchange_ptr& created) {
+            created->begin({200, {}}, std::nullopt);
+            created->write("id: 1\n\n");
+            begun.set_value(created);
+        };
+        caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n\r\n");
+        exchange = begun.get_future().get();
+    }
+    ~begun_response() {
+        fixture.thread.run([this] { exchange.reset(); });
+    }
+    begun_response(const begun_response&) = delete;
+    begun_response& operator=(const begun_response&) = delete;
+
+    server_fixture fixture;
+    raw_socket caller;
+    exchange_ptr exchange;
+};
+
 std::size_t count_of(const std::string& text, const std::string& part) {
     std::size_t count = 0;
     for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
@@ -90,16 +113,10 @@
 }
 
 TEST_CASE("an interrupted response to a caller of HTTP/1.0 doesn't end like a complete one") {
-    server_fixture fixture;
-    std::promise<exchange_ptr> begun;
-    fixture.handler.respond = [&](const exchange_ptr& exchange) {
-        exchange->begin({200, {}}, std::nullopt);
-        exchange->write("id: 1\n\n");
-        begun.set_value(exchange);
-    };
-    auto caller = fixture.connect();
-    caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n\r\n");
-    auto exchange = begun.get_future().get();
+    begun_response context;
+    auto& fixture = context.fixture;
+    auto& caller = context.caller;
+    auto& exchange = context.exchange;
     CHECK(caller.read_until("id: 1\n\n").find("id: 1\n\n") != std::string::npos);
     bool was_reset = false;
     SECTION("which is aborted") {
@@ -111,7 +128,6 @@
     }
     caller.read_all();
     CHECK(caller.was_reset() == was_reset);
-    fixture.thread.run([&] { exchange.reset(); });
 }
 
 TEST_CASE("a response that has no body is followed by the next response") {
@@ -146,16 +162,10 @@
 }
 
 TEST_CASE("a response to a caller of HTTP/1.0 that is given up doesn't end like a complete one") {
-    server_fixture fixture;
-    std::promise<exchange_ptr> begun;
-    fixture.handler.respond = [&](const exchange_ptr& exchange) {
-        exchange->begin({200, {}}, std::nullopt);
-        exchange->write("id: 1\n\n");
-        begun.set_value(exchange);
-    };
-    auto caller = fixture.connect();
-    caller.send("GET /1 HTTP/1.0\r\nHost: x\r\n\r\n");
-    auto exchange = begun.get_future().get();
+    begun_response context;
+    auto& fixture = context.fixture;
+    auto& caller = context.caller;
+    auto& exchange = context.exchange;
     CHECK(caller.read_until("id: 1\n\n").find("id: 1\n\n") != std::string::npos);
     SECTION("since the caller leaves too many bytes unread") {
         constexpr std::size_t piece_bytes = std::size_t{1} << 20U;
@@ -169,7 +179,6 @@
     }
     caller.read_all();
     CHECK(caller.was_reset());
-    fixture.thread.run([&] { exchange.reset(); });
 }
 
 TEST_CASE("a caller of HTTP/1.0 gets no interim response") {
