--- /dev/null
+++ b/libs/entry/tests/test_empty_streams.cpp
@@ -0,0 +1,15 @@
+// Guards against a server that ends before its first event and is taken for one that answered.
+#include "request_flow_fixture.h"
+
+#include <catch2/catch.hpp>
+
+using namespace camphorgrade;
+using namespace camphorgrade::entry;
+
+TEST_CASE("a stream without length that ends before its first event isn't complete") {
+    flow_fixture context(serving::request_kind::streaming, false,
+                         {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: r1\r\n"
+                          "Content-Type: text/event-stream\r\n\r\n"});
+    const auto response = context.run();
+    CHECK_FALSE(response.is_finished);
+}
