--- a/libs/entry/tests/request_flow_fixture.h
+++ b/libs/entry/tests/request_flow_fixture.h
@@ -78,46 +78,77 @@
     std::string correlation_header() const override { return "X-Id"; }
 };
 
-/** A backend server on loopback that sends the next script on each connection and closes it. */
+/**
+ * A backend server on loopback that sends the next script on each connection and closes it, until
+ * it has sent all of them. It also answers requests for "/alive", as a live process does.
+ */
 class scripted_server {
 public:
     scripted_server(boost::asio::io_context& loop, std::vector<std::string> scripts)
         : acceptor_(loop, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          scripts_(std::move(scripts)) {
+          port_(acceptor_.local_endpoint().port()), scripts_(std::move(scripts)) {
         accept();
     }
-    std::uint16_t port() const { return acceptor_.local_endpoint().port(); }
-    std::vector<std::string> requests;
+    std::uint16_t port() const { return port_; }
+    /** Makes the process end with the last script: it listens no more when that connection
+        closes. */
+    void crash_after_last_script() { crashes_ = true; }
+    /** Sets the response to requests for "/alive". */
+    void set_alive_response(std::string response) { alive_response_ = std::move(response); }
+
+    std::vector<std::string> requests; /**< Heads, without those for "/alive". */
+    int alive_requests = 0;
 
 private:
+    using socket_ptr = std::shared_ptr<boost::asio::ip::tcp::socket>;
+
     void accept() {
         acceptor_.async_accept(
             [this](const boost::system::error_code& error, boost::asio::ip::tcp::socket socket) {
-                if (error || next_ >= scripts_.size()) {
+                if (error) {
                     return;
                 }
                 serve(std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket)));
                 accept();
             });
     }
-    void serve(const std::shared_ptr<boost::asio::ip::tcp::socket>& socket) {
-        const auto script = scripts_[next_++];
+    void serve(const socket_ptr& socket) {
         auto input = std::make_shared<boost::asio::streambuf>();
         boost::asio::async_read_until(
             *socket, *input, "\r\n\r\n",
-            [this, socket, input, script](const boost::system::error_code&, std::size_t size) {
+            [this, socket, input](const boost::system::error_code&, std::size_t size) {
                 const auto* data = static_cast<const char*>(input->data().data());
-                requests.emplace_back(data, size);
-                const auto sent = std::make_shared<std::string>(script);
-                boost::asio::async_write(*socket, boost::asio::buffer(*sent),
-                                         [socket, sent](const boost::system::error_code&,
-                                                        std::size_t) { socket->close(); });
+                respond(socket, {data, size});
+            });
+    }
+    void respond(const socket_ptr& socket, const std::string& head) {
+        if (head.find(" /alive ") != std::string::npos) {
+            ++alive_requests;
+            send(socket, alive_response_, false);
+        } else if (next_ < scripts_.size()) {
+            requests.push_back(head);
+            const auto& script = scripts_[next_++];
+            send(socket, script, crashes_ && next_ == scripts_.size());
+        }
+    }
+    void send(const socket_ptr& socket, const std::string& bytes, bool is_last) {
+        const auto sent = std::make_shared<std::string>(bytes);
+        boost::asio::async_write(
+            *socket, boost::asio::buffer(*sent),
+            [this, socket, sent, is_last](const boost::system::error_code&, std::size_t) {
+                if (is_last) {
+                    acceptor_.close();
+                }
+                socket->close();
             });
     }
 
     boost::asio::ip::tcp::acceptor acceptor_;
+    std::uint16_t port_;
     std::vector<std::string> scripts_;
+    std::string alive_response_ = "HTTP/1.1 200 OK\r\nX-Process: desk\r\nContent-Length: 0\r\n\r\n";
     std::size_t next_ = 0;
+    bool crashes_ = false;
 };
 
 /** Runs one request against two backend servers with the same address and scripts. */
@@ -148,6 +179,14 @@
         }
     }
 
+    /** Lets "desk-2" be a server of its own, which sends `scripts`; call it before run(). */
+    void add_second_server(std::vector<std::string> scripts) {
+        second_server = std::make_unique<scripted_server>(loop, std::move(scripts));
+        auto second = dispatcher_.backends().find("desk-2")->server;
+        second.address.port = second_server->port();
+        dispatcher_.backends().put(second);
+    }
+
     received_response run() {
         const auto id = dispatcher_.on_request(codec_.decode("/x/1", {}), 1, clock.now());
         flow = std::make_unique<request_flow>(
@@ -191,6 +230,7 @@
     boost::asio::io_context loop;
     monotonic_clock clock;
     scripted_server server;
+    std::unique_ptr<scripted_server> second_server; /**< Null: both backend servers are `server`. */
     edge::upstream_pool pool_;
     test_codec codec_;
     serving::dispatcher dispatcher_;
