Judge a response as a stream by its route or any of its media types, in any case

Callers of streams got half an event in a response that ended as complete: a body without length and chunks that ends within an event was buffered and passed on whole when the server wrote its media type in another case, twice, or not at all. Cause: whether the end of a response is judged as that of a stream hung on a case-sensitive search in the first Content-Type.

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -5,6 +5,7 @@
 #include <edge/header_rules.h>
 
 #include <algorithm>
+#include <cctype>
 #include <utility>
 
 namespace camphorgrade::entry {
@@ -48,9 +49,29 @@
     return status >= status_ok && status < status_redirect;
 }
 
-bool is_event_stream(const http_head& head) {
-    const auto type = find_header(head.headers, "Content-Type").value_or("");
-    return type.find("text/event-stream") != std::string::npos;
+bool is_content_type(const http_header& header) {
+    return edge::same_header_name(header.name, "Content-Type");
+}
+
+bool names_event_stream(const http_header& header) {
+    constexpr std::string_view media_type = "text/event-stream";
+    const auto is_same = [](unsigned char a, unsigned char b) { return std::tolower(a) == b; };
+    const auto& value = header.value; // may be a list, if an intermediary has joined several lines
+    return std::search(value.begin(), value.end(), media_type.begin(), media_type.end(), is_same) !=
+           value.end();
+}
+
+/** Whether a successful response is an event stream. Its media type may be missing where `matched`
+    allows nothing else, and each of several types counts. */
+bool is_event_stream(const http_head& head, const serving::route* matched) {
+    const auto& all = head.headers;
+    const bool has_type = std::any_of(all.begin(), all.end(), is_content_type);
+    if (!has_type) {
+        return matched != nullptr && matched->kind == serving::request_kind::streaming;
+    }
+    return std::any_of(all.begin(), all.end(), [](const http_header& each) {
+        return is_content_type(each) && names_event_stream(each);
+    });
 }
 
 } // namespace
@@ -103,7 +124,8 @@
         abort_attempt(body_end::cancelled);
         return;
     }
-    if (is_success(head.status) && is_event_stream(head)) {
+    const auto* matched = host_.dispatcher().route_of(request_);
+    if (is_success(head.status) && is_event_stream(head, matched)) {
         attempt_->mode = body_mode::stream;
     } else if (!has_response_started_) { // an event stream can't continue with another response
         attempt_->mode = body_mode::buffer;
--- a/libs/entry/tests/test_broken_streams.cpp
+++ b/libs/entry/tests/test_broken_streams.cpp
@@ -47,7 +47,8 @@
 TEST_CASE("a stream is known by its route or any of its content types, in any case") {
     const auto types =
         GENERATE(as<std::string>{}, "Content-Type: Text/Event-Stream; charset=utf-8\r\n", "",
-                 "Content-Type: text/plain\r\nContent-Type: text/event-stream\r\n");
+                 "Content-Type: text/plain\r\nContent-Type: text/event-stream\r\n",
+                 "Content-Type: text/plain, text/event-stream\r\n");
     const auto cut = sealed + types + "\r\n" + event(1, "a1") + "id: 2\nda";
     SECTION("so that one that ends within an event isn't complete") {
         flow_fixture context(kind::streaming, false, {cut});
