Complete a response that ends with its connection only if its server lives on

Now such an end is proven by the process: it is asked, on a connection of its own, for its report (engines) or its health (others). An answer of the same process, by its id and its start time, completes the response. If nothing listens, or another process does, the response is incomplete: resumed, aborted, or 502 before its first byte. Until then the caller has all events and lacks only the end. The log line and the counter of unframed responses say what was found out.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -31,7 +31,7 @@
                            const serving::catalogue_reader& reader,
                            const fleet_source_factory& make_source)
     : settings_(settings), codec_(codec), log_(settings.node_name, clock_, sink_, {}),
-      pool_(loop_, clock_, {}),
+      pool_(loop_, clock_, {}), liveness_(loop_, pool_, codec),
       dispatcher_(settings.dispatch, settings.data_centre,
                   std::hash<std::string>{}(settings.node_name) ^ settings.incarnation),
       fleet_(clock_, log_, dispatcher_, reader, *this), caller_server_(loop_, clock_, *this),
@@ -201,9 +201,12 @@
 void gateway_node::on_stream_attempt(serving::request_handle request,
                                      const stream_attempt_report& report) {
     if (report.ends_with_connection) {
-        metrics_.count("camphor_unframed_responses_total",
-                       {{"end", std::string(to_string(report.end))},
-                        {"connection", report.is_reused_connection ? "reused" : "new"}});
+        metrics_.count(
+            "camphor_unframed_responses_total",
+            {{"end", std::string(to_string(report.end))},
+             {"connection", report.is_reused_connection ? "reused" : "new"},
+             {"process", report.state_after_end ? std::string(to_string(*report.state_after_end))
+                                                : "not_asked"}});
     }
     if (report.is_stream) {
         metrics_.count("camphor_stream_attempts_total",
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -51,6 +51,7 @@
     time_point now() const override { return clock_.now(); }
     edge::upstream_pool& pool() override { return pool_; }
     const serving::request_codec& codec() const override { return codec_; }
+    liveness_checker& liveness() override { return liveness_; }
     serving::dispatcher& dispatcher() override { return dispatcher_; }
     void on_response_head(serving::request_handle request,
                           const serving::response_metadata& response) override;
@@ -99,6 +100,7 @@
     event_log log_;
     metrics metrics_;
     edge::upstream_pool pool_;
+    liveness_checker liveness_;
     serving::dispatcher dispatcher_;
     fleet_state fleet_;
     std::map<serving::request_handle, std::unique_ptr<request_flow>> flows_;
--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -102,6 +102,9 @@
     const edge::upstream_address to{
         {boost::asio::ip::make_address(effect.address.ip), effect.address.port}, effect.backend_id};
     attempt_.emplace();
+    attempt_->address = to;
+    attempt_->process = {effect.backend_id, effect.started_at_ms};
+    attempt_->service = effect.service;
     attempt_->resumed_after = metadata.resume_after;
     attempt_->call = host_.pool().start(to, request, *this);
 }
@@ -237,30 +240,61 @@
     const auto end = body_end_of(attempt_->framing);
     if (attempt_->metadata.has_not_run) {
         end_attempt(end, refused_outcome());
-        return;
-    }
-    record_first_byte();
-    switch (attempt_->mode) {
-    case body_mode::discard:
+    } else if (attempt_->mode == body_mode::discard || !may_be_whole()) {
+        record_first_byte();
         end_attempt(end, serving::attempt_outcome::invalid_response);
-        break;
-    case body_mode::buffer:
-        complete_buffered(end);
-        break;
-    case body_mode::stream:
-        complete_stream(end);
-        break;
+    } else if (attempt_->framing.ends_with_connection) {
+        check_process();
+    } else {
+        complete();
     }
 }
 
-void request_flow::complete_stream(body_end end) {
+bool request_flow::may_be_whole() const {
+    if (attempt_->mode != body_mode::stream) {
+        return true;
+    }
     // Without an event, nothing shows that a body without length and chunks continues the stream.
     const bool is_unproven = attempt_->framing.ends_with_connection && attempt_->resumed_after &&
                              attempt_->accepted_events == 0;
-    if (attempt_->events.incomplete_bytes() > 0 || is_unproven) {
-        end_attempt(end, serving::attempt_outcome::invalid_response);
-        return;
+    return attempt_->events.incomplete_bytes() == 0 && !is_unproven;
+}
+
+void request_flow::check_process() {
+    const auto* catalogue = host_.dispatcher().catalogue();
+    const auto* service =
+        catalogue == nullptr ? nullptr : catalogue->find_service(attempt_->service);
+    attempt_->check =
+        host_.liveness().start(attempt_->address, attempt_->process, service,
+                               [this](process_state state) { on_process_checked(state); });
+}
+
+void request_flow::on_process_checked(process_state state) {
+    attempt_->state_after_end = state;
+    switch (state) {
+    case process_state::alive:
+        complete();
+        break;
+    case process_state::ended:
+        end_attempt(body_end::end_with_connection, serving::attempt_outcome::invalid_response);
+        break;
+    case process_state::unknown:
+        end_attempt(body_end::end_with_connection, serving::attempt_outcome::unproven_response);
+        break;
+    }
+}
+
+void request_flow::complete() {
+    const auto end = body_end_of(attempt_->framing);
+    record_first_byte();
+    if (attempt_->mode == body_mode::stream) {
+        complete_stream(end);
+    } else {
+        complete_buffered(end);
     }
+}
+
+void request_flow::complete_stream(body_end end) {
     forward(attempt_->held_comments);
     if (!attempt_) { // the caller has disconnected
         return;
@@ -326,6 +360,7 @@
     report.forwarded_events = attempt_->accepted_events;
     report.incomplete_bytes = attempt_->events.incomplete_bytes();
     report.end = end;
+    report.state_after_end = attempt_->state_after_end;
     host_.on_stream_attempt(request_, report);
 }
 
--- a/libs/entry/src/request_flow.h
+++ b/libs/entry/src/request_flow.h
@@ -26,6 +26,7 @@
     virtual time_point now() const = 0;
     virtual edge::upstream_pool& pool() = 0;
     virtual const serving::request_codec& codec() const = 0;
+    virtual liveness_checker& liveness() = 0;
     virtual serving::dispatcher& dispatcher() = 0;
 
     /** The head of a backend server's response arrived; the host informs the dispatcher. */
@@ -53,8 +54,9 @@
  *
  * A response that isn't an event stream is forwarded once it is complete. An event stream is
  * forwarded by complete events, so that another backend server can continue after the last of them.
- * A body that ends within an event is incomplete, however it is delimited; a body that ends with
- * its connection after a complete event is complete. The sizes of a buffered response, of an
+ * A body that ends within an event is incomplete, however it is delimited. A body that ends with
+ * its connection is complete only if the server process is alive afterwards; the caller gets the
+ * end of the response when that is known. The sizes of a buffered response, of an
  * incomplete event and of a refusal's body are bounded. Not thread safe.
  */
 class request_flow final : public edge::upstream_sink {
@@ -106,6 +108,13 @@
     bool is_continuation(const sse_event& event) const;
     void forward(std::string_view bytes);
     void begin_response();
+    /** Whether nothing shows so far that the body, which has ended, isn't complete. */
+    bool may_be_whole() const;
+    /** Finds out whether the process has outlived the end of its connection. */
+    void check_process();
+    void on_process_checked(process_state state);
+    /** The response is complete. */
+    void complete();
     void complete_stream(body_end end);
     void complete_buffered(body_end end);
     /** Ends the present attempt, reports it, and lets the host decide what follows. */
--- a/libs/entry/src/response_attempt.h
+++ b/libs/entry/src/response_attempt.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "liveness_checker.h"
 #include "sse_splitter.h"
 
 #include <edge/upstream_pool.h>
@@ -21,6 +22,9 @@
  */
 struct response_attempt {
     std::unique_ptr<edge::upstream_call> call;
+    edge::upstream_address address;
+    serving::server_process process; /**< That the request was sent to. */
+    std::string service;
     std::optional<std::uint64_t> resumed_after; /**< Empty if the response starts anew. */
     http_head head;
     edge::upstream_framing framing;
@@ -32,6 +36,9 @@
     sse_splitter events;               /**< In mode `stream`, like the members below. */
     std::string held_comments;         /**< Comments before the first event of the response. */
     std::uint64_t accepted_events = 0; /**< Without comments. */
+    /** Null unless the body has ended with its connection. */
+    std::shared_ptr<liveness_check> check;
+    std::optional<process_state> state_after_end; /**< What the check found out. */
 };
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/stream_attempt_report.cpp
+++ b/libs/entry/src/stream_attempt_report.cpp
@@ -34,8 +34,9 @@
 }
 
 bool stream_attempt_report::is_whole() const noexcept {
-    const bool is_complete = end == body_end::complete_length || end == body_end::last_chunk ||
-                             end == body_end::end_with_connection;
+    const bool is_complete =
+        end == body_end::complete_length || end == body_end::last_chunk ||
+        (end == body_end::end_with_connection && state_after_end == process_state::alive);
     return is_complete && incomplete_bytes == 0;
 }
 
@@ -47,6 +48,9 @@
         .number("incomplete_bytes", static_cast<std::int64_t>(report.incomplete_bytes))
         .flag("ends_with_connection", report.ends_with_connection)
         .flag("reused_connection", report.is_reused_connection);
+    if (report.state_after_end) {
+        line.text("process", to_string(*report.state_after_end));
+    }
 }
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/stream_attempt_report.h
+++ b/libs/entry/src/stream_attempt_report.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "liveness_checker.h"
+
 #include <telemetry/event_log.h>
 
 #include <cstddef>
@@ -35,8 +37,12 @@
     bool is_stream = true;             /**< False for any other response. */
     bool ends_with_connection = false; /**< The body has neither a length nor chunks. */
     bool is_reused_connection = false; /**< The connection had carried earlier requests. */
+    /** State of the server process after the end of a body that ended with its connection; empty if
+        it wasn't asked for. */
+    std::optional<process_state> state_after_end{};
 
-    /** Whether the body was complete as it was delimited, and ended with a complete event. */
+    /** Whether the body was complete as it was delimited, and ended with a complete event. A body
+        that ends with its connection is complete if its server process lived on. */
     bool is_whole() const noexcept;
 
     friend bool operator==(const stream_attempt_report&, const stream_attempt_report&) = default;
--- a/libs/entry/tests/request_flow_fixture.h
+++ b/libs/entry/tests/request_flow_fixture.h
@@ -75,6 +75,19 @@
         out.is_shutting_down = find_header(head.headers, "X-Leaving").has_value();
         return out;
     }
+    std::optional<serving::liveness_request>
+    encode_liveness_request(const serving::server_process& process,
+                            const serving::service& of) const override {
+        static_cast<void>(process);
+        static_cast<void>(of);
+        return serving::liveness_request{"/alive", {}};
+    }
+    bool is_answer_of(const serving::server_process& process, const http_head& head,
+                      std::string_view body) const override {
+        static_cast<void>(process);
+        static_cast<void>(body);
+        return find_header(head.headers, "X-Process") == "desk";
+    }
     std::string correlation_header() const override { return "X-Id"; }
 };
 
@@ -155,7 +168,8 @@
 class flow_fixture final : public request_flow_host {
 public:
     flow_fixture(serving::request_kind kind, bool is_resumable, std::vector<std::string> scripts)
-        : server(loop, std::move(scripts)), pool_(loop, clock, {}), dispatcher_({}, "dc-1", 1) {
+        : server(loop, std::move(scripts)), pool_(loop, clock, {}), liveness_(loop, pool_, codec_),
+          dispatcher_({}, "dc-1", 1) {
         serving::service_catalogue catalogue;
         catalogue.version = 1;
         serving::route route;
@@ -202,6 +216,7 @@
     time_point now() const override { return clock.now(); }
     edge::upstream_pool& pool() override { return pool_; }
     const serving::request_codec& codec() const override { return codec_; }
+    liveness_checker& liveness() override { return liveness_; }
     serving::dispatcher& dispatcher() override { return dispatcher_; }
     void on_response_head(serving::request_handle id,
                           const serving::response_metadata& head) override {
@@ -233,6 +248,7 @@
     std::unique_ptr<scripted_server> second_server; /**< Null: both backend servers are `server`. */
     edge::upstream_pool pool_;
     test_codec codec_;
+    liveness_checker liveness_;
     serving::dispatcher dispatcher_;
     received_response answer;
     std::vector<stream_attempt_report> stream_attempts;
--- a/libs/entry/tests/stream_player.h
+++ b/libs/entry/tests/stream_player.h
@@ -34,6 +34,7 @@
     std::vector<std::size_t> fragments; /**< Sizes of the writes, used again from the first;
                                              empty: one write. */
     bool is_reset = false;              /**< The connection ends by RST instead of FIN. */
+    bool is_crash = false;              /**< The server's process ends with the connection. */
 
     friend bool operator==(const wire_script&, const wire_script&) = default;
 };
@@ -124,6 +125,19 @@
         out.has_not_run = find_header(head.headers, "X-Not-Run").has_value();
         return out;
     }
+    std::optional<serving::liveness_request>
+    encode_liveness_request(const serving::server_process& process,
+                            const serving::service& of) const override {
+        static_cast<void>(process);
+        static_cast<void>(of);
+        return serving::liveness_request{"/alive", {}};
+    }
+    bool is_answer_of(const serving::server_process& process, const http_head& head,
+                      std::string_view body) const override {
+        static_cast<void>(process);
+        static_cast<void>(body);
+        return head.status == 200;
+    }
     std::string correlation_header() const override { return "X-Id"; }
 };
 
@@ -138,7 +152,8 @@
 
     explicit stream_player(const play_settings& settings)
         : acceptor_(server_loop_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
-          settings_(settings), pool_(loop_, clock_, {}), dispatcher_({}, "dc-1", 1) {
+          settings_(settings), pool_(loop_, clock_, {}), liveness_(loop_, pool_, codec_),
+          dispatcher_({}, "dc-1", 1) {
         acceptor_.non_blocking(true);
         configure_dispatcher();
     }
@@ -166,6 +181,7 @@
     time_point now() const override { return clock_.now(); }
     edge::upstream_pool& pool() override { return pool_; }
     const serving::request_codec& codec() const override { return codec_; }
+    liveness_checker& liveness() override { return liveness_; }
     serving::dispatcher& dispatcher() override { return dispatcher_; }
     void on_response_head(serving::request_handle id,
                           const serving::response_metadata& head) override {
@@ -230,10 +246,15 @@
         if (error) {
             return; // no connection yet
         }
-        ++attempts_;
         socket.non_blocking(true);
         socket.set_option(tcp::no_delay(true));
-        const auto script = source(read_head(socket, until));
+        const auto head = read_head(socket, until);
+        const bool is_liveness_request = head.find(" /alive ") != std::string::npos;
+        const auto script = is_liveness_request ? alive_script() : source(head);
+        if (!is_liveness_request) {
+            ++attempts_;
+            has_crashed_ = script.is_crash;
+        }
         send(socket, script, until);
         if (script.is_reset) {
             socket.set_option(boost::asio::socket_base::linger(true, 0), error);
@@ -242,6 +263,13 @@
         run_ready();
     }
 
+    /** What the server of the latest attempt sends when it is asked whether it is alive. */
+    wire_script alive_script() const {
+        wire_script out;
+        out.bytes = has_crashed_ ? "" : "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+        return out;
+    }
+
     std::string read_head(tcp::socket& socket, time_point until) {
         std::string head;
         std::string part(4'096, '\0');
@@ -280,10 +308,12 @@
     play_settings settings_;
     edge::upstream_pool pool_;
     position_codec codec_;
+    liveness_checker liveness_;
     serving::dispatcher dispatcher_;
     caller_view view_;
     std::unique_ptr<request_flow> flow_;
     bool is_finished_ = false;
+    bool has_crashed_ = false; /**< The server of the latest attempt. */
     std::size_t attempts_ = 0;
 };
 
--- a/libs/entry/tests/stream_script.h
+++ b/libs/entry/tests/stream_script.h
@@ -17,7 +17,10 @@
 enum class body_framing : std::uint8_t { chunked, length, until_close };
 enum class id_style : std::uint8_t { rising, missing, non_numeric, falling };
 enum class line_end : std::uint8_t { lf, crlf };
-enum class close_style : std::uint8_t { orderly, reset };
+/** A server that crashes closes its connection in an orderly way and answers no more. */
+enum class close_style : std::uint8_t { orderly, reset, crash };
+/** How a server names the media type of an event stream. */
+enum class type_style : std::uint8_t { usual, other_case, second_line, missing };
 
 /** What the server of one attempt does. A value type. */
 struct attempt_script {
@@ -26,6 +29,7 @@
     id_style ids = id_style::rising;
     line_end lines = line_end::lf;
     close_style close = close_style::orderly;
+    type_style type = type_style::usual;
     int error_status = 500;
     int refusal_status = 503;
     std::size_t events = 1;
@@ -161,6 +165,21 @@
     return out + "0\r\n\r\n";
 }
 
+inline std::string stream_type(type_style style) {
+    const std::string usual = "Content-Type: text/event-stream\r\n";
+    switch (style) {
+    case type_style::usual:
+        return usual;
+    case type_style::other_case:
+        return "Content-Type: Text/Event-Stream; charset=utf-8\r\n";
+    case type_style::second_line:
+        return "Content-Type: text/plain\r\n" + usual;
+    case type_style::missing:
+        return "";
+    }
+    return usual;
+}
+
 inline std::string make_head(const attempt_script& script, bool is_event_stream, int status,
                              std::size_t body_bytes) {
     std::string head = "HTTP/1.1 " + std::to_string(status) + " Status\r\n";
@@ -169,8 +188,7 @@
     } else if (script.reply != reply_kind::unsealed_run) {
         head += "X-Seal: s\r\n";
     }
-    head +=
-        is_event_stream ? "Content-Type: text/event-stream\r\n" : "Content-Type: text/plain\r\n";
+    head += is_event_stream ? stream_type(script.type) : "Content-Type: text/plain\r\n";
     if (script.framing == body_framing::chunked) {
         head += "Transfer-Encoding: chunked\r\n";
     } else if (script.framing == body_framing::length) {
@@ -184,6 +202,10 @@
                                       std::optional<std::uint64_t> asked) {
     made_response out;
     out.script = request.attempts[number];
+    if (request.kind != serving::request_kind::streaming &&
+        out.script.type == type_style::missing) {
+        out.script.type = type_style::usual; // only a streaming route tells that it is a stream
+    }
     out.asked_position = asked;
     const bool is_stream = request.is_event_stream && out.is_success();
     if (out.script.reply == reply_kind::error) {
@@ -213,11 +235,11 @@
     out << "{reply " << static_cast<int>(script.reply) << ", framing "
         << static_cast<int>(script.framing) << ", ids " << static_cast<int>(script.ids)
         << ", lines " << static_cast<int>(script.lines) << ", close "
-        << static_cast<int>(script.close) << ", statuses " << script.error_status << ' '
-        << script.refusal_status << ", events " << script.events << ", ignores_position "
-        << script.ignores_position << ", open_end " << script.has_open_end << ", missing "
-        << script.missing_bytes << ", fragment " << script.fragment_bytes << ", chunk "
-        << script.chunk_bytes << '}';
+        << static_cast<int>(script.close) << ", type " << static_cast<int>(script.type)
+        << ", statuses " << script.error_status << ' ' << script.refusal_status << ", events "
+        << script.events << ", ignores_position " << script.ignores_position << ", open_end "
+        << script.has_open_end << ", missing " << script.missing_bytes << ", fragment "
+        << script.fragment_bytes << ", chunk " << script.chunk_bytes << '}';
 }
 
 inline std::ostream& operator<<(std::ostream& out, const request_script& request) {
--- a/libs/entry/tests/test_request_flow.cpp
+++ b/libs/entry/tests/test_request_flow.cpp
@@ -53,7 +53,7 @@
     CHECK(context.server.requests[1].find("X-After: 2") != std::string::npos);
     const std::vector<stream_attempt_report> expected{
         {std::nullopt, 2, 2, 5, body_end::closed},
-        {2, 4, 2, 0, body_end::end_with_connection, true, true}};
+        {2, 4, 2, 0, body_end::end_with_connection, true, true, false, process_state::alive}};
     CHECK(context.stream_attempts == expected);
 }
 
--- a/libs/entry/tests/test_stream_property.cpp
+++ b/libs/entry/tests/test_stream_property.cpp
@@ -31,7 +31,13 @@
                                                                        {1, id_style::falling}})),
         gen::set(&attempt_script::lines,
                  gen::weightedElement<line_end>({{9, line_end::lf}, {1, line_end::crlf}})),
-        gen::set(&attempt_script::close, gen::element(close_style::orderly, close_style::reset)),
+        gen::set(&attempt_script::close,
+                 gen::element(close_style::orderly, close_style::reset, close_style::crash)),
+        gen::set(&attempt_script::type,
+                 gen::weightedElement<type_style>({{6, type_style::usual},
+                                                   {1, type_style::other_case},
+                                                   {1, type_style::second_line},
+                                                   {1, type_style::missing}})),
         gen::set(&attempt_script::error_status, gen::element(500, 404, 503)),
         gen::set(&attempt_script::refusal_status, gen::element(503, 408, 421, 429)),
         gen::set(&attempt_script::events, gen::inRange<std::size_t>(0, 5)),
@@ -86,6 +92,7 @@
             wire.fragments = {made.script.fragment_bytes};
         }
         wire.is_reset = made.script.close == close_style::reset;
+        wire.is_crash = made.script.close == close_style::crash;
         return wire;
     });
     return out;
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -69,6 +69,8 @@
 struct send_attempt {
     request_handle request = 0;
     std::string backend_id;
+    std::uint64_t started_at_ms = 0; /**< Start time of its process, Unix milliseconds. */
+    std::string service;
     network_address address;
     std::uint64_t expected_version = 0; /**< Version of the adapter's weights; 0: any. */
     int urgency = 0;                    /**< Lower is more urgent; 0 is the most urgent. */
@@ -115,7 +117,7 @@
     unreachable,      /**< The connection failed: nothing was sent. */
     invalid_response, /**< The connection broke, or the response was invalid. */
     unproven_response /**< The backend server responded, but nothing tells which bytes are its
-                           response to this request. */
+                           response to this request, or whether they are all. */
 };
 
 /** Returns the name of an outcome as written to logs and metrics. */
--- a/libs/serving/include/serving/request_codec.h
+++ b/libs/serving/include/serving/request_codec.h
@@ -2,11 +2,14 @@
 
 #include <kernel/clock.h>
 #include <kernel/http_types.h>
+#include <serving/backend_server.h>
 #include <serving/request_metadata.h>
+#include <serving/service_catalogue.h>
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace camphorgrade::serving {
 
@@ -22,6 +25,14 @@
     friend bool operator==(const attempt_metadata&, const attempt_metadata&) = default;
 };
 
+/** A GET request that a server process answers as long as it lives. A value type. */
+struct liveness_request {
+    std::string target;
+    http_headers headers; /**< Without Host. */
+
+    friend bool operator==(const liveness_request&, const liveness_request&) = default;
+};
+
 /** Decodes the headers of requests and responses, and encodes the request headers of an attempt.
     Thread safe. */
 class request_codec {
@@ -43,6 +54,16 @@
     /** Decodes the head of a backend server's response. */
     virtual response_metadata decode_response(const http_head& head) const = 0;
 
+    /** The request by which to find out whether `process`, a server of `of`, is alive; empty if
+        there is none. It runs nothing. */
+    virtual std::optional<liveness_request> encode_liveness_request(const server_process& process,
+                                                                    const service& of) const = 0;
+
+    /** Whether `process`, and no other at its address, sent this response to its
+        liveness_request. */
+    virtual bool is_answer_of(const server_process& process, const http_head& head,
+                              std::string_view body) const = 0;
+
     /** Name of the header by which a response identifies its request. */
     virtual std::string correlation_header() const = 0;
 };
--- a/libs/serving/include/serving/service_catalogue.h
+++ b/libs/serving/include/serving/service_catalogue.h
@@ -79,6 +79,7 @@
 struct service {
     std::string name;
     std::optional<engine_capacity> engine; /**< Empty for a service without engines. */
+    std::string health_path{};             /**< Of its health check; empty if it has none. */
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -209,6 +209,8 @@
     send_attempt effect;
     effect.request = id;
     effect.backend_id = target.backend_id;
+    effect.started_at_ms = view->server.started_at_ms;
+    effect.service = entry.service;
     effect.address = view->server.address;
     effect.expected_version = entry.metadata.adapter.empty() ? 0 : entry.version;
     effect.urgency = entry.urgency;
