--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -13,6 +13,7 @@
 
 using json = nlohmann::json;
 
+constexpr std::string_view health_path = "/health";
 constexpr std::size_t adapter_slots = 3;
 constexpr std::size_t engine_request_slots = 64;
 constexpr std::size_t service_request_slots = 6;
@@ -88,7 +89,9 @@
 }
 
 response_faults soak_backend::faults_for(const edge::caller_request& request) const {
-    return request.target.starts_with("/camphorgrade/") ? response_faults{} : faults.responses;
+    const bool is_question =
+        request.target.starts_with("/camphorgrade/") || request.target == health_path;
+    return is_question ? response_faults{} : faults.responses;
 }
 
 void soak_backend::on_request(std::shared_ptr<edge::caller_exchange> exchange, bool has_body) {
@@ -97,6 +100,10 @@
         respond_state(*exchange);
         return;
     }
+    if (request.target == health_path) {
+        exchange->answer({200, {{"X-Instance-Id", id_}}}, "");
+        return;
+    }
     if (request.target == "/camphorgrade/order") {
         handle_order(*exchange);
         return;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -228,7 +228,9 @@
     }
     const json out{{"version", ++configuration_version_},
                    {"routes", routes},
-                   {"services", {{{"name", "models"}, {"engine", engine}}, {{"name", "desk"}}}},
+                   {"services",
+                    {{{"name", "models"}, {"engine", engine}},
+                     {{"name", "desk"}, {"health_path", "/health"}}}},
                    {"tenants", accounts},
                    {"limits",
                     {{"max_header_bytes", 16'384},
