Don't take a stream that ends before its first event for a complete one

Callers got status 200 and no event, as a complete stream, from a server that ended in an orderly way behind its head; and the parts of the prompt counted as well started, so a part that crashes servers that way was never held. Cause: an end without any event counted as the end of the stream, and as its first byte. A body without length and chunks now needs at least one event.

The oracle of the property test counted an empty body without framing as whole, which is the fault; it doesn't any more, and an empty one that is finished now breaks its rule.

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -240,9 +240,11 @@
     const auto end = body_end_of(attempt_->framing);
     if (attempt_->metadata.has_not_run) {
         end_attempt(end, refused_outcome());
-    } else if (attempt_->mode == body_mode::discard || !may_be_whole()) {
+    } else if (attempt_->mode == body_mode::discard) {
         record_first_byte();
         end_attempt(end, serving::attempt_outcome::invalid_response);
+    } else if (!may_be_whole()) {
+        end_attempt(end, serving::attempt_outcome::invalid_response);
     } else if (attempt_->framing.ends_with_connection) {
         check_process();
     } else {
@@ -254,10 +256,9 @@
     if (attempt_->mode != body_mode::stream) {
         return true;
     }
-    // Without an event, nothing shows that a body without length and chunks continues the stream.
-    const bool is_unproven = attempt_->framing.ends_with_connection && attempt_->resumed_after &&
-                             attempt_->accepted_events == 0;
-    return attempt_->events.incomplete_bytes() == 0 && !is_unproven;
+    // Without an event, nothing shows that a body without length and chunks is the stream.
+    const bool is_empty = attempt_->framing.ends_with_connection && attempt_->accepted_events == 0;
+    return attempt_->events.incomplete_bytes() == 0 && !is_empty;
 }
 
 void request_flow::check_process() {
--- a/libs/entry/tests/stream_oracle.h
+++ b/libs/entry/tests/stream_oracle.h
@@ -133,6 +133,12 @@
     violation found_ = violation::none;
 };
 
+/** Whether nothing shows that a response is a stream: it ends with its connection, and has no
+    event. */
+inline bool is_empty_unframed(const made_response& run) {
+    return run.script.framing == body_framing::until_close && run.events.empty();
+}
+
 /** Whether the last run's body was complete, ended with a whole event, and the caller has it. */
 inline bool is_rightly_finished(const played_request& played, const event_follower& followed) {
     if (played.runs.empty()) {
@@ -143,7 +149,7 @@
         return false;
     }
     const auto whole = last.whole_events(last.complete_body());
-    return whole && followed.count_of(played.runs.size() - 1) == *whole;
+    return whole && !is_empty_unframed(last) && followed.count_of(played.runs.size() - 1) == *whole;
 }
 
 inline violation check_stream(const played_request& played) {
@@ -200,7 +206,7 @@
                          first.script.close == close_style::orderly;
     return is_sent && (!played.script.is_event_stream ||
                        (first.script.lines == line_end::lf && !first.script.has_open_end &&
-                        !has_unproven_events(first)));
+                        !has_unproven_events(first) && !is_empty_unframed(first)));
 }
 
 /** The rule that the caller's response breaks. */
--- a/libs/entry/tests/test_empty_streams.cpp
+++ b/libs/entry/tests/test_empty_streams.cpp
@@ -11,5 +11,13 @@
                          {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: r1\r\n"
                           "Content-Type: text/event-stream\r\n\r\n"});
     const auto response = context.run();
-    CHECK_FALSE(response.is_finished);
+    CHECK(response.status == 502);
+}
+
+TEST_CASE("a server that ends before its first event hasn't begun to answer") {
+    flow_fixture context(serving::request_kind::streaming, false,
+                         {"HTTP/1.1 200 OK\r\nX-Seal: s\r\nX-Id: r1\r\n"
+                          "Content-Type: text/event-stream\r\n\r\n"});
+    context.run();
+    CHECK(context.flow->time_to_first_byte() < duration::zero());
 }
