Count a response as begun with its first whole event, not with its first byte

A server that sends a comment or a part of its first event and then crashes counted as one that began to answer: the parts of the prompt got a good start, and the crash wasn't recorded against them, so a part that crashes servers a moment later than at their first byte was held late or never. The dispatcher says that on_first_byte() is the first event of a stream; request_flow called it for any byte.

test_empty_streams: the new case failed in both variants before (2 checks).

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -173,7 +173,6 @@
 }
 
 void request_flow::stream(std::string_view bytes) {
-    record_first_byte();
     std::string accepted;
     bool is_valid = true;
     for (const auto& event : attempt_->events.append(bytes)) {
@@ -188,7 +187,10 @@
         accepted += attempt_->held_comments;
         attempt_->held_comments.clear();
         accepted += event.bytes;
-        attempt_->accepted_events += event.is_comment ? 0 : 1;
+        if (!event.is_comment) {
+            record_first_byte();
+            ++attempt_->accepted_events;
+        }
         position_.on_event(event);
     }
     forward(accepted);
--- a/libs/entry/tests/test_empty_streams.cpp
+++ b/libs/entry/tests/test_empty_streams.cpp
@@ -21,3 +21,11 @@
     context.run();
     CHECK(context.flow->time_to_first_byte() < duration::zero());
 }
+
+TEST_CASE("a server that ends within its first event hasn't begun to answer") {
+    const auto part = GENERATE(as<std::string>{}, ": waiting\n\n", "id: 1\ndata: a");
+    flow_fixture context(serving::request_kind::streaming, false, {stream_head + part});
+    const auto response = context.run();
+    CHECK(response.status == 502);
+    CHECK(context.flow->time_to_first_byte() < duration::zero());
+}
