--- a/libs/entry/tests/stream_script.h
+++ b/libs/entry/tests/stream_script.h
@@ -166,7 +166,7 @@
 }
 
 inline std::string stream_type(type_style style) {
-    const std::string usual = "Content-Type: text/event-stream\r\n";
+    std::string usual = "Content-Type: text/event-stream\r\n";
     switch (style) {
     case type_style::usual:
         return usual;
