Continue a stream only at the software version that began it

Cause: nothing read the version of a registration, and nothing tied a caller's resumption to its stream.

The version of the process that sends the first event is now fixed for the request; its later attempts go to servers of that version only, and it ends at once if there is none. It is also remembered by the id of the request that began the stream, which a caller names in Resumes when it takes the stream up. Any gateway may be asked for that: while several versions of a service serve, the origin of each stream goes to three gateways by rendezvous hashing, and a gateway that doesn't know a stream asks four, for 150 ms at most. While one version has served for the last minute nothing is sent or asked, and any server will do. What nobody knows is refused as not run, never guessed.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -116,6 +116,7 @@
     fleet_.expire();
     dispatcher_.tick(at);
     execute_effects();
+    peers_.exchange_origins();
     log_.flush();
     if (shutdown_.advance(at)) {
         loop_.stop();
@@ -146,6 +147,7 @@
     metrics_.count("camphor_requests_total");
     peers_.usage_changed();
     execute_effects();
+    peers_.exchange_origins();
 }
 
 void gateway_node::refuse_during_shutdown(edge::caller_exchange& exchange) {
@@ -375,6 +377,15 @@
         .number("reply_age_ms", replied_at == time_point{} ? -1 : (now() - replied_at).count());
 }
 
+void gateway_node::execute(const serving::stream_taken_up& effect) {
+    log_.line("stream_taken_up", log_category::failure)
+        .text("request", correlation_id_of(effect.request))
+        .text("origin", to_string(effect.source))
+        .text("software_version", effect.version);
+    metrics_.count("camphor_streams_taken_up_total",
+                   {{"origin", std::string(to_string(effect.source))}});
+}
+
 void gateway_node::execute(const serving::limit_changed& effect) {
     constexpr double no_limit = -1;
     log_.line("backend_server_limit")
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -87,6 +87,12 @@
     } else if (const auto* grants = std::get_if<serving::permit_grants>(&message.body)) {
         dispatcher_.on_permit_grants(message.sender, *grants, clock_.now());
         host_.on_effects_pending();
+    } else if (const auto* origins = std::get_if<serving::origin_records>(&message.body)) {
+        dispatcher_.on_origin_records(*origins, clock_.now());
+        host_.on_effects_pending();
+    } else if (const auto* query = std::get_if<serving::origin_query>(&message.body)) {
+        dispatcher_.on_origin_query(message.sender, *query, clock_.now());
+        exchange_origins();
     }
 }
 
@@ -313,6 +319,12 @@
     host_.on_effects_pending();
 }
 
+void gateway_peers::exchange_origins() {
+    for (auto& each : dispatcher_.take_origin_messages(clock_.now())) {
+        transport_.send(std::move(each));
+    }
+}
+
 void gateway_peers::usage_changed() {
     const bool may_send = clock_.now() - last_report_ >= settings_.urgent_report_interval;
     if (may_send && dispatcher_.limiter().is_report_due()) {
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -102,6 +102,9 @@
     /** An attempt ended; reports at once what was observed of parts that crash servers. */
     void crashes_changed();
 
+    /** Sends what this gateway tells or asks others about origins of streams. */
+    void exchange_origins();
+
     /** Schedules an exchange of permits, since requests may wait for some. */
     void permits_changed();
 
--- a/libs/entry/src/peer_transport.cpp
+++ b/libs/entry/src/peer_transport.cpp
@@ -85,6 +85,10 @@
     std::visit([&](auto& body) { socket_.send({message.to}, std::move(body)); }, message.body);
 }
 
+void peer_transport::send(serving::origin_message message) {
+    std::visit([&](auto& body) { socket_.send({message.to}, std::move(body)); }, message.body);
+}
+
 void peer_transport::add_advertised_gateways(const std::vector<std::string>& addresses) {
     const auto now = clock_.now();
     std::erase_if(advertised_gateways_, [&](const auto& each) {
--- a/libs/entry/src/peer_transport.h
+++ b/libs/entry/src/peer_transport.h
@@ -63,6 +63,9 @@
     /** Sends permits or requests for permits to a gateway. */
     void send(serving::permit_message message);
 
+    /** Sends origins of streams, or a query for them, to a gateway. */
+    void send(serving::origin_message message);
+
     /** Live gateways that grant permits, including this one. */
     std::vector<std::string> live_granters() const {
         return directory_.live_granters(clock_.now());
--- a/libs/entry/src/refusal_response.cpp
+++ b/libs/entry/src/refusal_response.cpp
@@ -28,6 +28,7 @@
     case end_reason::no_capacity:
     case end_reason::refused:
     case end_reason::timed_out:
+    case end_reason::unknown_origin:
     case end_reason::shutting_down:
         return 503;
     }
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -8,6 +8,7 @@
 #include <serving/permit_messages.h>
 #include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
+#include <serving/stream_origins.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -60,10 +61,12 @@
     gateway,
     bundle,
     permit_requests,
-    permit_grants
+    permit_grants,
+    origin_records,
+    origin_query
 };
 
-inline constexpr std::size_t message_kind_count = 6;
+inline constexpr std::size_t message_kind_count = 8;
 
 /** A report in the encoding of its original sender, for forwarding by a relay. */
 struct relayed_report {
@@ -86,7 +89,8 @@
 };
 
 using peer_body = std::variant<adapters::engine_demand, engine_report, gateway_report,
-                               report_bundle, serving::permit_requests, serving::permit_grants>;
+                               report_bundle, serving::permit_requests, serving::permit_grants,
+                               serving::origin_records, serving::origin_query>;
 
 /** Attributes of a message's sender from which gateways select relays and granters of permits. */
 struct peer_attributes {
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -18,6 +18,8 @@
 constexpr int max_parts_per_crash = 64;
 constexpr int max_part_starts = 256;
 constexpr std::uint32_t max_starts_of_part = 10'000;
+// Bounds of what one message may say of, or ask about, streams.
+constexpr int max_stream_origins = 1'000;
 
 bool is_amount(double value) {
     return std::isfinite(value) && value >= 0;
@@ -215,6 +217,33 @@
     return out;
 }
 
+void write(const serving::origin_records& records, wire::stream_origins& out) {
+    for (const auto& each : records.records) {
+        auto& record = *out.add_records();
+        record.set_stream(each.stream);
+        record.set_service(each.origin.service);
+        record.set_version(each.origin.version);
+        record.set_age_ms(static_cast<std::uint32_t>(each.age.count()));
+    }
+}
+
+/** Decodes origins of streams; those beyond the bound are left out. */
+serving::origin_records read(const wire::stream_origins& in) {
+    serving::origin_records out;
+    for (int i = 0; i < std::min(in.records_size(), max_stream_origins); ++i) {
+        const auto& each = in.records(i);
+        out.records.push_back(
+            {each.stream(), {each.service(), each.version()}, duration{each.age_ms()}});
+    }
+    return out;
+}
+
+/** Decodes a query for origins of streams; those beyond the bound are left out. */
+serving::origin_query read(const wire::stream_origin_query& in) {
+    const auto count = std::min(in.streams_size(), max_stream_origins);
+    return {{in.streams().begin(), in.streams().begin() + count}};
+}
+
 void write(const serving::crashing_parts_report& report, wire::gateway_report& out) {
     for (const auto& each : report.crashes) {
         auto& crash = *out.add_part_crashes();
@@ -358,6 +387,13 @@
     void operator()(const serving::permit_grants& grants) {
         write(grants, *out.mutable_permit_grants());
     }
+    void operator()(const serving::origin_records& records) {
+        write(records, *out.mutable_stream_origins());
+    }
+    void operator()(const serving::origin_query& query) {
+        out.mutable_stream_origin_query()->mutable_streams()->Add(query.streams.begin(),
+                                                                  query.streams.end());
+    }
 };
 
 } // namespace
@@ -409,6 +445,12 @@
     case wire::datagram::kPermitGrants:
         message.body = read(in.permit_grants());
         return message;
+    case wire::datagram::kStreamOrigins:
+        message.body = read(in.stream_origins());
+        return message;
+    case wire::datagram::kStreamOriginQuery:
+        message.body = read(in.stream_origin_query());
+        return message;
     case wire::datagram::BODY_NOT_SET:
         break;
     }
--- a/libs/peering/src/registrations.cpp
+++ b/libs/peering/src/registrations.cpp
@@ -20,6 +20,7 @@
     out.slots = in.slots();
     out.is_draining = in.is_draining();
     out.started_at_ms = in.born();
+    out.software_version = in.software_version();
     for (const auto& each : in.held()) {
         out.held.push_back({each.weights(), each.version()});
     }
@@ -35,6 +36,7 @@
     out.set_slots(server.slots);
     out.set_is_draining(server.is_draining);
     out.set_born(server.started_at_ms);
+    out.set_software_version(server.software_version);
     for (const auto& each : server.held) {
         auto& held = *out.add_held();
         held.set_weights(each.name);
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -75,6 +75,16 @@
     return {"10.0.0.3:7600", 5, 12, grants, {"dc-2", 90, true}, {}};
 }
 
+peer_message origin_records_message() {
+    const serving::origin_records records{
+        {{17, {"s1", "v1"}, duration{400}}, {18, {"s1", "v1.1"}, duration{0}}}};
+    return {"10.0.0.1:7600", 5, 13, records, {"dc-2", 90, true}, {}};
+}
+
+peer_message origin_query_message() {
+    return {"10.0.0.1:7600", 5, 14, serving::origin_query{{17, 19}}, {"dc-2", 90, true}, {}};
+}
+
 /** A message as a relay forwards it. */
 relayed_report relayed(const peer_message& message) {
     return {message.sender, message.incarnation, message.sequence, message.kind(), encode(message)};
@@ -125,8 +135,9 @@
 
 TEST_CASE("decoding an encoded message restores it") {
     const auto bundle = bundle_message({relayed(report_message()), relayed(gateway_message())});
-    for (const auto& each : {demand_message(), report_message(), gateway_message(), bundle,
-                             permit_requests_message(), permit_grants_message()}) {
+    for (const auto& each :
+         {demand_message(), report_message(), gateway_message(), bundle, permit_requests_message(),
+          permit_grants_message(), origin_records_message(), origin_query_message()}) {
         const auto read = decode(encode(each));
         REQUIRE(read.has_value());
         CHECK(*read == each);
--- a/libs/peering/tests/test_registrations.cpp
+++ b/libs/peering/tests/test_registrations.cpp
@@ -18,6 +18,7 @@
     out.started_at_ms = *rc::gen::arbitrary<std::uint64_t>();
     out.id = "server-" + std::to_string(out.started_at_ms);
     out.held = {{"m/a", *rc::gen::arbitrary<std::uint64_t>()}};
+    out.software_version = "v1." + std::to_string(out.slots);
     return out;
 }
 
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -50,6 +50,9 @@
     std::uint64_t started_at_ms = 0; /**< Start time of the server's process, Unix milliseconds. */
     /** Base models and adapters that it holds; empty for a plain service. */
     std::vector<versioned_weights> held;
+    /** Version of its software, not of weights; empty if it states none. Servers that state none
+        count as of one version. */
+    std::string software_version{};
 
     /** The process that this registration describes. */
     server_process process() const { return {id, started_at_ms}; }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -12,7 +12,9 @@
 #include <serving/retry_limiter.h>
 #include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
+#include <serving/software_versions.h>
 #include <serving/store_recovery_estimator.h>
+#include <serving/stream_origins.h>
 
 #include <cstdint>
 #include <map>
@@ -42,6 +44,8 @@
                           attempt is possible. */
     timed_out,       /**< The deadline passed before the request was sent. */
     timed_out_sent,  /**< The deadline passed after sending: the request may have run. */
+    unknown_origin,  /**< The caller resumes a stream, several software versions serve, and nobody
+                          knows which of them began it. */
     shutting_down,   /**< This process is shutting down; another gateway can serve the request. */
     invalid_response /**< The response was an error, cut off or invalid: the request may
                           have run. */
@@ -105,7 +109,28 @@
     friend bool operator==(const limit_changed&, const limit_changed&) = default;
 };
 
-using dispatch_effect = std::variant<end_request, send_attempt, wait_for_backend, limit_changed>;
+/** From what the software version of a stream that a caller takes up is known. */
+enum class origin_source : std::uint8_t {
+    known,          /**< This gateway began the stream, or another one told its origin. */
+    single_version, /**< Only one version has served lately. */
+    unknown         /**< It isn't known; the request is refused. */
+};
+
+/** Returns the name of a source as written to logs and metrics. */
+std::string_view to_string(origin_source source) noexcept;
+
+/** Effect: a caller takes a stream up that an earlier request began. Informational: needs no
+    action. A value type. */
+struct stream_taken_up {
+    request_handle request = 0;
+    origin_source source = origin_source::unknown;
+    std::string version; /**< At which the stream continues; empty if unknown or not stated. */
+
+    friend bool operator==(const stream_taken_up&, const stream_taken_up&) = default;
+};
+
+using dispatch_effect =
+    std::variant<end_request, send_attempt, wait_for_backend, limit_changed, stream_taken_up>;
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
@@ -163,6 +188,10 @@
     duration max_retry_after{5'000};
     /** Upper bound for a backend server's Retry-After. */
     duration max_hold_off{600'000};
+    /** How long a request waits for the origin of the stream that it resumes. */
+    duration origin_answer_timeout{150};
+    /** Time between two looks at the software versions of all servers. */
+    duration version_observation_interval{200};
     account_limiter_settings limits;
     retry_limiter_settings retries;
     placement_settings placement_estimates;
@@ -170,6 +199,7 @@
     crashing_parts_settings crashing_parts;
     server_limits_settings server_limits;
     permit_exchange_settings permits;
+    stream_origins_settings origins;
 
     friend bool operator==(const dispatcher_settings&, const dispatcher_settings&) = default;
 };
@@ -215,6 +245,17 @@
         the prompt. */
     void on_first_byte(request_handle id, time_point now);
 
+    /** Another gateway tells origins of streams: sends the requests that wait for them. */
+    void on_origin_records(const origin_records& records, time_point now);
+
+    /** Another gateway asks for origins of streams; take_origin_messages() has the answer. */
+    void on_origin_query(const std::string& peer, const origin_query& query, time_point now) {
+        origins_.on_query(peer, query, now);
+    }
+
+    /** Messages about origins of streams to send to other gateways. */
+    std::vector<origin_message> take_origin_messages(time_point now);
+
     /** The response to the caller can't be continued: the request ends when its present attempt
         fails. */
     void forbid_retry(request_handle id);
@@ -298,7 +339,13 @@
     std::size_t waiting_requests() const;
 
 private:
-    enum class phase : std::uint8_t { placing, waiting, sent, ended };
+    enum class phase : std::uint8_t {
+        placing,
+        resolving, /**< Waits for the origin of the stream that it resumes. */
+        waiting,
+        sent,
+        ended
+    };
 
     struct request {
         request_metadata metadata;
@@ -330,6 +377,9 @@
         server_process sent_to; /**< Process that the request was last sent to. */
         versioned_weights weights;
         std::set<std::string> excluded;
+        /** Software version that began the stream; empty until its first event. */
+        std::optional<std::string> stream_version;
+        time_point resolve_by; /**< Until when a request in phase `resolving` waits. */
     };
 
     /** Records the request limit that a response to `entry` names, or its absence. */
@@ -345,6 +395,19 @@
     void on_permit_reply(const server_process& server, time_point previous_reply, time_point now);
     /** Number of requests that wait at each server with a limit. */
     permit_demand waiting_for_permits() const;
+    /** Whether the caller resumes a stream that an earlier request began. */
+    static bool is_taken_up(const request& entry);
+    /** Key of the request's stream; 0 if its id isn't known. */
+    static stream_key stream_of(const request& entry);
+    /** Sets the service and version at which the request's stream continues; empty if nothing
+        tells them. */
+    std::optional<origin_source> find_origin(request& entry, time_point now);
+    /** Places a request that resumes a stream, or asks other gateways for its origin first. */
+    void take_up(request_handle id, request& entry, time_point now);
+    void continue_stream(request_handle id, request& entry, origin_source source, time_point now);
+    void end_unknown_stream(request_handle id, request& entry);
+    /** The first event of a stream is forwarded: fixes the version at which it may continue. */
+    void record_origin(request& entry, time_point now);
     std::optional<end_reason> admit(request& entry, duration& retry_after, time_point now);
     std::optional<end_reason> resolve(request& entry) const;
     std::string choose_service(const route& matched);
@@ -396,6 +459,9 @@
     server_limits limits_;
     permit_exchange permits_;
     store_recovery_estimator store_recovery_;
+    stream_origins origins_;
+    software_versions software_;
+    time_point versions_observed_at_;
     placement_chooser placement_chooser_;
     std::optional<time_point> answer_by_; /**< Latest deadline of every request. */
     std::map<request_handle, request> requests_;
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -51,6 +51,8 @@
     std::vector<prompt_part> prompt_parts;
     duration objective{};           /**< Latency objective of the route. */
     std::set<std::string> excluded; /**< Servers that were tried already. */
+    /** Only servers of this software version will do; empty: any. */
+    std::optional<std::string> software_version;
     /** Server at which the request has waited so far; empty for a new request. */
     std::string waiting_backend_id;
     /** Number of this gateway's requests that wait there ahead of it. */
--- a/libs/serving/include/serving/request_metadata.h
+++ b/libs/serving/include/serving/request_metadata.h
@@ -34,6 +34,8 @@
     std::vector<prompt_part> prompt_parts;
     std::optional<std::uint64_t> last_event_id; /**< The caller resumes its stream after this
                                                      event. */
+    std::string resumed_request_id; /**< The request that brought the first event of the stream that
+                                         the caller resumes. */
 
     /** "model/adapter", or the model alone. */
     std::string weights_name() const { return adapter.empty() ? model : model + '/' + adapter; }
--- a/libs/serving/src/dispatch_names.cpp
+++ b/libs/serving/src/dispatch_names.cpp
@@ -24,6 +24,8 @@
         return "timed_out";
     case end_reason::timed_out_sent:
         return "timed_out_sent";
+    case end_reason::unknown_origin:
+        return "unknown_origin";
     case end_reason::shutting_down:
         return "shutting_down";
     case end_reason::invalid_response:
--- a/libs/serving/src/dispatch_parts.cpp
+++ b/libs/serving/src/dispatch_parts.cpp
@@ -50,6 +50,7 @@
 void dispatcher::set_gateways(const std::string& own, const std::vector<std::string>& live,
                               time_point now) {
     permits_.set_gateways(own, live, now);
+    origins_.set_gateways(own, live);
     std::set<std::string> gateways(live.begin(), live.end());
     const auto self = gateways.insert(own).first;
     parts_.set_rank(static_cast<std::size_t>(std::distance(gateways.begin(), self)),
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -13,7 +13,8 @@
     : settings_(settings), random_(seed), backends_({}), limiter_(settings.limits),
       retries_(settings.retries), crashes_({}), parts_(settings.crashing_parts),
       limits_(settings.server_limits), permits_(limits_, settings.permits),
-      store_recovery_(settings.store_recovery),
+      store_recovery_(settings.store_recovery), origins_(settings.origins),
+      software_(settings.origins.lifetime),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -43,7 +44,11 @@
         return id;
     }
     retries_.on_request(added.service, now);
-    place(id, added, now);
+    if (is_taken_up(added)) {
+        take_up(id, added, now);
+    } else {
+        place(id, added, now);
+    }
     return id;
 }
 
@@ -87,6 +92,7 @@
     wanted.prompt_parts = entry.metadata.prompt_parts;
     wanted.objective = entry.found_route->latency_objective;
     wanted.excluded = entry.excluded;
+    wanted.software_version = entry.stream_version;
     wanted.waiting_backend_id = entry.backend_id;
     wanted.position = limits_.all().empty() ? 0 : waiting_ahead(id, entry);
     const auto chosen = placement_chooser_.choose(backends_, permits_, wanted, now);
@@ -172,7 +178,9 @@
         const bool has_weights =
             each.metadata.model.empty() ||
             backends_.holds(*view, each.weights.name, each.weights.version, now);
-        if (!has_weights || !permits_.may_send(view->server.process(), now)) {
+        const bool is_other_version =
+            each.stream_version && *each.stream_version != view->server.software_version;
+        if (!has_weights || is_other_version || !permits_.may_send(view->server.process(), now)) {
             continue;
         }
         each.uncached = uncached_tokens(each, *view);
@@ -297,6 +305,7 @@
     auto& entry = found->second;
     entry.has_first_byte = true;
     parts_.on_start(entry.metadata.prompt_parts, entry.sent_to, now);
+    record_origin(entry, now);
     if (auto* view = backends_.find(entry.backend_id)) {
         view->queued_prompt_tokens -= entry.uncached;
         backends_.on_latency(entry.backend_id, now - entry.sent, entry.expected_first_byte);
@@ -417,6 +426,9 @@
 
 void dispatcher::tick(time_point now) {
     for (auto& [id, each] : requests_) {
+        if (each.state == phase::resolving && now >= each.resolve_by) {
+            end_unknown_stream(id, each);
+        }
         if (each.state != phase::waiting && each.state != phase::sent) {
             continue;
         }
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -66,7 +66,9 @@
     auto candidates = backends.servers_of_service(request.service);
     std::optional<time_point> available_at;
     std::erase_if(candidates, [&](const backend_view* each) {
-        if (request.excluded.count(each->server.id) != 0) {
+        const bool is_other_version =
+            request.software_version && each->server.software_version != *request.software_version;
+        if (is_other_version || request.excluded.count(each->server.id) != 0) {
             return true;
         }
         if (backend_registry::accepts_requests(*each, now)) {
