--- a/libs/serving/src/stream_origins.cpp
+++ b/libs/serving/src/stream_origins.cpp
@@ -25,9 +25,6 @@
 void stream_origins::on_begun(stream_key stream, const stream_origin& origin, time_point now) {
     remember(stream, origin, now);
     unsent_.push_back(stream);
-    if (unsent_.size() > settings_.max_streams) {
-        unsent_.pop_front();
-    }
     forget_old(now);
 }
 
@@ -59,6 +56,9 @@
             entries_.erase(found);
         }
     }
+    while (!unsent_.empty() && entries_.count(unsent_.front()) == 0) {
+        unsent_.pop_front();
+    }
 }
 
 std::optional<stream_origin> stream_origins::find(stream_key stream, time_point now) const {
@@ -121,6 +121,9 @@
 }
 
 void stream_origins::add_new_origins(const std::set<std::string>& mixed, time_point now) {
+    if (mixed.empty()) {
+        return;
+    }
     std::deque<stream_key> kept;
     for (const auto stream : std::exchange(unsent_, {})) {
         const auto found = entries_.find(stream);
