Give engines of the soak two software versions, and a refused resumption a Retry-After

The soak's servers register as v1 or v2, and a stream with events of both is a violation. test_soak passes. A resumption that is refused said nothing of when to come back; another gateway, or this one once it has heard its peers, may know the stream.

--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -63,7 +63,7 @@
         return each.service == entry.service;
     });
     if (!is_routed) {
-        end(id, entry, end_reason::no_backend);
+        end(id, entry, end_reason::no_backend, with_jitter(settings_.placement_retry_interval));
         return;
     }
     place(id, entry, now);
@@ -71,7 +71,7 @@
 
 void dispatcher::end_unknown_stream(request_handle id, request& entry) {
     effects_.emplace_back(stream_taken_up{id, origin_source::unknown, {}});
-    end(id, entry, end_reason::unknown_origin);
+    end(id, entry, end_reason::unknown_origin, with_jitter(settings_.placement_retry_interval));
 }
 
 void dispatcher::record_origin(request& entry, time_point now) {
--- a/tests/soak/response_ledger.cpp
+++ b/tests/soak/response_ledger.cpp
@@ -20,6 +20,13 @@
     return std::string(event.substr(begin + field.size(), end - begin - field.size()));
 }
 
+/** The server within a seal, which is "request.server.run". */
+std::string_view server_of(std::string_view seal) {
+    const auto begin = seal.find('.');
+    const auto end = seal.rfind('.');
+    return begin == end ? std::string_view{} : seal.substr(begin + 1, end - begin - 1);
+}
+
 std::string shortened(std::string_view text) {
     constexpr std::size_t shown_bytes = 120;
     std::string out;
@@ -31,6 +38,10 @@
 
 } // namespace
 
+std::string software_version_of(std::string_view server_id) {
+    return server_id.empty() || server_id.back() % 2 == 0 ? "v1" : "v2";
+}
+
 std::string service_response_body(const std::string& seal) {
     std::string out;
     for (int i = 0; i < service_lines; ++i) {
@@ -97,6 +108,7 @@
                                                          bool is_complete) const {
     std::string_view rest = body;
     std::string last_event;
+    std::string version;
     int last_number = 0;
     while (rest.find(event_end) != std::string_view::npos) {
         const auto event = rest.substr(0, rest.find(event_end) + event_end.size());
@@ -109,6 +121,11 @@
         if (!is_response_of(request, seal) || event != stream_event(seal, number)) {
             return "after event " + std::to_string(last_number) + ": " + shortened(event);
         }
+        const auto event_version = software_version_of(server_of(seal));
+        if (!version.empty() && event_version != version) {
+            return "another software version after event " + std::to_string(last_number);
+        }
+        version = event_version;
         last_number = number;
         last_event = event;
         rest.remove_prefix(event.size());
--- a/tests/soak/response_ledger.h
+++ b/tests/soak/response_ledger.h
@@ -24,6 +24,9 @@
     std::set<int> omitted_events;
 };
 
+/** Software version of a server with this id: every other process of a server has another one. */
+std::string software_version_of(std::string_view server_id);
+
 /** Event `number`, counted from 1, of the response stream of the run with this seal. */
 std::string stream_event(const std::string& seal, int number);
 
--- a/tests/soak/soak_backend.cpp
+++ b/tests/soak/soak_backend.cpp
@@ -68,7 +68,7 @@
     json out{{"service", service_},
              {"address", address},
              {"zone", "one"},
-             {"version", "1"},
+             {"version", software_version_of(id_)},
              {"state", state},
              {"slots", is_engine_ ? engine_request_slots : service_request_slots},
              {"cold_left_ms", 0},
