--- a/libs/entry/src/liveness_checker.cpp
+++ b/libs/entry/src/liveness_checker.cpp
@@ -31,7 +31,7 @@
                                                         const serving::server_process& process,
                                                         const serving::service* service,
                                                         liveness_check::completion_handler done) {
-    const auto handle = std::make_shared<liveness_check>(std::move(done));
+    auto handle = std::make_shared<liveness_check>(std::move(done));
     const std::weak_ptr<liveness_check> pending = handle;
     const auto finish = [pending](process_state state) {
         if (const auto check = pending.lock()) {
--- a/tests/soak/response_ledger.cpp
+++ b/tests/soak/response_ledger.cpp
@@ -1,6 +1,7 @@
 #include "response_ledger.h"
 
 #include <algorithm>
+#include <numeric>
 
 namespace camphorgrade::soak {
 
@@ -39,7 +40,8 @@
 } // namespace
 
 std::string software_version_of(std::string_view server_id) {
-    return server_id.empty() || server_id.back() % 2 == 0 ? "v1" : "v2";
+    const auto sum = std::accumulate(server_id.begin(), server_id.end(), 0U);
+    return sum % 2 == 0 ? "v1" : "v2";
 }
 
 std::string service_response_body(const std::string& seal) {
--- a/tests/soak/response_ledger.h
+++ b/tests/soak/response_ledger.h
@@ -24,7 +24,8 @@
     std::set<int> omitted_events;
 };
 
-/** Software version of a server with this id: every other process of a server has another one. */
+/** Software version of a server with this id: one of two, which changes with the server's number
+    and with each of its processes that has an id of its own. */
 std::string software_version_of(std::string_view server_id);
 
 /** Event `number`, counted from 1, of the response stream of the run with this seal. */
