--- a/libs/entry/src/gateway_effects.cpp
+++ b/libs/entry/src/gateway_effects.cpp
@@ -118,12 +118,12 @@
         .number("reply_age_ms", replied_at == time_point{} ? -1 : (now() - replied_at).count());
 }
 
-void gateway_node::execute(const serving::stream_taken_up& effect) {
-    log_.line("stream_taken_up", log_category::failure)
+void gateway_node::execute(const serving::stream_resumption& effect) {
+    log_.line("stream_resumption", log_category::failure)
         .text("request", correlation_id_of(effect.request))
         .text("origin", to_string(effect.source))
         .text("software_version", effect.version);
-    metrics_.count("camphor_streams_taken_up_total",
+    metrics_.count("camphor_stream_resumptions_total",
                    {{"origin", std::string(to_string(effect.source))}});
 }
 
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -80,7 +80,7 @@
     void execute(const serving::send_attempt& effect);
     void execute(const serving::wait_for_backend& effect);
     void execute(const serving::limit_changed& effect);
-    void execute(const serving::stream_taken_up& effect);
+    void execute(const serving::stream_resumption& effect);
     void log_permit_wait(const serving::wait_for_backend& effect,
                          const std::string& correlation_id);
     /** The id that the caller gave the request; empty if the request is unknown. */
--- a/libs/serving/include/serving/dispatch_effects.h
+++ b/libs/serving/include/serving/dispatch_effects.h
@@ -95,7 +95,7 @@
     friend bool operator==(const limit_changed&, const limit_changed&) = default;
 };
 
-/** From what the software version of a stream that a caller takes up is known. */
+/** From what the software version of a stream that a caller resumes is known. */
 enum class origin_source : std::uint8_t {
     known,          /**< This gateway began the stream, or another one told its origin. */
     single_version, /**< Only one version has served lately. */
@@ -105,18 +105,18 @@
 /** Returns the name of a source as written to logs and metrics. */
 std::string_view to_string(origin_source source) noexcept;
 
-/** Effect: a caller takes a stream up that an earlier request began. Informational: needs no
+/** Effect: a caller resumes a stream that an earlier request began. Informational: needs no
     action. A value type. */
-struct stream_taken_up {
+struct stream_resumption {
     request_handle request = 0;
     origin_source source = origin_source::unknown;
     std::string version; /**< At which the stream continues; empty if unknown or not stated. */
 
-    friend bool operator==(const stream_taken_up&, const stream_taken_up&) = default;
+    friend bool operator==(const stream_resumption&, const stream_resumption&) = default;
 };
 
 using dispatch_effect =
-    std::variant<end_request, send_attempt, wait_for_backend, limit_changed, stream_taken_up>;
+    std::variant<end_request, send_attempt, wait_for_backend, limit_changed, stream_resumption>;
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -275,14 +275,14 @@
     /** Number of requests that wait at each server with a limit. */
     permit_demand waiting_for_permits() const;
     /** Whether the caller resumes a stream that an earlier request began. */
-    static bool is_taken_up(const request& entry);
+    static bool is_resumption(const request& entry);
     /** Key of the request's stream; 0 if its id isn't known. */
     static stream_key stream_of(const request& entry);
     /** Sets the service and version at which the request's stream continues; empty if nothing
         tells them. */
     std::optional<origin_source> find_origin(request& entry, time_point now);
     /** Places a request that resumes a stream, or asks other gateways for its origin first. */
-    void take_up(request_handle id, request& entry, time_point now);
+    void resume(request_handle id, request& entry, time_point now);
     void continue_stream(request_handle id, request& entry, origin_source source, time_point now);
     void end_unknown_stream(request_handle id, request& entry);
     /** The first event of a stream is forwarded: fixes the version at which it may continue. */
--- a/libs/serving/include/serving/stream_origins.h
+++ b/libs/serving/include/serving/stream_origins.h
@@ -37,7 +37,7 @@
 struct origin_record {
     stream_key stream = 0;
     stream_origin origin;
-    duration age{}; /**< Time since the stream began, or was last taken up. */
+    duration age{}; /**< Time since the stream began, or was last resumed. */
 
     friend bool operator==(const origin_record&, const origin_record&) = default;
 };
@@ -95,7 +95,7 @@
     /** Sets this gateway's address and the live gateways, itself included. */
     void set_gateways(const std::string& own, const std::vector<std::string>& live);
 
-    /** This gateway begins a stream or takes it up. The first origin of a stream remains. */
+    /** This gateway begins or resumes a stream. The first origin of a stream remains. */
     void on_begun(stream_key stream, const stream_origin& origin, time_point now);
 
     /** Remembers what another gateway tells. */
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -17,13 +17,13 @@
     return "unknown";
 }
 
-bool dispatcher::is_taken_up(const request& entry) {
+bool dispatcher::is_resumption(const request& entry) {
     return entry.metadata.last_event_id && entry.found_route->kind == request_kind::streaming;
 }
 
 stream_key dispatcher::stream_of(const request& entry) {
     const auto& began_by =
-        is_taken_up(entry) ? entry.metadata.resumed_request_id : entry.metadata.id;
+        is_resumption(entry) ? entry.metadata.resumed_request_id : entry.metadata.id;
     return began_by.empty() ? 0 : stream_origins::key_of(began_by);
 }
 
@@ -44,7 +44,7 @@
     return origin_source::single_version;
 }
 
-void dispatcher::take_up(request_handle id, request& entry, time_point now) {
+void dispatcher::resume(request_handle id, request& entry, time_point now) {
     if (const auto source = find_origin(entry, now)) {
         continue_stream(id, entry, *source, now);
     } else if (stream_of(entry) != 0 && origins_.ask(stream_of(entry))) {
@@ -57,7 +57,7 @@
 
 void dispatcher::continue_stream(request_handle id, request& entry, origin_source source,
                                  time_point now) {
-    effects_.emplace_back(stream_taken_up{id, source, entry.stream_version.value_or("")});
+    effects_.emplace_back(stream_resumption{id, source, entry.stream_version.value_or("")});
     const auto& services = entry.found_route->services;
     const bool is_routed = std::any_of(services.begin(), services.end(), [&](const auto& each) {
         return each.service == entry.service;
@@ -70,7 +70,7 @@
 }
 
 void dispatcher::end_unknown_stream(request_handle id, request& entry) {
-    effects_.emplace_back(stream_taken_up{id, origin_source::unknown, {}});
+    effects_.emplace_back(stream_resumption{id, origin_source::unknown, {}});
     end(id, entry, end_reason::unknown_origin, with_jitter(settings_.placement_retry_interval));
 }
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -44,8 +44,8 @@
         return id;
     }
     retries_.on_request(added.service, now);
-    if (is_taken_up(added)) {
-        take_up(id, added, now);
+    if (is_resumption(added)) {
+        resume(id, added, now);
     } else {
         place(id, added, now);
     }
--- a/libs/serving/tests/origin_fleet.h
+++ b/libs/serving/tests/origin_fleet.h
@@ -15,7 +15,7 @@
 
 namespace camphorgrade::testing {
 
-/** A fleet in which streams begin, gateways die, and callers take their streams up elsewhere. A
+/** A fleet in which streams begin, gateways die, and callers resume their streams elsewhere. A
     value type. */
 struct origin_fleet_script {
     std::size_t gateways = 4;
@@ -29,7 +29,7 @@
 
 /** What callers saw. A value type. */
 struct origin_fleet_result {
-    std::size_t taken_up = 0;
+    std::size_t resumed = 0;
     std::size_t continued = 0;
     std::size_t crossed = 0; /**< Continued at another version than the one that began them. */
     std::size_t messages = 0;
@@ -61,7 +61,7 @@
         advance(quiet_time);
         kill();
         for (std::size_t i = 0; i < script_.streams; ++i) {
-            take_up(i);
+            resume(i);
             advance(stream_interval);
         }
         advance(quiet_time);
@@ -144,9 +144,9 @@
         versions_[stream] = version_of(*server);
     }
 
-    void take_up(std::size_t stream) {
+    void resume(std::size_t stream) {
         const auto gateway = random_.below(script_.gateways);
-        ++result_.taken_up;
+        ++result_.resumed;
         resumed_[{gateway, request(gateway, stream, true)}] = stream;
         collect(gateway);
     }
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -10,7 +10,7 @@
 
 namespace {
 
-// At most two streams may cross versions, and at least half of those that callers take up go on.
+// At most two streams may cross versions, and at least half of those that callers resume go on.
 constexpr std::size_t max_crossed = 2;
 
 std::uint64_t seed_count() {
@@ -35,9 +35,9 @@
         script.seed = seed;
         const auto result = play(script);
         CAPTURE(script.gateways, script.versions, script.begins_as_one_version, script.killed_share,
-                seed, result.continued, result.taken_up);
+                seed, result.continued, result.resumed);
         CHECK(result.crossed <= max_crossed);
-        CHECK(2 * result.continued >= result.taken_up);
+        CHECK(2 * result.continued >= result.resumed);
     }
 }
 
@@ -58,7 +58,7 @@
     script.killed_share = 0.5;
     const auto result = play(script);
     CHECK(result.messages == 0);
-    CHECK(result.continued == result.taken_up);
+    CHECK(result.continued == result.resumed);
 }
 
 TEST_CASE("an origin is forgotten after its time, and the oldest first when there are too many") {
