--- a/libs/serving/src/dispatch_names.cpp
+++ b/libs/serving/src/dispatch_names.cpp
@@ -54,6 +54,18 @@
     return "unknown";
 }
 
+std::string_view to_string(origin_source source) noexcept {
+    switch (source) {
+    case origin_source::known:
+        return "known";
+    case origin_source::single_version:
+        return "single_version";
+    case origin_source::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
 bool has_not_run(end_reason reason) noexcept {
     return reason != end_reason::timed_out_sent && reason != end_reason::invalid_response;
 }
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -5,18 +5,6 @@
 
 namespace camphorgrade::serving {
 
-std::string_view to_string(origin_source source) noexcept {
-    switch (source) {
-    case origin_source::known:
-        return "known";
-    case origin_source::single_version:
-        return "single_version";
-    case origin_source::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 bool dispatcher::is_resumption(const request& entry) {
     return entry.metadata.last_event_id && entry.found_route->kind == request_kind::streaming;
 }
