Review, case 2: half of an answer is passed on as the whole one

A worker of a plain service ends in the middle of an answer without length while the entry is frozen, and starts again under its id.

--- a/review/standins/loopback.cpp
+++ b/review/standins/loopback.cpp
@@ -63,7 +63,7 @@
 
 void record::line(const std::string& text) {
     const std::lock_guard lock(mutex_);
-    file_ << now_ms() << ' ' << text << std::endl;
+    file_ << std::to_string(unix_ms()) + ' ' + text + '\n' << std::flush;
 }
 
 std::string exchange::parameter(const std::string& name) const {
--- a/review/standins/loopback.h
+++ b/review/standins/loopback.h
@@ -28,10 +28,11 @@
 std::uint64_t unix_ms();
 void sleep_ms(std::int64_t ms);
 
-/** The lines of record.txt. Thread safe. */
+/** The lines of record.txt, each with its Unix time in milliseconds. Several programs may add lines
+    to one file. Thread safe. */
 class record {
 public:
-    explicit record(const std::string& path) : file_(path) {}
+    explicit record(const std::string& path) : file_(path, std::ios::app) {}
 
     void line(const std::string& text);
 
