--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -1,6 +1,7 @@
 #include "deployment.h"
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -22,6 +23,7 @@
 constexpr int log_file_mode = 0644;
 
 [[noreturn]] void run_child(const std::vector<std::string>& words, const std::string& log_file) {
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL); // no program outlives the case
     const int log =
         ::open(log_file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, log_file_mode);
     ::dup2(log, STDOUT_FILENO);
