--- a/review/4/two_versions.cpp
+++ b/review/1/two_versions.cpp
@@ -27,8 +27,8 @@
 constexpr int front_count = 4;
 constexpr int restarted_front = 1; // counted from 0
 constexpr int worker_count = 4;    // the first one has the old version
-constexpr int streams_per_front = 12;
-constexpr std::int64_t stagger_ms = 50;
+constexpr int streams_per_front = 24;
+constexpr std::int64_t stagger_ms = 25;
 constexpr std::int64_t heartbeat_ms = 1'200;
 constexpr int event_count = 32;
 constexpr std::int64_t event_interval_ms = 250;
@@ -114,7 +114,34 @@
 
     std::atomic<bool> is_leaving{false};
 
+    /** The machine beside which a worker runs. */
+    machine side(int number, const store& platform, const std::string& network) const {
+        const auto& ip = ips_.at(static_cast<std::size_t>(number));
+        const auto port = servers_.at(static_cast<std::size_t>(number))->port();
+        return {"side-" + std::to_string(number + 1),
+                ip,
+                "grecia",
+                ip + ':' + std::to_string(port),
+                network + ".9.1:" + std::to_string(platform.port()),
+                network + ".1.1:8229"};
+    }
+
 private:
+    std::string report() const {
+        const json out{{"stage", "colocated"},
+                       {"models", {{{"name", "m0"}, {"version", 1}, {"adapters", json::array()}}}},
+                       {"coming", json::array()},
+                       {"busy", false},
+                       {"sequence", 0},
+                       {"waiting", 0},
+                       {"running", 0},
+                       {"kv_used", 0},
+                       {"kv_total", 266'018},
+                       {"handles", 0},
+                       {"born", born_}};
+        return out.dump();
+    }
+
     static std::string version(int number) { return number == 0 ? "v1" : "v2"; }
 
     void run(exchange& received, int number) {
@@ -122,6 +149,10 @@
             received.answer(200, {{"X-Instance-Id", id(number)}}, "");
             return;
         }
+        if (received.request().target() == "/camphorgrade/report") {
+            received.answer(200, {{"Content-Type", "application/json"}}, report());
+            return;
+        }
         const auto request = received.header("X-Request-Id");
         if (received.header("X-Expect-Instance") != id(number)) {
             received.answer(421, {{"X-Request-Id", request}, {"X-Not-Executed", "1"}}, "");
@@ -239,6 +270,10 @@
             return exit_not_run;
         }
     }
+    for (int i = 0; i < worker_count; ++i) {
+        programs.push_back(std::make_unique<program>(
+            start_role(folder.path(), "camphor-engine-agent", advice.side(i, platform, network))));
+    }
     std::atomic<bool> is_over{false};
     std::vector<std::thread> threads;
     threads.emplace_back([&] {
@@ -248,15 +283,18 @@
         }
     });
     sleep_ms(1'500);
-    const auto& other = fronts.at(restarted_front);
+    const auto& restarted = fronts.at(restarted_front);
     const auto begin = now_ms();
     const auto wait_until = [&](std::int64_t after) { sleep_ms(begin + after - now_ms()); };
     for (int i = 0; i < streams_per_front * (front_count - 1); ++i) {
-        const auto at = static_cast<std::size_t>(i % (front_count - 1));
-        const auto& first = fronts.at(at < restarted_front ? at : at + 1);
-        threads.emplace_back([&, first, id = "stream-" + std::to_string(i + 1)] {
-            play_client(first, other, id, seen, log);
-        });
+        // Streams begin at the entries that aren't restarted; a retry reaches any other entry.
+        const int at = i % (front_count - 1);
+        const int first = at < restarted_front ? at : at + 1;
+        const int step = 1 + i / (front_count - 1) % (front_count - 1);
+        const auto& other = fronts.at(static_cast<std::size_t>((first + step) % front_count));
+        threads.emplace_back(
+            [from = fronts.at(static_cast<std::size_t>(first)), other,
+             id = "stream-" + std::to_string(i + 1)] { play_client(from, other, id, seen, log); });
         sleep_ms(stagger_ms);
     }
     wait_until(leaves_ms);
@@ -266,11 +304,11 @@
     wait_until(killed_ms);
     if (has_trouble()) {
         programs.at(restarted_front).reset();
-        log.line(other.name + " was killed");
+        log.line(restarted.name + " was killed");
         wait_until(restarted_ms);
         programs.at(restarted_front) =
-            std::make_unique<program>(start_role(folder.path(), "camphor-entry", other));
-        log.line(other.name + " was started again");
+            std::make_unique<program>(start_role(folder.path(), "camphor-entry", restarted));
+        log.line(restarted.name + " was started again");
     }
     wait_until(ends_ms);
     advice.end_first();
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 cd "$(dirname "$0")/../.." || exit 2
-case_program=target/review/cut_answer
+case_program=target/review/store_copy
 [ -x target/bin/camphor-entry ] && [ -x "$case_program" ] || exit 2
 rm -f review/2/record.txt
 timeout -k 2 110 "$case_program" review/2/record.txt
