--- a/review/1/two_versions.cpp
+++ b/review/1/two_versions.cpp
@@ -243,6 +243,52 @@
     seen.mixed += is_mixed ? 1 : 0;
 }
 
+/** The machines of the entries, one in each zone. */
+std::vector<machine> front_machines(const std::string& network, const store& platform) {
+    const std::vector<std::string> zones{"grecia", "naranjo", "turrialba", "paraiso"};
+    std::string seeds;
+    for (int i = 1; i < front_count; ++i) {
+        seeds.append(i == 1 ? "" : ",").append(network).append(".1.");
+        seeds.append(std::to_string(i)).append(":8229");
+    }
+    const auto store_address = network + ".9.1:" + std::to_string(platform.port());
+    std::vector<machine> out;
+    out.reserve(front_count);
+    for (int i = 0; i < front_count; ++i) {
+        const auto number = std::to_string(i + 1);
+        out.push_back({"front-" + number, std::string(network).append(".1.").append(number),
+                       zones.at(static_cast<std::size_t>(i)), "", store_address, seeds});
+    }
+    return out;
+}
+
+/** Starts the clients. Streams begin at the entries that aren't restarted; a retry reaches any
+   other entry. */
+void start_clients(const std::vector<machine>& fronts, std::vector<std::thread>& threads,
+                   counts& seen, record& log) {
+    for (int i = 0; i < streams_per_front * (front_count - 1); ++i) {
+        const int at = i % (front_count - 1);
+        const int first = at < restarted_front ? at : at + 1;
+        const int step = 1 + i / (front_count - 1) % (front_count - 1);
+        const auto& other = fronts.at(static_cast<std::size_t>((first + step) % front_count));
+        threads.emplace_back(
+            [&seen, &log, from = fronts.at(static_cast<std::size_t>(first)), other,
+             id = "stream-" + std::to_string(i + 1)] { play_client(from, other, id, seen, log); });
+        sleep_ms(stagger_ms);
+    }
+}
+
+int judge(const counts& seen, record& log) {
+    log.line("streams: whole " + std::to_string(seen.whole) + ", taken up again " +
+             std::to_string(seen.taken_up) + ", of these refused " + std::to_string(seen.refused) +
+             ", with events of two software versions " + std::to_string(seen.mixed) +
+             " (allowed: " + std::to_string(allowed_streams) + ")");
+    if (seen.taken_up <= allowed_streams) {
+        return exit_not_run;
+    }
+    return seen.mixed > allowed_streams ? exit_broken : exit_held;
+}
+
 int run_case(const std::string& record_path) {
     // Static, since the threads of the servers use these until the process ends.
     static record log(record_path);
@@ -253,17 +299,12 @@
     platform.put("op/config", configuration());
     advice.write_heartbeats(platform, 1);
     const temporary_folder folder;
-    const std::vector<std::string> zones{"grecia", "naranjo", "turrialba", "paraiso"};
-    std::vector<machine> fronts;
+    const auto fronts = front_machines(network, platform);
     std::vector<std::unique_ptr<program>> programs;
-    for (int i = 0; i < front_count; ++i) {
-        const auto number = std::to_string(i + 1);
-        fronts.push_back({"front-" + number, network + ".1." + number,
-                          zones.at(static_cast<std::size_t>(i)), "",
-                          network + ".9.1:" + std::to_string(platform.port()),
-                          network + ".1.1:8229," + network + ".1.2:8229," + network + ".1.3:8229"});
+    programs.reserve(fronts.size() + worker_count);
+    for (const auto& each : fronts) {
         programs.push_back(
-            std::make_unique<program>(start_role(folder.path(), "camphor-entry", fronts.back())));
+            std::make_unique<program>(start_role(folder.path(), "camphor-entry", each)));
     }
     for (const auto& each : fronts) {
         if (!wait_until_ready(each, 15'000)) {
@@ -286,17 +327,7 @@
     const auto& restarted = fronts.at(restarted_front);
     const auto begin = now_ms();
     const auto wait_until = [&](std::int64_t after) { sleep_ms(begin + after - now_ms()); };
-    for (int i = 0; i < streams_per_front * (front_count - 1); ++i) {
-        // Streams begin at the entries that aren't restarted; a retry reaches any other entry.
-        const int at = i % (front_count - 1);
-        const int first = at < restarted_front ? at : at + 1;
-        const int step = 1 + i / (front_count - 1) % (front_count - 1);
-        const auto& other = fronts.at(static_cast<std::size_t>((first + step) % front_count));
-        threads.emplace_back(
-            [from = fronts.at(static_cast<std::size_t>(first)), other,
-             id = "stream-" + std::to_string(i + 1)] { play_client(from, other, id, seen, log); });
-        sleep_ms(stagger_ms);
-    }
+    start_clients(fronts, threads, seen, log);
     wait_until(leaves_ms);
     advice.is_leaving = true;
     platform.remove("servers/" + workers::id(0));
@@ -318,14 +349,7 @@
     }
     is_over = true;
     threads.front().join();
-    log.line("streams: whole " + std::to_string(seen.whole) + ", taken up again " +
-             std::to_string(seen.taken_up) + ", of these refused " + std::to_string(seen.refused) +
-             ", with events of two software versions " + std::to_string(seen.mixed) +
-             " (allowed: " + std::to_string(allowed_streams) + ")");
-    if (seen.taken_up <= allowed_streams) {
-        return exit_not_run;
-    }
-    return seen.mixed > allowed_streams ? exit_broken : exit_held;
+    return judge(seen, log);
 }
 
 } // namespace
