--- a/review/1/two_versions.cpp
+++ b/review/1/two_versions.cpp
@@ -32,7 +32,7 @@
 constexpr std::int64_t heartbeat_ms = 1'200;
 constexpr int event_count = 32;
 constexpr std::int64_t event_interval_ms = 250;
-constexpr std::int64_t deadline_ms = 15'000;
+constexpr std::int64_t deadline_ms = 10'000;
 // The rule allows two streams.
 constexpr int allowed_streams = 2;
 
@@ -44,21 +44,27 @@
 constexpr std::int64_t ends_ms = 7'000;
 
 std::string configuration() {
-    const json route{{"name", "consulta"},      {"host", "asesor.example"},
-                     {"path_prefix", "/ask/"},  {"kind", "streaming"},
-                     {"timeout_ms", 15'000},    {"goal_ms", 600},
-                     {"gap_aim_ms", 250},       {"priority", 0},
-                     {"service", "asesor-cal"}, {"max_attempts", 2},
-                     {"public", true},          {"resumable", true}};
+    const json route{{"name", "studio-plan"},
+                     {"host", "acoustics.example"},
+                     {"path_prefix", "/studio/"},
+                     {"kind", "streaming"},
+                     {"timeout_ms", 10'000},
+                     {"goal_ms", 1'000},
+                     {"gap_aim_ms", 300},
+                     {"priority", 1},
+                     {"service", "acoustic-llm"},
+                     {"max_attempts", 2},
+                     {"public", true},
+                     {"resumable", true}};
     const json model{{"name", "m0"},
-                     {"weights_mb", 42'700},
-                     {"load_s", 1.3},
+                     {"weights_mb", 65'100},
+                     {"load_s", 1.9},
                      {"adapters", 3'000},
                      {"adapter_mb", 12}};
     const json engine{{"slots", 64},
-                      {"kv_tokens", 266'018},
-                      {"weights_mb", 44'000},
-                      {"adapter_slots", 9},
+                      {"kv_tokens", 254'706},
+                      {"weights_mb", 66'000},
+                      {"adapter_slots", 7},
                       {"models", {model}}};
     const json limits{{"max_header_bytes", 16'384},
                       {"max_body_bytes", 1'048'576},
@@ -67,7 +73,7 @@
     const json out{
         {"version", 1},
         {"routes", {route}},
-        {"services", {{{"name", "asesor-cal"}, {"health_path", "/health"}, {"engine", engine}}}},
+        {"services", {{{"name", "acoustic-llm"}, {"health_path", "/health"}, {"engine", engine}}}},
         {"limits", limits}};
     return out.dump();
 }
@@ -94,9 +100,9 @@
         for (int i = is_leaving ? 1 : 0; i < worker_count; ++i) {
             const auto number = static_cast<std::size_t>(i);
             const json entry{
-                {"service", "asesor-cal"},
+                {"service", "acoustic-llm"},
                 {"address", ips_.at(number) + ':' + std::to_string(servers_.at(number)->port())},
-                {"zone", "grecia"},
+                {"zone", "rvk-a"},
                 {"version", version(i)},
                 {"slots", 64},
                 {"state", "ready"},
@@ -120,7 +126,7 @@
         const auto port = servers_.at(static_cast<std::size_t>(number))->port();
         return {"side-" + std::to_string(number + 1),
                 ip,
-                "grecia",
+                "rvk-a",
                 ip + ':' + std::to_string(port),
                 network + ".9.1:" + std::to_string(platform.port()),
                 network + ".1.1:8229"};
@@ -136,7 +142,7 @@
                        {"waiting", 0},
                        {"running", 0},
                        {"kv_used", 0},
-                       {"kv_total", 266'018},
+                       {"kv_total", 254'706},
                        {"handles", 0},
                        {"born", born_}};
         return out.dump();
@@ -208,11 +214,11 @@
 
 reply ask(const machine& front, const std::string& id, const std::string& more_headers) {
     return call(front.ip, front_port,
-                "POST /ask/campo HTTP/1.1\r\nHost: asesor.example\r\nX-Model: m0\r\n"
-                "X-Token-Usage: 628,128\r\nX-Request-Id: " +
+                "POST /studio/plan HTTP/1.1\r\nHost: acoustics.example\r\nX-Model: m0\r\n"
+                "X-Token-Usage: 2890,128\r\nX-Request-Id: " +
                     id + "\r\nX-Deadline-Ms: " + std::to_string(deadline_ms) + "\r\n" +
                     more_headers,
-                "question", deadline_ms + 500);
+                "studio", deadline_ms + 500);
 }
 
 /** One client: a stream at `first`, taken up once at `other` if its connection breaks. */
@@ -245,7 +251,7 @@
 
 /** The machines of the entries, one in each zone. */
 std::vector<machine> front_machines(const std::string& network, const store& platform) {
-    const std::vector<std::string> zones{"grecia", "naranjo", "turrialba", "paraiso"};
+    const std::vector<std::string> zones{"rvk-a", "rvk-b", "rvk-c", "rvk-d"};
     std::string seeds;
     for (int i = 1; i < front_count; ++i) {
         seeds.append(i == 1 ? "" : ",").append(network).append(".1.");
--- a/review/2/store_copy.cpp
+++ b/review/2/store_copy.cpp
@@ -39,9 +39,9 @@
 
 /** The operator's configuration; `keys` are those of the one tenant. */
 std::string configuration(int version, const json& keys) {
-    const json route{{"name", "lee-cupo"},   {"host", "agenda.example"}, {"path_prefix", "/lee/"},
-                     {"kind", "idempotent"}, {"timeout_ms", 1'500},      {"goal_ms", 300},
-                     {"priority", 0},        {"service", "agenda"},      {"max_attempts", 2},
+    const json route{{"name", "report-get"}, {"host", "desk.example"}, {"path_prefix", "/report/"},
+                     {"kind", "idempotent"}, {"timeout_ms", 2'000},    {"goal_ms", 300},
+                     {"priority", 2},        {"service", "site-desk"}, {"max_attempts", 2},
                      {"public", false}};
     const json limits{{"max_header_bytes", 16'384},
                       {"max_body_bytes", 1'048'576},
@@ -49,8 +49,8 @@
                       {"idle_timeout_ms", 15'000}};
     const json out{{"version", version},
                    {"routes", {route}},
-                   {"services", {{{"name", "agenda"}, {"health_path", "/health"}}}},
-                   {"tenants", {{{"name", "socios"}, {"api_keys", keys}}}},
+                   {"services", {{{"name", "site-desk"}, {"health_path", "/health"}}}},
+                   {"tenants", {{{"name", "studios"}, {"api_keys", keys}}}},
                    {"limits", limits}};
     return out.dump();
 }
@@ -68,9 +68,9 @@
 
     void register_all(store& platform, int sequence) {
         for (int i = 0; i < worker_count; ++i) {
-            const json entry{{"service", "agenda"},
+            const json entry{{"service", "site-desk"},
                              {"address", ips_.at(i) + ':' + std::to_string(servers_.at(i)->port())},
-                             {"zone", "grecia"},
+                             {"zone", "rvk-a"},
                              {"version", "1"},
                              {"slots", 6},
                              {"state", "ready"},
@@ -96,7 +96,7 @@
         }
         log_.line("ran " + request + " at " + id(number));
         received.answer(200, {{"X-Request-Id", request}, {"X-Response-Seal", "seal." + request}},
-                        "slot free");
+                        "room report");
     }
 
     record& log_;
@@ -107,8 +107,8 @@
 
 /** Sends a request with the key; returns the status of the answer. */
 int send_request(const machine& to, const char* key, const std::string& id) {
-    const auto head = "GET /lee/cupo HTTP/1.1\r\nHost: agenda.example\r\nX-Request-Id: " + id +
-                      "\r\nX-Deadline-Ms: 1500\r\nAuthorization: Bearer " + key + "\r\n";
+    const auto head = "GET /report/room HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: " + id +
+                      "\r\nX-Deadline-Ms: 4000\r\nAuthorization: Bearer " + key + "\r\n";
     return call(to.ip, front_port, head, "", 2'000).status;
 }
 
@@ -161,12 +161,12 @@
     // Static, since the threads of the servers use these until the process ends.
     static record log(record_path);
     static store platform(network + ".9.1");
-    static workers agenda(network, log);
+    static workers desk(network, log);
     platform.put("op/config", configuration(1, {kept_key, withdrawn_key}));
-    agenda.register_all(platform, 1);
+    desk.register_all(platform, 1);
     const temporary_folder folder;
     std::vector<machine> fronts;
-    const std::vector<std::string> zones{"grecia", "naranjo", "turrialba", "paraiso"};
+    const std::vector<std::string> zones{"rvk-a", "rvk-b", "rvk-c", "rvk-d"};
     const auto seed = [&](int i) { return network + ".1." + std::to_string(i) + ":8229"; };
     for (int i = 1; i <= front_count; ++i) {
         fronts.push_back({"front-" + std::to_string(i), network + ".1." + std::to_string(i),
@@ -191,7 +191,7 @@
         for (int sequence = 2; !is_over; ++sequence) {
             sleep_ms(heartbeat_ms);
             if (!is_away) {
-                agenda.register_all(platform, sequence);
+                desk.register_all(platform, sequence);
             }
         }
     });
--- a/review/standins/deployment.cpp
+++ b/review/standins/deployment.cpp
@@ -79,7 +79,7 @@
     const auto address = [&](std::uint16_t port) { return of.ip + ':' + std::to_string(port); };
     std::string out = "node_name=" + of.name + "\nrole=" + (is_front ? "entry" : "engine-agent") +
                       "\nmachine_class=" + (is_front ? "front" : "side") + "\nip=" + of.ip +
-                      "\nzone=" + of.zone + "\nregion=centro\n";
+                      "\nzone=" + of.zone + "\nregion=is-reykjavik\n";
     if (is_front) {
         out += "serves=front,control\nlisten.front=" + address(front_port) +
                "\nlisten.ready=" + address(ready_port) +
@@ -93,7 +93,7 @@
            "\nbootstrap=true\nlimits.cpu_cores=1\nlimits.disk_mb=0\ndiscovery=platform\n"
            "entry=virtual_ip\nheartbeat_ms=1200\nbounds.addr_reuse_s=2\nbounds.stable_ms=3000\n"
            "bounds.drain_ms=2000\nbounds.grace_s=8\nbounds.config_apply_ms=2000\n"
-           "bounds.budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=56\n"
+           "bounds.budget_ratio=0.2\nbounds.budget_window_s=10\nbounds.budget_slack=58\n"
            "bounds.recover_s=12\nbounds.require_fence=true\nbounds.lease_ms=3000\n"
            "platform.address=" +
            of.store +
