A gateway that has just started learns which software versions have served

Cause: find_origin took "this process has seen one version" for "one version has served". A process that has just started, or was suspended, has seen nothing of the time before.

Change: software_versions knows for which period it is complete. A gateway whose period is too short asks other gateways and the agents of four engines, which keep the history while all gateways restart (software_exchange). A resumption waits up to 150 ms for the history and for its stream's origin, and is refused only then. It needs the history for as long as a stream can last, not for a minute, so refusals for a version that has gone end sooner, too.

--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -3,6 +3,7 @@
 #include <adapters/engine_port.h>
 #include <edge/buffered_calls.h>
 #include <serving/backend_server.h>
+#include <serving/software_versions.h>
 
 #include <boost/asio/io_context.hpp>
 
@@ -33,6 +34,8 @@
     duration relayed_report_interval{240};
     /** Maximum number of gateway addresses in one report. */
     std::size_t max_gateways_per_report = 8;
+    /** What this process keeps for gateways. */
+    serving::software_versions_settings software;
 
     friend bool operator==(const agent_settings&, const agent_settings&) = default;
 };
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -35,6 +35,7 @@
 agent_node::agent_node(const agent_settings& settings, const engine_port_factory& make_engine)
     : settings_(settings), log_(settings.node_name, clock_, sink_, {}), pool_(loop_, clock_, {}),
       calls_(loop_, pool_), engine_(make_engine(calls_)), adapter_manager_({}),
+      software_versions_(settings.software),
       socket_(loop_, clock_,
               {boost::asio::ip::make_address(settings.peer_address.ip), settings.peer_address.port},
               settings.incarnation, {},
@@ -92,13 +93,26 @@
 }
 
 void agent_node::on_message(const peering::peer_message& message) {
-    const auto* demand = std::get_if<adapters::engine_demand>(&message.body);
-    if (demand == nullptr) {
-        return;
+    if (const auto* demand = std::get_if<adapters::engine_demand>(&message.body)) {
+        on_demand(message.sender, *demand);
+    } else if (const auto* software = std::get_if<serving::software_message>(&message.body)) {
+        on_software_message(message.sender, *software);
     }
-    const auto result = adapter_manager_.on_demand(message.sender, *demand, clock_.now());
+}
+
+void agent_node::on_software_message(const std::string& gateway,
+                                     const serving::software_message& message) {
+    const auto now = clock_.now();
+    software_versions_.learn(message.history, now);
+    if (message.is_query) {
+        socket_.send({gateway}, serving::software_message{false, software_versions_.history(now)});
+    }
+}
+
+void agent_node::on_demand(const std::string& gateway, const adapters::engine_demand& demand) {
+    const auto result = adapter_manager_.on_demand(gateway, demand, clock_.now());
     if (result == adapters::demand_result::for_earlier_process) {
-        notify_restart(message.sender, *demand);
+        notify_restart(gateway, demand);
     }
     issue_order();
     schedule_change_report();
--- a/libs/engine_agent/src/agent_node.h
+++ b/libs/engine_agent/src/agent_node.h
@@ -6,6 +6,7 @@
 #include <engine_agent/agent_process.h>
 #include <peering/peer_socket.h>
 #include <peering/round_robin_selector.h>
+#include <serving/software_versions.h>
 #include <telemetry/event_log.h>
 #include <telemetry/metrics.h>
 
@@ -34,6 +35,9 @@
 
 private:
     void on_message(const peering::peer_message& message);
+    void on_demand(const std::string& gateway, const adapters::engine_demand& demand);
+    /** Keeps the history of software versions for gateways, which may all restart. */
+    void on_software_message(const std::string& gateway, const serving::software_message& message);
     /**
      * Sends the current state to a gateway whose demand is for an earlier process of the engine, so
      * that the gateway learns the start time of the present one.
@@ -62,6 +66,7 @@
     edge::buffered_calls calls_;
     std::unique_ptr<adapters::engine_port> engine_;
     adapters::adapter_manager adapter_manager_;
+    serving::software_versions software_versions_;
     peering::peer_socket socket_;
     peering::round_robin_selector gateway_selector_;
     edge::caller_server server_;
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -93,6 +93,10 @@
     } else if (const auto* query = std::get_if<serving::origin_query>(&message.body)) {
         dispatcher_.on_origin_query(message.sender, *query, clock_.now());
         exchange_origins();
+    } else if (const auto* software = std::get_if<serving::software_message>(&message.body)) {
+        dispatcher_.on_software_message(message.sender, *software, clock_.now());
+        exchange_origins();
+        host_.on_effects_pending();
     }
 }
 
@@ -181,6 +185,10 @@
     if (catalogue == nullptr) {
         return;
     }
+    if (!knows_agents_) {
+        update_software_peers();
+        exchange_origins();
+    }
     std::erase_if(sent_demands_, [this](const auto& each) {
         return dispatcher_.backends().find(each.first) == nullptr;
     });
@@ -261,8 +269,7 @@
         return;
     }
     last = {std::move(without_times), now};
-    transport_.send(view.server.address.ip + ':' + std::to_string(own_address_.port),
-                    std::move(demand));
+    transport_.send(agent_of(view), std::move(demand));
 }
 
 void gateway_peers::schedule_reports() {
@@ -303,7 +310,33 @@
         now - granters_updated_at_ >= settings_.granter_update_interval) {
         granters_updated_at_ = now;
         dispatcher_.set_gateways(transport_.own_address(), transport_.live_granters(), now);
+        update_software_peers();
+    }
+}
+
+void gateway_peers::update_software_peers() {
+    const auto known = agents();
+    knows_agents_ = !known.empty();
+    dispatcher_.set_software_peers(transport_.own_address(), transport_.peers(), known);
+}
+
+std::string gateway_peers::agent_of(const serving::backend_view& view) const {
+    return view.server.address.ip + ':' + std::to_string(own_address_.port);
+}
+
+std::vector<std::string> gateway_peers::agents() const {
+    std::vector<std::string> out;
+    const auto* catalogue = dispatcher_.catalogue();
+    if (catalogue == nullptr) {
+        return out;
     }
+    for (const auto& [id, view] : dispatcher_.backends().all()) {
+        const auto* service = catalogue->find_service(view.server.service);
+        if (service != nullptr && service->engine && !view.is_removed) {
+            out.push_back(agent_of(view));
+        }
+    }
+    return out;
 }
 
 void gateway_peers::exchange_permits() {
@@ -323,6 +356,9 @@
     for (auto& each : dispatcher_.take_origin_messages(clock_.now())) {
         transport_.send(std::move(each));
     }
+    for (auto& each : dispatcher_.take_software_messages(clock_.now())) {
+        transport_.send(std::move(each));
+    }
 }
 
 void gateway_peers::usage_changed() {
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -102,7 +102,8 @@
     /** An attempt ended; reports at once what was observed of parts that crash servers. */
     void crashes_changed();
 
-    /** Sends what this gateway tells or asks others about origins of streams. */
+    /** Sends what this gateway tells or asks others about origins of streams and software
+        versions. */
     void exchange_origins();
 
     /** Schedules an exchange of permits, since requests may wait for some. */
@@ -143,6 +144,11 @@
     void schedule_permits(duration delay);
     void exchange_permits();
     void update_granters();
+    /** Updates the processes that know the history of software versions. */
+    void update_software_peers();
+    /** Addresses of the agents beside the engines of all services. */
+    std::vector<std::string> agents() const;
+    std::string agent_of(const serving::backend_view& view) const;
     /** Fetches a catalogue from a peer after `delay`, unless one as new is known by then. */
     void fetch_catalogue(const std::string& peer, std::uint64_t version, duration delay);
 
@@ -164,6 +170,7 @@
     boost::asio::steady_timer permit_timer_;
     std::optional<time_point> next_permit_exchange_;
     time_point granters_updated_at_;
+    bool knows_agents_ = false;
     bool is_demand_scheduled_ = false;
     std::map<std::string, sent_demand> sent_demands_;
     time_point last_demand_heartbeat_;
--- a/libs/entry/src/peer_transport.cpp
+++ b/libs/entry/src/peer_transport.cpp
@@ -89,6 +89,10 @@
     std::visit([&](auto& body) { socket_.send({message.to}, std::move(body)); }, message.body);
 }
 
+void peer_transport::send(serving::addressed_software_message message) {
+    socket_.send({message.to}, std::move(message.body));
+}
+
 void peer_transport::add_advertised_gateways(const std::vector<std::string>& addresses) {
     const auto now = clock_.now();
     std::erase_if(advertised_gateways_, [&](const auto& each) {
@@ -114,7 +118,9 @@
 void peer_transport::on_message(const peering::peer_message& message,
                                 const peering::receive_info& info) {
     const auto kind = message.kind();
-    const bool is_from_agent = kind == peering::message_kind::engine;
+    const bool is_from_agent =
+        kind == peering::message_kind::engine ||
+        (kind == peering::message_kind::software && !message.sender_attributes.grants_permits);
     const bool is_gateway = !is_from_agent && kind != peering::message_kind::demand;
     if (is_gateway) {
         directory_.on_gateway_seen(message.sender, message.sender_attributes, info.is_direct,
--- a/libs/entry/src/peer_transport.h
+++ b/libs/entry/src/peer_transport.h
@@ -66,6 +66,9 @@
     /** Sends origins of streams, or a query for them, to a gateway. */
     void send(serving::origin_message message);
 
+    /** Sends software versions, or a query for them, to a gateway or an agent. */
+    void send(serving::addressed_software_message message);
+
     /** Live gateways that grant permits, including this one. */
     std::vector<std::string> live_granters() const {
         return directory_.live_granters(clock_.now());
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -8,6 +8,7 @@
 #include <serving/permit_messages.h>
 #include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
+#include <serving/software_exchange.h>
 #include <serving/stream_origins.h>
 
 #include <cstddef>
@@ -63,10 +64,11 @@
     permit_requests,
     permit_grants,
     origin_records,
-    origin_query
+    origin_query,
+    software
 };
 
-inline constexpr std::size_t message_kind_count = 8;
+inline constexpr std::size_t message_kind_count = 9;
 
 /** A report in the encoding of its original sender, for forwarding by a relay. */
 struct relayed_report {
@@ -88,9 +90,10 @@
     friend bool operator==(const report_bundle&, const report_bundle&) = default;
 };
 
-using peer_body = std::variant<adapters::engine_demand, engine_report, gateway_report,
-                               report_bundle, serving::permit_requests, serving::permit_grants,
-                               serving::origin_records, serving::origin_query>;
+using peer_body =
+    std::variant<adapters::engine_demand, engine_report, gateway_report, report_bundle,
+                 serving::permit_requests, serving::permit_grants, serving::origin_records,
+                 serving::origin_query, serving::software_message>;
 
 /** Attributes of a message's sender from which gateways select relays and granters of permits. */
 struct peer_attributes {
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -20,6 +20,8 @@
 constexpr std::uint32_t max_starts_of_part = 10'000;
 // Bounds of what one message may say of, or ask about, streams.
 constexpr int max_stream_origins = 1'000;
+// Bounds the software versions that one message may name.
+constexpr int max_software_records = 256;
 
 bool is_amount(double value) {
     return std::isfinite(value) && value >= 0;
@@ -244,6 +246,42 @@
     return {{in.streams().begin(), in.streams().begin() + count}};
 }
 
+void write(const serving::software_message& message, wire::software_history& out) {
+    const auto& history = message.history;
+    out.set_is_query(message.is_query);
+    out.set_has_known_period(history.known.has_value());
+    if (history.known) {
+        out.set_known_from_age_ms(static_cast<std::uint64_t>(history.known->from_age.count()));
+        out.set_known_until_age_ms(static_cast<std::uint64_t>(history.known->until_age.count()));
+    }
+    for (const auto& each : history.records) {
+        auto& record = *out.add_records();
+        record.set_service(each.service);
+        record.set_version(each.version);
+        record.set_age_ms(static_cast<std::uint64_t>(each.age.count()));
+    }
+}
+
+/** Decodes software versions. A history with more records than the bound says of no period that it
+    is complete, and neither does one whose period ends before it begins. */
+serving::software_message read(const wire::software_history& in) {
+    serving::software_message out;
+    out.is_query = in.is_query();
+    const auto from_age = read_age(in.known_from_age_ms());
+    const auto until_age = read_age(in.known_until_age_ms());
+    const bool is_period = until_age >= duration::zero() && from_age >= until_age;
+    if (in.has_known_period() && is_period && in.records_size() <= max_software_records) {
+        out.history.known = serving::known_period{from_age, until_age};
+    }
+    for (int i = 0; i < std::min(in.records_size(), max_software_records); ++i) {
+        const auto& each = in.records(i);
+        if (const auto age = read_age(each.age_ms()); age >= duration::zero()) {
+            out.history.records.push_back({each.service(), each.version(), age});
+        }
+    }
+    return out;
+}
+
 void write(const serving::crashing_parts_report& report, wire::gateway_report& out) {
     for (const auto& each : report.crashes) {
         auto& crash = *out.add_part_crashes();
@@ -394,6 +432,9 @@
         out.mutable_stream_origin_query()->mutable_streams()->Add(query.streams.begin(),
                                                                   query.streams.end());
     }
+    void operator()(const serving::software_message& message) {
+        write(message, *out.mutable_software_history());
+    }
 };
 
 } // namespace
@@ -451,6 +492,9 @@
     case wire::datagram::kStreamOriginQuery:
         message.body = read(in.stream_origin_query());
         return message;
+    case wire::datagram::kSoftwareHistory:
+        message.body = read(in.software_history());
+        return message;
     case wire::datagram::BODY_NOT_SET:
         break;
     }
--- a/libs/peering/tests/test_peer_messages.cpp
+++ b/libs/peering/tests/test_peer_messages.cpp
@@ -81,6 +81,14 @@
     return {"10.0.0.1:7600", 5, 13, records, {"dc-2", 90, true}, {}};
 }
 
+peer_message software_query_message() {
+    const serving::software_history history{
+        serving::known_period{duration{9'000}, duration{100}},
+        {{"s1", "v1", duration{8'000}}, {"s1", "v2", duration{100}}}};
+    return {"10.0.0.1:7600",    5, 15, serving::software_message{true, history},
+            {"dc-2", 90, true}, {}};
+}
+
 peer_message origin_query_message() {
     return {"10.0.0.1:7600", 5, 14, serving::origin_query{{17, 19}}, {"dc-2", 90, true}, {}};
 }
@@ -137,7 +145,8 @@
     const auto bundle = bundle_message({relayed(report_message()), relayed(gateway_message())});
     for (const auto& each :
          {demand_message(), report_message(), gateway_message(), bundle, permit_requests_message(),
-          permit_grants_message(), origin_records_message(), origin_query_message()}) {
+          permit_grants_message(), origin_records_message(), origin_query_message(),
+          software_query_message()}) {
         const auto read = decode(encode(each));
         REQUIRE(read.has_value());
         CHECK(*read == each);
@@ -247,3 +256,14 @@
     CHECK(parts.starts.front() == serving::part_starts{0, 10'000, 10'000});
     CHECK(parts.alive.size() == 64);
 }
+
+TEST_CASE("a history whose period ends before it begins tells of no period") {
+    auto message = software_query_message();
+    auto& history = std::get<serving::software_message>(message.body).history;
+    history.known = serving::known_period{duration{100}, duration{9'000}};
+    const auto got = decode(encode(message));
+    REQUIRE(got);
+    const auto& read = std::get<serving::software_message>(got->body).history;
+    CHECK_FALSE(read.known);
+    CHECK(read.records == history.records);
+}
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -13,6 +13,7 @@
 #include <serving/retry_limiter.h>
 #include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
+#include <serving/software_exchange.h>
 #include <serving/software_versions.h>
 #include <serving/store_recovery_estimator.h>
 #include <serving/stream_origins.h>
@@ -69,6 +70,10 @@
     duration max_hold_off{600'000};
     /** How long a request waits for the origin of the stream that it resumes. */
     duration origin_answer_timeout{150};
+    /** A stream that a caller resumes began at most this many times its route's timeout ago, and
+        `stream_age_margin`. */
+    int stream_age_timeouts = 2;
+    duration stream_age_margin{3'000};
     /** Time between two looks at the software versions of all servers. */
     duration version_observation_interval{200};
     account_limiter_settings limits;
@@ -79,6 +84,8 @@
     server_limits_settings server_limits;
     permit_exchange_settings permits;
     stream_origins_settings origins;
+    software_versions_settings software;
+    software_exchange_settings software_exchange;
 
     friend bool operator==(const dispatcher_settings&, const dispatcher_settings&) = default;
 };
@@ -135,6 +142,21 @@
     /** Messages about origins of streams to send to other gateways. */
     std::vector<origin_message> take_origin_messages(time_point now);
 
+    /** Sets the other gateways and the engines' agents, "ip:port" each, that keep the history of
+        software versions with this gateway. */
+    void set_software_peers(const std::string& own, const std::vector<std::string>& gateways,
+                            const std::vector<std::string>& agents);
+
+    /** Another gateway or an agent tells of software versions: sends the requests that wait for
+        it. */
+    void on_software_message(const std::string& from, const software_message& message,
+                             time_point now);
+
+    /** Messages about software versions to send to other gateways and to agents. */
+    std::vector<addressed_software_message> take_software_messages(time_point now) {
+        return software_exchange_.take_messages(now);
+    }
+
     /** The response to the caller can't be continued: the request ends when its present attempt
         fails. */
     void forbid_retry(request_handle id);
@@ -258,7 +280,8 @@
         std::set<std::string> excluded;
         /** Software version that began the stream; empty until its first event. */
         std::optional<std::string> stream_version;
-        time_point resolve_by; /**< Until when a request in phase `resolving` waits. */
+        time_point resolve_by;         /**< Until when a request in phase `resolving` waits. */
+        bool has_asked_origin = false; /**< Other gateways were asked which version began it. */
     };
 
     /** Records the request limit that a response to `entry` names, or its absence. */
@@ -278,12 +301,22 @@
     static bool is_resumption(const request& entry);
     /** Key of the request's stream; 0 if its id isn't known. */
     static stream_key stream_of(const request& entry);
+    /** Since when a stream that `matched` serves may have begun. */
+    time_point oldest_stream(const route& matched, time_point now) const;
+    void observe_software(time_point now);
+    /** Continues the streams whose origins are known now. */
+    void continue_resolved_streams(time_point now);
     /** Sets the service and version at which the request's stream continues; empty if nothing
         tells them. */
     std::optional<origin_source> find_origin(request& entry, time_point now);
-    /** Places a request that resumes a stream, or asks other gateways for its origin first. */
+    /** Places a request that resumes a stream once its version is known. Until then, asks other
+        processes: first for the history of versions, if it isn't known here, then for the origin.
+     */
     void resume(request_handle id, request& entry, time_point now);
     void continue_stream(request_handle id, request& entry, origin_source source, time_point now);
+    /** Asks other gateways, once, for the origin of the stream; false if nobody is asked. */
+    bool ask_origin(request& entry, time_point now);
+    void end_overdue_resumption(request_handle id, request& entry, time_point now);
     void end_unknown_stream(request_handle id, request& entry);
     /** The first event of a stream is forwarded: fixes the version at which it may continue. */
     void record_origin(request& entry, time_point now);
@@ -340,6 +373,7 @@
     store_recovery_estimator store_recovery_;
     stream_origins origins_;
     software_versions software_;
+    software_exchange software_exchange_;
     time_point versions_observed_at_;
     placement_chooser placement_chooser_;
     std::optional<time_point> answer_by_; /**< Latest deadline of every request. */
--- a/libs/serving/include/serving/software_versions.h
+++ b/libs/serving/include/serving/software_versions.h
@@ -3,33 +3,116 @@
 #include <kernel/clock.h>
 #include <serving/backend_registry.h>
 
+#include <compare>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
+/**
+ * @file
+ * Which software versions of each service have served lately, and for which period that is known.
+ */
 namespace camphorgrade::serving {
 
+/** A software version of a service, as one process tells another. A value type. */
+struct software_record {
+    std::string service;
+    std::string version; /**< Empty if its servers state none. */
+    duration age{};      /**< Time since a server of this version was last registered. */
+
+    friend bool operator==(const software_record&, const software_record&) = default;
+};
+
+/** A period that ended in the past. A value type. */
+struct known_period {
+    duration from_age{};  /**< Time since its begin. */
+    duration until_age{}; /**< Time since its end; not longer than `from_age`. */
+
+    friend bool operator==(const known_period&, const known_period&) = default;
+};
+
+/** The software versions that one process knows. A value type. */
+struct software_history {
+    /** All versions that served in this period are among the records; empty: no such period. */
+    std::optional<known_period> known;
+    std::vector<software_record> records;
+
+    friend bool operator==(const software_history&, const software_history&) = default;
+};
+
+/** Times of software_versions. */
+struct software_versions_settings {
+    /** A version is remembered for this long after its last server has gone. */
+    duration memory{60'000};
+    /** Longest time between two observations in which no version can have come and gone unseen. */
+    duration max_observation_gap{2'000};
+    /** Longest time that may lie between what another process knew and what is known here. It
+        covers a restart of all gateways, between whose processes nobody serves. */
+    duration max_learned_gap{10'000};
+    /** The system ran before this process started, so other versions may have served. Otherwise
+        none has, unless another process tells of it. */
+    bool is_restart = false;
+
+    friend bool operator==(const software_versions_settings&,
+                           const software_versions_settings&) = default;
+};
+
 /**
- * The software versions of each service's backend servers, now and a while ago. Deterministic. Not
- * thread safe.
+ * The software versions of each service's backend servers, now and a while ago, and since when all
+ * of them are known. A process that has just started, or was suspended, knows nothing of the time
+ * before until another process tells it. Deterministic. Not thread safe.
  */
 class software_versions {
 public:
-    /** A version is remembered for `memory` after its last server has gone. */
-    explicit software_versions(duration memory) : memory_(memory) {}
+    explicit software_versions(software_versions_settings settings) : settings_(settings) {}
 
     /** Notes the versions of the servers that are registered now. */
     void observe(const backend_registry& backends, time_point now);
 
-    /** Versions at which a stream of `service` may have begun, as of the last observe(). */
-    std::set<std::string> of_service(const std::string& service) const;
+    /** Adds what another process knows. */
+    void learn(const software_history& history, time_point now);
+
+    /** What this process knows, for other processes. */
+    software_history history(time_point now) const;
+
+    /** Whether all versions that have served since `time` are known. */
+    bool is_known_since(time_point time) const;
+
+    /** Whether another process may know of versions that this one has to remember and doesn't. */
+    bool needs_history(time_point now) const;
+
+    /** Versions of `service` that were registered at `since` or later. */
+    std::set<std::string> of_service(const std::string& service, time_point since) const;
 
     /** Services with more than one version, as of the last observe(). */
     std::set<std::string> mixed_services() const;
 
+    /** Services with a version, as of the last observe(). */
+    std::set<std::string> services() const;
+
+    /** Increases with each version that becomes known and wasn't. */
+    std::uint64_t changes() const noexcept { return changes_; }
+
 private:
-    duration memory_;
+    struct period {
+        time_point from;
+        time_point until;
+    };
+
+    void add(const std::string& service, const std::string& version, time_point seen_at);
+    /** Extends the known period by `added` if at most `max_gap` lies between them; otherwise the
+        later one remains. */
+    void extend(const period& added, duration max_gap);
+    void forget_old(time_point now);
+
+    software_versions_settings settings_;
+    bool has_observed_ = false;
+    std::optional<period> known_;
     std::map<std::string, std::map<std::string, time_point>> seen_; /**< By service and version. */
+    std::uint64_t changes_ = 0;
 };
 
 } // namespace camphorgrade::serving
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -21,9 +21,10 @@
         entry.stream_version = std::move(origin->version);
         return origin_source::known;
     }
-    software_.observe(backends_, now);
-    const auto versions = software_.of_service(entry.service);
-    if (versions.size() > 1) {
+    observe_software(now);
+    const auto since = oldest_stream(*entry.found_route, now);
+    const auto versions = software_.of_service(entry.service, since);
+    if (!software_.is_known_since(since) || versions.size() > 1) {
         return std::nullopt;
     }
     if (!versions.empty()) {
@@ -32,13 +33,49 @@
     return origin_source::single_version;
 }
 
+time_point dispatcher::oldest_stream(const route& matched, time_point now) const {
+    const bool has_timeout = matched.timeout > duration::zero();
+    const auto age =
+        has_timeout ? matched.timeout * settings_.stream_age_timeouts + settings_.stream_age_margin
+                    : settings_.software.memory;
+    return now - std::min(age, settings_.software.memory);
+}
+
+void dispatcher::observe_software(time_point now) {
+    versions_observed_at_ = now;
+    software_.observe(backends_, now);
+}
+
 void dispatcher::resume(request_handle id, request& entry, time_point now) {
     if (const auto source = find_origin(entry, now)) {
         continue_stream(id, entry, *source, now);
-    } else if (stream_of(entry) != 0 && origins_.ask(stream_of(entry))) {
+        return;
+    }
+    if (entry.state != phase::resolving) {
         entry.state = phase::resolving;
         entry.resolve_by = now + settings_.origin_answer_timeout;
-    } else {
+    }
+    const bool awaits_history = !software_.is_known_since(oldest_stream(*entry.found_route, now)) &&
+                                software_exchange_.ask(now);
+    if (!awaits_history || !software_exchange_.expects_answer(now)) {
+        ask_origin(entry, now);
+    }
+    if (!awaits_history && !entry.has_asked_origin) {
+        end_unknown_stream(id, entry);
+    }
+}
+
+bool dispatcher::ask_origin(request& entry, time_point now) {
+    if (entry.has_asked_origin || stream_of(entry) == 0 || !origins_.ask(stream_of(entry))) {
+        return false;
+    }
+    entry.has_asked_origin = true;
+    entry.resolve_by = now + settings_.origin_answer_timeout;
+    return true;
+}
+
+void dispatcher::end_overdue_resumption(request_handle id, request& entry, time_point now) {
+    if (now >= entry.resolve_by && !ask_origin(entry, now)) {
         end_unknown_stream(id, entry);
     }
 }
@@ -81,22 +118,38 @@
 
 void dispatcher::on_origin_records(const origin_records& records, time_point now) {
     origins_.on_records(records, now);
+    continue_resolved_streams(now);
+}
+
+void dispatcher::set_software_peers(const std::string& own,
+                                    const std::vector<std::string>& gateways,
+                                    const std::vector<std::string>& agents) {
+    software_exchange_.set_gateways(own, gateways);
+    software_exchange_.set_agents(agents);
+}
+
+void dispatcher::on_software_message(const std::string& from, const software_message& message,
+                                     time_point now) {
+    software_exchange_.on_message(from, message, now);
+    continue_resolved_streams(now);
+}
+
+void dispatcher::continue_resolved_streams(time_point now) {
     for (auto& [id, each] : requests_) {
-        if (each.state != phase::resolving) {
-            continue;
-        }
-        if (const auto source = find_origin(each, now)) {
-            continue_stream(id, each, *source, now);
+        if (each.state == phase::resolving) {
+            resume(id, each, now);
         }
     }
 }
 
 std::vector<origin_message> dispatcher::take_origin_messages(time_point now) {
     if (now - versions_observed_at_ >= settings_.version_observation_interval) {
-        versions_observed_at_ = now;
-        software_.observe(backends_, now);
+        observe_software(now);
     }
-    return origins_.take_messages(software_.mixed_services(), now);
+    // Another gateway that is asked for a stream can't tell its version from the servers either.
+    const bool knows_all = software_.is_known_since(now - settings_.software.memory);
+    return origins_.take_messages(knows_all ? software_.mixed_services() : software_.services(),
+                                  now);
 }
 
 } // namespace camphorgrade::serving
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -14,7 +14,7 @@
       retries_(settings.retries), crashes_({}), parts_(settings.crashing_parts),
       limits_(settings.server_limits), permits_(limits_, settings.permits),
       store_recovery_(settings.store_recovery), origins_(settings.origins),
-      software_(settings.origins.lifetime),
+      software_(settings.software), software_exchange_(software_, settings.software_exchange),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -303,8 +303,8 @@
 
 void dispatcher::tick(time_point now) {
     for (auto& [id, each] : requests_) {
-        if (each.state == phase::resolving && now >= each.resolve_by) {
-            end_unknown_stream(id, each);
+        if (each.state == phase::resolving) {
+            end_overdue_resumption(id, each, now);
         }
         if (each.state != phase::waiting && each.state != phase::sent) {
             continue;
--- /dev/null
+++ b/libs/serving/src/software_exchange.cpp
@@ -0,0 +1,113 @@
+#include <serving/software_exchange.h>
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace camphorgrade::serving {
+
+software_exchange::software_exchange(software_versions& versions,
+                                     software_exchange_settings settings)
+    : versions_(versions), settings_(settings), query_interval_(settings.min_query_interval) {}
+
+void software_exchange::set_gateways(const std::string& own, const std::vector<std::string>& live) {
+    peers_.clear();
+    std::copy_if(live.begin(), live.end(), std::back_inserter(peers_),
+                 [&](const std::string& each) { return each != own; });
+    std::sort(peers_.begin(), peers_.end());
+    const auto rank = std::lower_bound(peers_.begin(), peers_.end(), own) - peers_.begin();
+    tells_regularly_ = static_cast<std::size_t>(rank) < settings_.telling_gateways;
+}
+
+void software_exchange::set_agents(const std::vector<std::string>& agents) {
+    // All gateways choose the same agents, so that those that start ask the ones that were told.
+    std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    for (const auto& each : agents) {
+        ranked.emplace_back(XXH64(each.data(), each.size(), 0), each);
+    }
+    const auto kept = std::min(settings_.agents, ranked.size());
+    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(kept);
+    std::partial_sort(ranked.begin(), end, ranked.end());
+    const bool had_none = agents_.empty();
+    agents_.clear();
+    std::transform(ranked.begin(), end, std::back_inserter(agents_),
+                   [](const auto& each) { return each.second; });
+    if (had_none && !agents_.empty()) {
+        last_asked_ = {}; // they may be the only ones that know the history
+    }
+}
+
+void software_exchange::on_message(const std::string& from, const software_message& message,
+                                   time_point now) {
+    const auto before = versions_.history(now).known;
+    versions_.learn(message.history, now);
+    const auto after = versions_.history(now).known;
+    has_answer_ = has_answer_ || (after && (!before || before->from_age < after->from_age));
+    if (message.is_query) {
+        send({from}, false, now);
+    }
+}
+
+bool software_exchange::expects_answer(time_point now) const {
+    return !has_answer_ && (!started_ || now - *started_ < settings_.first_answer_time);
+}
+
+bool software_exchange::ask(time_point now) {
+    const bool has_somebody_to_ask = !peers_.empty() || !agents_.empty();
+    if (has_somebody_to_ask && now - last_asked_ >= settings_.min_query_interval) {
+        last_asked_ = now;
+        send(next_peers(settings_.asked_gateways), true, now);
+        send(agents_, true, now);
+    }
+    return has_somebody_to_ask;
+}
+
+std::vector<std::string> software_exchange::next_peers(std::size_t count) {
+    std::vector<std::string> out;
+    for (std::size_t i = 0; i < std::min(count, peers_.size()); ++i) {
+        out.push_back(peers_[next_peer_++ % peers_.size()]);
+    }
+    return out;
+}
+
+void software_exchange::send(const std::vector<std::string>& to, bool is_query, time_point now) {
+    for (const auto& each : to) {
+        messages_.push_back({each, {is_query, versions_.history(now)}});
+    }
+}
+
+void software_exchange::ask_when_due(time_point now) {
+    started_ = started_.value_or(now);
+    const bool is_starting = now - *started_ < settings_.start_query_time;
+    const bool is_unconfirmed = is_starting && !has_answer_;
+    if (!versions_.needs_history(now) && !is_unconfirmed) {
+        query_interval_ = settings_.min_query_interval;
+        return;
+    }
+    if (now - last_asked_ >= query_interval_) {
+        query_interval_ = std::min(query_interval_ * 2, settings_.max_query_interval);
+        ask(now);
+    }
+}
+
+void software_exchange::tell_when_due(time_point now) {
+    if (versions_.changes() != told_changes_) {
+        told_changes_ = versions_.changes();
+        last_told_ = now;
+        send(next_peers(settings_.told_gateways), false, now);
+        send(agents_, false, now);
+    } else if (tells_regularly_ && now - last_told_ >= settings_.tell_interval) {
+        last_told_ = now;
+        send(agents_, false, now);
+    }
+}
+
+std::vector<addressed_software_message> software_exchange::take_messages(time_point now) {
+    ask_when_due(now);
+    tell_when_due(now);
+    return std::exchange(messages_, {});
+}
+
+} // namespace camphorgrade::serving
--- a/libs/serving/src/software_versions.cpp
+++ b/libs/serving/src/software_versions.cpp
@@ -1,25 +1,102 @@
 #include <serving/software_versions.h>
 
+#include <algorithm>
+
 namespace camphorgrade::serving {
 
 void software_versions::observe(const backend_registry& backends, time_point now) {
+    if (has_observed_) {
+        extend({now, now}, settings_.max_observation_gap);
+    } else {
+        // What was learned before the first observation ended before this process started.
+        const auto from = settings_.is_restart ? now : now - settings_.memory;
+        extend({from, now}, settings_.max_learned_gap);
+        has_observed_ = true;
+    }
     for (const auto& [id, view] : backends.all()) {
         if (!view.is_removed) {
-            seen_[view.server.service][view.server.software_version] = now;
+            add(view.server.service, view.server.software_version, now);
+        }
+    }
+    forget_old(now);
+}
+
+void software_versions::learn(const software_history& history, time_point now) {
+    for (const auto& each : history.records) {
+        if (each.age < settings_.memory) {
+            add(each.service, each.version, now - each.age);
         }
     }
+    if (history.known) {
+        extend({now - history.known->from_age, now - history.known->until_age},
+               settings_.max_learned_gap);
+    }
+    forget_old(now);
+}
+
+void software_versions::add(const std::string& service, const std::string& version,
+                            time_point seen_at) {
+    const auto [found, is_new] = seen_[service].try_emplace(version, seen_at);
+    found->second = std::max(found->second, seen_at);
+    changes_ += is_new ? 1 : 0;
+}
+
+void software_versions::extend(const period& added, duration max_gap) {
+    if (!known_) {
+        known_ = added;
+        return;
+    }
+    const bool is_adjacent =
+        added.from - known_->until <= max_gap && known_->from - added.until <= max_gap;
+    if (is_adjacent) {
+        known_ = period{std::min(known_->from, added.from), std::max(known_->until, added.until)};
+    } else if (added.until > known_->until) {
+        known_ = added;
+    }
+}
+
+void software_versions::forget_old(time_point now) {
     for (auto& [service, versions] : seen_) {
-        std::erase_if(versions, [&](const auto& each) { return now - each.second >= memory_; });
+        std::erase_if(versions,
+                      [&](const auto& each) { return now - each.second >= settings_.memory; });
     }
     std::erase_if(seen_, [](const auto& each) { return each.second.empty(); });
+    if (known_) {
+        known_->from = std::max(known_->from, now - settings_.memory);
+        known_->until = std::max(known_->until, known_->from);
+    }
 }
 
-std::set<std::string> software_versions::of_service(const std::string& service) const {
+software_history software_versions::history(time_point now) const {
+    software_history out;
+    if (known_) {
+        out.known = known_period{now - known_->from, now - known_->until};
+    }
+    for (const auto& [service, versions] : seen_) {
+        for (const auto& [version, seen_at] : versions) {
+            out.records.push_back({service, version, now - seen_at});
+        }
+    }
+    return out;
+}
+
+bool software_versions::is_known_since(time_point time) const {
+    return known_ && known_->from <= time;
+}
+
+bool software_versions::needs_history(time_point now) const {
+    return !known_ || now - known_->from < settings_.memory;
+}
+
+std::set<std::string> software_versions::of_service(const std::string& service,
+                                                    time_point since) const {
     std::set<std::string> out;
     const auto found = seen_.find(service);
     if (found != seen_.end()) {
-        for (const auto& each : found->second) {
-            out.insert(each.first);
+        for (const auto& [version, seen_at] : found->second) {
+            if (seen_at >= since) {
+                out.insert(version);
+            }
         }
     }
     return out;
@@ -35,4 +112,12 @@
     return out;
 }
 
+std::set<std::string> software_versions::services() const {
+    std::set<std::string> out;
+    for (const auto& each : seen_) {
+        out.insert(each.first);
+    }
+    return out;
+}
+
 } // namespace camphorgrade::serving
--- a/libs/serving/tests/origin_fleet.h
+++ b/libs/serving/tests/origin_fleet.h
@@ -2,6 +2,7 @@
 
 #include <kernel/random.h>
 #include <serving/dispatcher.h>
+#include <serving/software_versions.h>
 
 #include <algorithm>
 #include <cstdint>
@@ -24,6 +25,9 @@
     double killed_share = 0.25; /**< Of the gateways, all at one moment. */
     double lost_message_share = 0.02;
     bool begins_as_one_version = false; /**< The other versions join after half of the streams. */
+    bool first_version_leaves = false;  /**< Its servers leave before the gateways die. */
+    bool names_streams = true;          /**< Callers name the request that began their stream. */
+    std::size_t agents = 4;             /**< Of engines; they outlive the gateways. */
     std::uint64_t seed = 1;
 };
 
@@ -44,9 +48,13 @@
         for (std::size_t i = 0; i < script.gateways; ++i) {
             addresses_.push_back("g" + std::to_string(i));
         }
+        for (std::size_t i = 0; i < script.agents; ++i) {
+            agent_addresses_.push_back("a" + std::to_string(i));
+            agents_.emplace_back(serving::software_versions_settings{});
+        }
         has_all_versions_ = !script.begins_as_one_version;
         for (std::size_t i = 0; i < script.gateways; ++i) {
-            gateways_.push_back(make_gateway(i));
+            gateways_.push_back(make_gateway(i, false));
         }
     }
 
@@ -59,6 +67,10 @@
             advance(stream_interval);
         }
         advance(quiet_time);
+        if (script_.first_version_leaves) {
+            remove_first_version();
+            advance(quiet_time);
+        }
         kill();
         for (std::size_t i = 0; i < script_.streams; ++i) {
             resume(i);
@@ -74,15 +86,16 @@
     static constexpr duration message_delay{5};
     static constexpr int servers_per_version = 3;
 
-    struct message {
+    struct sent_message {
         time_point due;
-        std::size_t from = 0;
-        serving::origin_message content;
+        std::string from;
+        std::variant<serving::origin_message, serving::addressed_software_message> content;
     };
 
-    std::unique_ptr<serving::dispatcher> make_gateway(std::size_t number) {
-        auto out = std::make_unique<serving::dispatcher>(serving::dispatcher_settings{}, "z1",
-                                                         script_.seed + number);
+    std::unique_ptr<serving::dispatcher> make_gateway(std::size_t number, bool is_restart) {
+        serving::dispatcher_settings settings;
+        settings.software.is_restart = is_restart;
+        auto out = std::make_unique<serving::dispatcher>(settings, "z1", script_.seed + number);
         serving::route route;
         route.host = "a.example";
         route.path_prefix = "/x/";
@@ -98,11 +111,12 @@
         out->set_catalogue(catalogue, now_);
         add_servers(*out, has_all_versions_ ? script_.versions : 1);
         out->set_gateways(addresses_[number], addresses_, now_);
+        out->set_software_peers(addresses_[number], addresses_, agent_addresses_);
         return out;
     }
 
     void add_servers(serving::dispatcher& gateway, std::size_t versions) const {
-        for (std::size_t version = 0; version < versions; ++version) {
+        for (std::size_t version = has_first_version_ ? 0 : 1; version < versions; ++version) {
             for (int i = 0; i < servers_per_version; ++i) {
                 serving::backend_server each;
                 each.id = "v" + std::to_string(version) + '-' + std::to_string(i);
@@ -121,6 +135,15 @@
         }
     }
 
+    void remove_first_version() {
+        has_first_version_ = false;
+        for (auto& gateway : gateways_) {
+            for (int i = 0; i < servers_per_version; ++i) {
+                gateway->backends().remove("v0-" + std::to_string(i));
+            }
+        }
+    }
+
     serving::request_handle request(std::size_t gateway, std::size_t stream, bool is_resumed) {
         serving::request_metadata metadata;
         metadata.host = "a.example";
@@ -128,7 +151,9 @@
         metadata.id = (is_resumed ? "again-" : "stream-") + std::to_string(stream);
         if (is_resumed) {
             metadata.last_event_id = 3;
-            metadata.resumed_request_id = "stream-" + std::to_string(stream);
+            if (script_.names_streams) {
+                metadata.resumed_request_id = "stream-" + std::to_string(stream);
+            }
         }
         return gateways_[gateway]->on_request(metadata, stream, now_);
     }
@@ -184,29 +209,64 @@
                 collect(i);
                 for (auto& each : gateways_[i]->take_origin_messages(now_)) {
                     ++result_.messages;
-                    if (random_.unit() >= script_.lost_message_share) {
-                        messages_.push_back({now_ + message_delay, i, std::move(each)});
-                    }
+                    post(addresses_[i], std::move(each));
+                }
+                for (auto& each : gateways_[i]->take_software_messages(now_)) {
+                    post(addresses_[i], std::move(each));
                 }
             }
         }
     }
 
+    template <typename Content>
+    void post(const std::string& from, Content content) {
+        if (random_.unit() >= script_.lost_message_share) {
+            messages_.push_back({now_ + message_delay, from, std::move(content)});
+        }
+    }
+
     void deliver() {
         for (auto& each : std::exchange(messages_, {})) {
             if (each.due > now_) {
                 messages_.push_back(std::move(each));
                 continue;
             }
-            const auto to = static_cast<std::size_t>(std::stoul(each.content.to.substr(1)));
-            if (const auto* records = std::get_if<serving::origin_records>(&each.content.body)) {
-                gateways_[to]->on_origin_records(*records, now_);
+            if (const auto* origin = std::get_if<serving::origin_message>(&each.content)) {
+                deliver_origin(each.from, *origin);
             } else {
-                gateways_[to]->on_origin_query(addresses_[each.from],
-                                               std::get<serving::origin_query>(each.content.body),
-                                               now_);
+                deliver_software(each.from,
+                                 std::get<serving::addressed_software_message>(each.content));
             }
+        }
+    }
+
+    static std::size_t number_of(const std::string& address) {
+        return static_cast<std::size_t>(std::stoul(address.substr(1)));
+    }
+
+    void deliver_origin(const std::string& from, const serving::origin_message& message) {
+        const auto to = number_of(message.to);
+        if (const auto* records = std::get_if<serving::origin_records>(&message.body)) {
+            gateways_[to]->on_origin_records(*records, now_);
+        } else {
+            gateways_[to]->on_origin_query(from, std::get<serving::origin_query>(message.body),
+                                           now_);
+        }
+        collect(to);
+    }
+
+    void deliver_software(const std::string& from,
+                          const serving::addressed_software_message& message) {
+        const auto to = number_of(message.to);
+        if (message.to.front() == 'g') {
+            gateways_[to]->on_software_message(from, message.body, now_);
             collect(to);
+            return;
+        }
+        agents_[to].learn(message.body.history, now_);
+        if (message.body.is_query) {
+            post(message.to,
+                 serving::addressed_software_message{from, {false, agents_[to].history(now_)}});
         }
     }
 
@@ -215,7 +275,7 @@
         const auto count =
             static_cast<std::size_t>(script_.killed_share * static_cast<double>(script_.gateways));
         for (std::size_t i = 0; i < count; ++i) {
-            gateways_[i] = make_gateway(i);
+            gateways_[i] = make_gateway(i, true);
         }
     }
 
@@ -227,9 +287,12 @@
     random_source random_;
     time_point now_{duration{100'000}};
     bool has_all_versions_ = true;
+    bool has_first_version_ = true;
     std::vector<std::string> addresses_;
     std::vector<std::unique_ptr<serving::dispatcher>> gateways_;
-    std::vector<message> messages_;
+    std::vector<std::string> agent_addresses_;
+    std::vector<serving::software_versions> agents_;
+    std::vector<sent_message> messages_;
     std::map<std::size_t, std::string> versions_; /**< By stream. */
     std::map<std::pair<std::size_t, serving::request_handle>, std::size_t> resumed_;
     origin_fleet_result result_;
--- a/libs/serving/tests/test_stream_origins.cpp
+++ b/libs/serving/tests/test_stream_origins.cpp
@@ -61,6 +61,40 @@
     CHECK(result.continued == result.resumed);
 }
 
+// Guards against the review's case 1: a gateway that had just started took the one version that it
+// saw for the only one that had served, and continued streams of the other.
+TEST_CASE("a gateway that has just started doesn't continue streams of a version that has left") {
+    origin_fleet_script script;
+    script.gateways = GENERATE(as<std::size_t>{}, 1, 2, 4, 16, 60);
+    script.names_streams = GENERATE(true, false);
+    script.killed_share = GENERATE(0.25, 0.5, 1.0);
+    script.first_version_leaves = true;
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        script.seed = seed;
+        const auto result = play(script);
+        CAPTURE(script.gateways, script.names_streams, script.killed_share, seed, result.continued,
+                result.resumed);
+        CHECK(result.crossed <= max_crossed);
+    }
+}
+
+// Guards against the opposite of the case above: streams are refused although one version alone
+// has ever served, because the gateways that know it aren't asked.
+TEST_CASE("gateways that have just started continue streams if one version alone has served") {
+    origin_fleet_script script;
+    script.versions = 1;
+    script.gateways = GENERATE(as<std::size_t>{}, 1, 2, 4, 16, 60);
+    script.names_streams = GENERATE(true, false);
+    script.killed_share = GENERATE(0.25, 0.5, 1.0);
+    for (std::uint64_t seed = 1; seed <= seed_count(); ++seed) {
+        script.seed = seed;
+        const auto result = play(script);
+        CAPTURE(script.gateways, script.names_streams, script.killed_share, seed, result.continued,
+                result.resumed);
+        CHECK(result.continued == result.resumed);
+    }
+}
+
 TEST_CASE("an origin is forgotten after its time, and the oldest first when there are too many") {
     stream_origins_settings settings;
     settings.lifetime = duration{1'000};
