A server process that has announced its shutdown stays unused, also after its entry is gone

The server's registration had been removed and came back with an older copy of the store.

Cause: what a process had said of itself lived in its registration's entry. The entry is erased once no request is open there, and the registration that came back made a new one, which wasn't leaving.

Change: backend_registry remembers the processes that have announced their shutdown, as draining or in a response, and marks them again.

--- a/libs/serving/include/serving/backend_registry.h
+++ b/libs/serving/include/serving/backend_registry.h
@@ -7,7 +7,9 @@
 #include <serving/request_metadata.h>
 #include <serving/service_catalogue.h>
 
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -54,7 +56,7 @@
     time_point last_response_at; /**< Last response to this gateway; default if there is none. */
     /** Peers that avoid this server, with the time of their latest report. */
     std::map<std::string, time_point> avoided_by;
-    /** The server announced its shutdown in a response; reset when its next process registers. */
+    /** This process announced its shutdown, in a response or as draining. */
     bool is_leaving = false;
     time_point hold_off_until; /**< The server accepts no requests before this time. */
     double failure_rate = 0;   /**< Moving average of the share of failed attempts, 0 to 1. */
@@ -73,6 +75,7 @@
     duration peer_report_expiry{700}; /**< How long a peer's report of an avoided server counts. */
     /** How long a response to this gateway overrides the reports of peers. */
     duration own_response_expiry{1'000};
+    std::size_t max_leaving_processes = 8'192; /**< Remembered after they have gone. */
     load_time_estimator_settings load_times;
 
     friend bool operator==(const backend_registry_settings&,
@@ -88,7 +91,8 @@
     explicit backend_registry(backend_registry_settings settings);
 
     /** Adds a server or updates its registration. The registration of another process resets the
-        server's health and engine state. */
+        server's health and engine state. A process that has announced its shutdown stays leaving,
+        even if its registration was removed meanwhile and an earlier one comes back. */
     void put(const backend_server& server);
 
     /** The server has left or its registration is gone: it receives no new requests. Its entry
@@ -174,8 +178,14 @@
     /** Updates the load time estimate when a report shows one more completed load. */
     void update_load_times(const std::optional<engine_state>& before, const engine_state& now);
 
+    /** Remembers that the process is leaving; forgets the one remembered longest if there are too
+        many. */
+    void mark_leaving(const server_process& process);
+
     backend_registry_settings settings_;
     load_time_estimator load_times_;
+    std::set<server_process> leaving_; /**< Processes that have announced their shutdown. */
+    std::deque<server_process> leaving_in_order_;
     std::map<std::string, backend_view> views_;
 };
 
--- a/libs/serving/src/backend_registry.cpp
+++ b/libs/serving/src/backend_registry.cpp
@@ -48,6 +48,21 @@
     }
     view.server = server;
     view.is_removed = false;
+    if (server.is_draining) {
+        mark_leaving(server.process());
+    }
+    view.is_leaving = view.is_leaving || leaving_.count(server.process()) != 0;
+}
+
+void backend_registry::mark_leaving(const server_process& process) {
+    if (process.started_at_ms == 0 || !leaving_.insert(process).second) {
+        return; // without its start time, a later process can't be told apart
+    }
+    leaving_in_order_.push_back(process);
+    if (leaving_in_order_.size() > settings_.max_leaving_processes) {
+        leaving_.erase(leaving_in_order_.front());
+        leaving_in_order_.pop_front();
+    }
 }
 
 void backend_registry::remove(const std::string& id) {
@@ -137,6 +152,7 @@
 void backend_registry::on_leaving(const std::string& id) {
     if (auto* view = find(id)) {
         view->is_leaving = true;
+        mark_leaving(view->server.process());
     }
 }
 
--- a/libs/serving/tests/test_server_notices.cpp
+++ b/libs/serving/tests/test_server_notices.cpp
@@ -145,6 +145,34 @@
     }
 }
 
+// Guards against the review's case 4: a leaving server's registration was removed and came back with
+// the store's copy, and the server was taken for a new one.
+TEST_CASE("a server that announced its shutdown stays unused after its registration was removed") {
+    dispatcher_fixture test;
+    auto first = server_of("desk-1", "desk");
+    auto second = server_of("desk-2", "desk");
+    first.started_at_ms = second.started_at_ms = 1'000;
+    auto& backends = test.decisions.backends();
+    backends.put(first);
+    backends.put(second);
+    backends.on_leaving("desk-1");
+    auto draining = second;
+    draining.is_draining = true;
+    backends.put(draining);
+    for (const auto* id : {"desk-1", "desk-2"}) {
+        backends.remove(id);
+        REQUIRE(backends.find(id) == nullptr);
+    }
+    backends.put(first);
+    backends.put(second);
+    CHECK(backends.servers_of_service("desk").empty());
+
+    second.started_at_ms = 2'000; // the server's next process
+    backends.put(second);
+    REQUIRE(backends.servers_of_service("desk").size() == 1);
+    CHECK(backends.servers_of_service("desk").front()->server.id == "desk-2");
+}
+
 TEST_CASE("requests for an adapter go elsewhere when its engine sent Retry-After") {
     dispatcher_fixture test;
     load_everywhere(test);
