Order what comes from the store by its era, and read it again when the store returns from a copy

Cause: revisions were compared across the store's return, after which they are given out again.

A return counts as the end of an outage, so that servers missing from the copy have time to register again, and a process that was removed stays removed for 5 s.

--- a/libs/entry/src/fleet_state.cpp
+++ b/libs/entry/src/fleet_state.cpp
@@ -97,7 +97,9 @@
         remove_server(id, "not_registered");
     }
     for (const auto& each : servers) {
-        apply_registration(each);
+        if (registrations_.is_valid(each)) {
+            apply_registration(each);
+        }
     }
 }
 
@@ -116,7 +118,7 @@
     for (const auto& id : registrations_.awaited()) {
         out.awaited.insert(id);
     }
-    out.revision = registrations_revision_;
+    out.position = position_;
     out.is_settled = registrations_.is_settled(clock_.now());
     out.store_age = store_age();
     out.catalogue_version = catalogue_version();
@@ -128,8 +130,20 @@
     return known == nullptr ? 0 : known->catalogue().version;
 }
 
-void fleet_state::on_registrations_revision(std::uint64_t revision) {
-    registrations_revision_ = std::max(registrations_revision_, revision);
+void fleet_state::on_registrations_position(const serving::store_position& position) {
+    position_ = std::max(position_, position);
+}
+
+void fleet_state::on_store_restored(std::uint64_t era) {
+    log_.line("store_restored")
+        .number("era", static_cast<std::int64_t>(era))
+        .number("era_before", static_cast<std::int64_t>(position_.era))
+        .number("revision_before", static_cast<std::int64_t>(position_.revision))
+        .number("catalogue_version", static_cast<std::int64_t>(catalogue_version()))
+        .number("store_age_ms", store_age().count());
+    ++store_restorations_;
+    position_ = std::max(position_, serving::store_position{era, 0});
+    registrations_.on_store_restored(clock_.now());
 }
 
 void fleet_state::on_store_watch_changed(bool watches) {
@@ -139,20 +153,17 @@
 
 void fleet_state::on_peer_registrations(const peering::registration_snapshot& snapshot,
                                         const std::string& peer) {
-    if (snapshot.revision < registrations_revision_) {
+    if (snapshot.position < position_) {
         return; // another peer's snapshot was newer
     }
     const auto now = clock_.now();
-    if (snapshot.revision > registrations_revision_) {
-        log_.line("registrations_learned")
-            .text("peer", peer)
-            .number("backend_servers", static_cast<std::int64_t>(snapshot.servers.size()))
-            .number("revision", static_cast<std::int64_t>(snapshot.revision))
-            .flag("settled", snapshot.is_settled)
-            .number("peer_store_age_ms", snapshot.store_age.count())
-            .number("store_age_ms", store_age().count());
+    if (snapshot.position > position_) {
+        log_learned(snapshot, peer);
     }
-    registrations_revision_ = snapshot.revision;
+    if (has_registrations_ && snapshot.position.era > position_.era) {
+        on_store_restored(snapshot.position.era);
+    }
+    position_ = snapshot.position;
     data_as_of_ = std::max(data_as_of_, now - snapshot.store_age);
     has_registrations_ = true;
     const auto [registered, awaited] = split_awaited(without_unusable(snapshot));
@@ -164,7 +175,9 @@
         registrations_.on_peer_list(registered, now);
     }
     for (const auto& each : registered) {
-        apply_peer_registration(each);
+        if (registrations_.is_valid(each)) {
+            apply_peer_registration(each);
+        }
     }
     for (const auto& each : awaited) {
         if (registrations_.on_awaited_by_peer(each, now)) {
@@ -173,6 +186,18 @@
     }
 }
 
+void fleet_state::log_learned(const peering::registration_snapshot& snapshot,
+                              const std::string& peer) {
+    log_.line("registrations_learned")
+        .text("peer", peer)
+        .number("backend_servers", static_cast<std::int64_t>(snapshot.servers.size()))
+        .number("era", static_cast<std::int64_t>(snapshot.position.era))
+        .number("revision", static_cast<std::int64_t>(snapshot.position.revision))
+        .flag("settled", snapshot.is_settled)
+        .number("peer_store_age_ms", snapshot.store_age.count())
+        .number("store_age_ms", store_age().count());
+}
+
 peering::registration_snapshot
 fleet_state::without_unusable(peering::registration_snapshot snapshot) {
     std::erase_if(snapshot.servers, [this](const auto& each) {
@@ -196,8 +221,9 @@
 }
 
 void fleet_state::on_registration(const serving::backend_server& server) {
-    registrations_.on_registration(server);
-    apply_registration(server);
+    if (registrations_.on_registration(server, clock_.now())) {
+        apply_registration(server);
+    }
 }
 
 void fleet_state::apply_registration(const serving::backend_server& server) {
--- a/libs/entry/src/fleet_state.h
+++ b/libs/entry/src/fleet_state.h
@@ -45,7 +45,8 @@
     void on_registrations(const std::vector<serving::backend_server>& servers) override;
     void on_registration(const serving::backend_server& server) override;
     void on_deregistration(const std::string& id) override;
-    void on_registrations_revision(std::uint64_t revision) override;
+    void on_registrations_position(const serving::store_position& position) override;
+    void on_store_restored(std::uint64_t era) override;
     void on_contact(bool reachable) override;
     void on_bad_record(const std::string& key, const std::string& reason) override;
 
@@ -73,11 +74,16 @@
     /** Whether the catalogue and the registrations are known, as serving callers requires. */
     bool is_complete() const;
 
+    /** How often the store has come back from an older copy. */
+    std::uint64_t store_restorations() const noexcept { return store_restorations_; }
+
     /** Removes the servers that did not register again in time after an outage of the store. */
     void expire();
 
 private:
+    /** Applies a registration that is valid. */
     void apply_registration(const serving::backend_server& server);
+    void log_learned(const peering::registration_snapshot& snapshot, const std::string& peer);
     /** The snapshot without servers that can't be called, each of which is logged. */
     peering::registration_snapshot without_unusable(peering::registration_snapshot snapshot);
     void apply_peer_registration(const serving::backend_server& server);
@@ -90,7 +96,8 @@
     fleet_state_listener& listener_;
     serving::registration_tracker registrations_;
     std::string catalogue_text_;
-    std::uint64_t registrations_revision_ = 0;
+    serving::store_position position_; /**< Of the registrations. */
+    std::uint64_t store_restorations_ = 0;
     time_point last_store_response_;
     time_point data_as_of_; /**< When the store held the state that is known now. */
     bool has_store_response_ = false;
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -284,6 +284,8 @@
     metrics_.set("camphor_waiting_requests", {},
                  static_cast<double>(dispatcher_.waiting_requests()));
     metrics_.set("camphor_store_age_ms", {}, static_cast<double>(fleet_.data_age().count()));
+    metrics_.set("camphor_store_restorations", {},
+                 static_cast<double>(fleet_.store_restorations()));
     metrics_.set("camphor_limited_backend_servers", {},
                  static_cast<double>(dispatcher_.limits().all().size()));
     metrics_.set("camphor_granted_permits", {},
--- a/libs/entry/tests/test_fleet_state_pages.cpp
+++ b/libs/entry/tests/test_fleet_state_pages.cpp
@@ -1,4 +1,4 @@
-#include "fleet_state.h"
+#include "fleet_state_fixture.h"
 
 #include <catch2/catch.hpp>
 #include <rapidcheck.h>
@@ -11,76 +11,10 @@
 
 using namespace camphorgrade;
 using namespace camphorgrade::entry;
+using namespace camphorgrade::entry::testing;
 
 namespace {
 
-class stub_listener final : public fleet_state_listener {
-public:
-    void on_caller_limits(const edge::caller_limits&) override {}
-    void on_fleet_changed() override {}
-    void on_store_watch_changed(bool watches) override { is_watching = watches; }
-
-    bool is_watching = true;
-};
-
-class stub_reader final : public serving::catalogue_reader {
-public:
-    std::optional<serving::service_catalogue> read(const std::string&) const override {
-        return std::nullopt;
-    }
-};
-
-class null_sink final : public line_sink {
-public:
-    std::size_t write(std::string_view bytes) override { return bytes.size(); }
-};
-
-serving::backend_server make_server(const std::string& id, bool is_draining = false) {
-    serving::backend_server out;
-    out.id = id;
-    out.service = "desk";
-    out.address = {"10.0.0.1", 80};
-    out.started_at_ms = 1;
-    out.is_draining = is_draining;
-    return out;
-}
-
-peering::registration_snapshot make_snapshot(std::vector<serving::backend_server> servers,
-                                             std::uint64_t revision, bool is_settled = true) {
-    peering::registration_snapshot out;
-    out.servers = std::move(servers);
-    out.revision = revision;
-    out.is_settled = is_settled;
-    out.store_age = duration{300};
-    return out;
-}
-
-struct fixture {
-    fixture()
-        : log("node", clock, sink, {}), dispatcher({}, "dc-1", 1),
-          fleet(clock, log, dispatcher, reader, listener) {
-        clock.advance_to(time_point{duration{10'000}});
-    }
-
-    std::vector<std::string> usable_servers() {
-        std::vector<std::string> out;
-        for (const auto* each : dispatcher.backends().servers_of_service("desk")) {
-            out.push_back(each->server.id);
-        }
-        return out;
-    }
-
-    manual_clock clock;
-    null_sink sink;
-    event_log log;
-    serving::dispatcher dispatcher;
-    stub_reader reader;
-    stub_listener listener;
-    fleet_state fleet;
-};
-
-using ids = std::vector<std::string>;
-
 /** Registrations of the store at each of its revisions. */
 class store_history {
 public:
@@ -212,11 +146,11 @@
     fixture context;
     context.fleet.on_contact(true);
     context.fleet.on_registrations({make_server("a")});
-    context.fleet.on_registrations_revision(20);
+    context.fleet.on_registrations_position({0, 20});
     context.fleet.on_peer_registrations(make_snapshot({}, 19), "p1");
     CHECK(context.usable_servers() == ids{"a"});
     const auto own = context.fleet.registrations();
-    CHECK(own.revision == 20);
+    CHECK(own.position.revision == 20);
     CHECK(own.servers.size() == 1);
     CHECK_FALSE(own.is_settled); // the store has been reachable for too short a time
 }
--- a/libs/peering/include/peering/registrations.h
+++ b/libs/peering/include/peering/registrations.h
@@ -2,6 +2,7 @@
 
 #include <kernel/clock.h>
 #include <serving/backend_server.h>
+#include <serving/store_position.h>
 
 #include <cstdint>
 #include <optional>
@@ -23,8 +24,8 @@
      * because of a store outage, so their return is awaited.
      */
     std::set<std::string> awaited;
-    /** Revision of the store; an older snapshot never replaces a newer one. */
-    std::uint64_t revision = 0;
+    /** State of the store; an older snapshot never replaces a newer one. */
+    serving::store_position position;
     bool is_settled = false; /**< True: a server that is not listed is no longer registered. */
     duration store_age{};    /**< Time since the store last responded to the sender. */
     /** Newest catalogue version that the sender knows. */
--- a/libs/peering/src/registrations.cpp
+++ b/libs/peering/src/registrations.cpp
@@ -53,7 +53,8 @@
         write(each, listed);
         listed.set_is_awaited(snapshot.awaited.count(each.id) != 0);
     }
-    out.set_revision(snapshot.revision);
+    out.set_era(snapshot.position.era);
+    out.set_revision(snapshot.position.revision);
     out.set_is_settled(snapshot.is_settled);
     out.set_store_age_ms(static_cast<std::uint64_t>(snapshot.store_age.count()));
     out.set_catalogue_version(snapshot.catalogue_version);
@@ -72,7 +73,7 @@
             out.awaited.insert(each.id());
         }
     }
-    out.revision = in.revision();
+    out.position = {in.era(), in.revision()};
     out.is_settled = in.is_settled();
     out.store_age = read_age(in.store_age_ms());
     out.catalogue_version = in.catalogue_version();
--- a/libs/peering/tests/test_registrations.cpp
+++ b/libs/peering/tests/test_registrations.cpp
@@ -28,7 +28,8 @@
     rc::prop("encode and decode", [] {
         peering::registration_snapshot page;
         page.servers = {any_server(), {}};
-        page.revision = *rc::gen::arbitrary<std::uint64_t>();
+        page.position = {*rc::gen::arbitrary<std::uint64_t>(),
+                         *rc::gen::arbitrary<std::uint64_t>()};
         if (*rc::gen::arbitrary<bool>()) {
             page.awaited = {page.servers.front().id};
         }
--- a/libs/serving/include/serving/fleet_listener.h
+++ b/libs/serving/include/serving/fleet_listener.h
@@ -2,6 +2,7 @@
 
 #include <serving/backend_server.h>
 #include <serving/service_catalogue.h>
+#include <serving/store_position.h>
 
 #include <cstdint>
 #include <optional>
@@ -28,8 +29,11 @@
     virtual void on_registration(const backend_server& server) = 0;
     /** The registration of server `id` was deleted or has expired. */
     virtual void on_deregistration(const std::string& id) = 0;
-    /** The registrations received so far are the store's state as of this revision. */
-    virtual void on_registrations_revision(std::uint64_t revision) = 0;
+    /** The registrations received so far are the store's state at this position. */
+    virtual void on_registrations_position(const store_position& position) = 0;
+    /** The store has come back from an older copy, in a newer era. All records are reported anew,
+        first as in the copy, and once more when their writers have had time to write again. */
+    virtual void on_store_restored(std::uint64_t era) = 0;
     /** Contact with the store was lost or regained, or still holds. */
     virtual void on_contact(bool reachable) = 0;
     /** A record is invalid and was skipped; `reason` states why. */
--- a/libs/serving/include/serving/registration_tracker.h
+++ b/libs/serving/include/serving/registration_tracker.h
@@ -18,6 +18,9 @@
     duration outage_threshold{1'200};
     /** Time in which live servers register again after an outage. */
     duration reregistration_time{2'200};
+    /** For this long after the store's return from an older copy, registrations in it may be of
+        processes that have been removed since the copy was made. */
+    duration restoration_time{5'000};
     /** How long a removed process is remembered. A peer that was disconnected for longer does
         not know of a process that was removed here. */
     duration removed_retention{600'000};
@@ -30,7 +33,8 @@
  * Decides which registrations of backend servers are valid. A registration that disappears while
  * the store responds is removed at once. One that disappears around an outage of the store stays
  * valid until its server has had time to register again. A removed process becomes valid again only
- * when it is registered; a peer that still waits for it does not restore it. Deterministic. Not
+ * when it is registered; a peer that still waits for it does not restore it, nor does an older copy
+ * of the store. Deterministic. Not
  * thread safe.
  */
 class registration_tracker {
@@ -40,6 +44,10 @@
     /** The store responded, or a call to it failed. */
     void on_contact(bool reachable, time_point now);
 
+    /** The store has come back from an older copy: registrations that it lacks may have been made
+        since the copy, and those that it has may have ended. */
+    void on_store_restored(time_point now);
+
     /** All registrations as read from the store; returns the ids that are removed now. */
     std::vector<std::string> on_full_list(const std::vector<backend_server>& servers,
                                           time_point now);
@@ -67,8 +75,13 @@
     /** Whether all live servers have had time to register since the store became reachable. */
     bool is_settled(time_point now) const;
 
-    /** The server is registered and therefore valid. */
-    void on_registration(const backend_server& server);
+    /** The server is registered. Returns whether it is therefore valid. It isn't if its process was
+        removed and the store has just come back from a copy, which may be older than the removal.
+     */
+    bool on_registration(const backend_server& server, time_point now);
+
+    /** Whether neither this process of the server nor a later one has been removed. */
+    bool is_valid(const backend_server& server) const;
 
     /** The registration of a server has disappeared. Returns whether the server is removed now;
         otherwise expire() may remove it later. */
@@ -85,7 +98,8 @@
     };
 
     /** Records these servers as registered; returns the known ids that are not among them. */
-    std::vector<std::string> record_registered(const std::vector<backend_server>& servers);
+    std::vector<std::string> record_registered(const std::vector<backend_server>& servers,
+                                               time_point now);
     /** Remembers the process as removed and forgets those whose retention has passed. */
     void mark_removed(const std::string& id, time_point now);
     bool is_store_out(time_point now) const;
@@ -104,7 +118,8 @@
     bool has_failed_ = false;       /**< A call has failed since the last response. */
     std::optional<time_point> first_response_;
     std::optional<time_point> last_response_;
-    std::optional<time_point> outage_end_; /**< End of the last outage. */
+    std::optional<time_point> outage_end_;  /**< End of the last outage. */
+    std::optional<time_point> restored_at_; /**< Return of the store from an older copy. */
 };
 
 } // namespace camphorgrade::serving
--- a/libs/serving/src/registration_tracker.cpp
+++ b/libs/serving/src/registration_tracker.cpp
@@ -22,6 +22,11 @@
     last_response_ = now;
 }
 
+void registration_tracker::on_store_restored(time_point now) {
+    outage_end_ = now;
+    restored_at_ = now;
+}
+
 bool registration_tracker::is_store_out(time_point now) const {
     return !last_response_ || (has_failed_ && now - *last_response_ > settings_.outage_threshold);
 }
@@ -37,7 +42,7 @@
 std::vector<std::string>
 registration_tracker::on_full_list(const std::vector<backend_server>& servers, time_point now) {
     std::vector<std::string> removed;
-    for (const auto& id : record_registered(servers)) {
+    for (const auto& id : record_registered(servers, now)) {
         if (on_deregistration(id, now)) {
             removed.push_back(id);
             known_.erase(id);
@@ -47,11 +52,12 @@
 }
 
 std::vector<std::string>
-registration_tracker::record_registered(const std::vector<backend_server>& servers) {
+registration_tracker::record_registered(const std::vector<backend_server>& servers,
+                                        time_point now) {
     std::set<std::string> registered;
     for (const auto& each : servers) {
         registered.insert(each.id);
-        on_registration(each);
+        on_registration(each, now);
     }
     std::vector<std::string> missing;
     for (const auto& [id, started_at_ms] : known_) {
@@ -74,7 +80,7 @@
 
 void registration_tracker::on_peer_list(const std::vector<backend_server>& servers,
                                         time_point now) {
-    for (const auto& id : record_registered(servers)) {
+    for (const auto& id : record_registered(servers, now)) {
         awaited_.try_emplace(id, now + settings_.reregistration_time);
     }
 }
@@ -82,7 +88,7 @@
 std::vector<std::string>
 registration_tracker::on_settled_peer_list(const std::vector<backend_server>& servers,
                                            time_point now) {
-    auto removed = record_registered(servers);
+    auto removed = record_registered(servers, now);
     for (const auto& id : removed) {
         mark_removed(id, now);
         known_.erase(id);
@@ -92,8 +98,7 @@
 }
 
 bool registration_tracker::on_awaited_by_peer(const backend_server& server, time_point now) {
-    const auto removed = removed_.find(server.id);
-    if (removed != removed_.end() && removed->second.started_at_ms >= server.started_at_ms) {
+    if (!is_valid(server)) {
         return false;
     }
     const auto known = known_.find(server.id);
@@ -120,10 +125,20 @@
            now - *first_response_ >= settings_.reregistration_time;
 }
 
-void registration_tracker::on_registration(const backend_server& server) {
+bool registration_tracker::is_valid(const backend_server& server) const {
+    const auto removed = removed_.find(server.id);
+    return removed == removed_.end() || removed->second.started_at_ms < server.started_at_ms;
+}
+
+bool registration_tracker::on_registration(const backend_server& server, time_point now) {
+    const bool may_be_outdated = restored_at_ && now - *restored_at_ < settings_.restoration_time;
+    if (may_be_outdated && !is_valid(server)) {
+        return false;
+    }
     known_[server.id] = server.started_at_ms;
     awaited_.erase(server.id);
     removed_.erase(server.id);
+    return true;
 }
 
 bool registration_tracker::on_deregistration(const std::string& id, time_point now) {
--- a/libs/serving/tests/test_fleet_knowledge.cpp
+++ b/libs/serving/tests/test_fleet_knowledge.cpp
@@ -27,7 +27,7 @@
     tracker.on_contact(false, at_ms(500));
     tracker.on_contact(true, at_ms(5'000));
     CHECK(tracker.on_full_list({}, at_ms(5'000)).empty());
-    tracker.on_registration(server_of("desk-2", "desk"));
+    tracker.on_registration(server_of("desk-2", "desk"), at_ms(5'100));
     CHECK(tracker.expire(at_ms(7'100)).empty());
     CHECK(tracker.expire(at_ms(7'200)) == std::vector<std::string>{"desk-1"});
     CHECK(tracker.expire(at_ms(9'000)).empty());
--- a/libs/serving/tests/test_server_notices.cpp
+++ b/libs/serving/tests/test_server_notices.cpp
@@ -145,8 +145,8 @@
     }
 }
 
-// Guards against the review's case 4: a leaving server's registration was removed and came back with
-// the store's copy, and the server was taken for a new one.
+// Guards against the review's case 4: a leaving server's registration was removed and came back
+// with the store's copy, and the server was taken for a new one.
 TEST_CASE("a server that announced its shutdown stays unused after its registration was removed") {
     dispatcher_fixture test;
     auto first = server_of("desk-1", "desk");
--- a/libs/serving/tests/test_watch_policy.cpp
+++ b/libs/serving/tests/test_watch_policy.cpp
@@ -91,7 +91,8 @@
     CHECK(tracker.awaited() == std::vector<std::string>{"desk-1"});
     CHECK(tracker.expire(at_ms(4 + 2'200)) == std::vector<std::string>{"desk-1"});
 
-    tracker.on_registration(server); // a registration in the store overrides the removal
+    tracker.on_registration(server,
+                            at_ms(2'900)); // a registration in the store overrides the removal
     CHECK(tracker.on_awaited_by_peer(server, at_ms(3'000)));
 }
 
