Soak with callers that take broken streams up again at any entry, and a store that returns from copies

The soak had no callers that continue a stream with Resumes and Last-Event-Id.

--resume-streams: callers take a broken stream up at any entry within their deadline; every second fault resets callers, kills one or all entries, or replaces all engines of one software version. The store's faults gain a return from a copy; what was lost is written again.

--- a/libs/serving/src/software_exchange.cpp
+++ b/libs/serving/src/software_exchange.cpp
@@ -24,6 +24,7 @@
 void software_exchange::set_agents(const std::vector<std::string>& agents) {
     // All gateways choose the same agents, so that those that start ask the ones that were told.
     std::vector<std::pair<std::uint64_t, std::string>> ranked;
+    ranked.reserve(agents.size());
     for (const auto& each : agents) {
         ranked.emplace_back(XXH64(each.data(), each.size(), 0), each);
     }
--- a/tests/path/child_process.cpp
+++ b/tests/path/child_process.cpp
@@ -39,10 +39,11 @@
     return bound == 0;
 }
 
-/** Starts build/bin/<program> with its output in `output_file`. */
+/** Starts build/bin/<program>, or `program` if it is a path, with its output in `output_file`. */
 pid_t spawn(const std::string& program, const std::vector<std::string>& arguments,
             const std::string& output_file, const std::string& error_file) {
-    const std::string path = std::string(CAMPHOR_BIN) + "/" + program;
+    const bool is_path = program.find('/') != std::string::npos;
+    const std::string path = is_path ? program : std::string(CAMPHOR_BIN) + "/" + program;
     std::vector<char*> words{const_cast<char*>(path.c_str())};
     for (const auto& each : arguments) {
         words.push_back(const_cast<char*>(each.c_str()));
--- a/tests/soak/fault_schedule.cpp
+++ b/tests/soak/fault_schedule.cpp
@@ -7,6 +7,13 @@
 
 namespace camphorgrade::soak {
 
+namespace {
+
+// Time from the announcement of a server's leaving, or the end of its registration, until it stops.
+constexpr duration replacement_time{4'500};
+
+} // namespace
+
 duration random_duration(random_source& random, duration shortest, duration longest) {
     const auto span = static_cast<std::uint64_t>((longest - shortest).count());
     return shortest + duration{static_cast<duration::rep>(random.below(span))};
@@ -22,6 +29,10 @@
         inject_response_fault();
         return;
     }
+    if (breaks_streams_ && random_.below(2) == 0) {
+        inject_stream_fault();
+        return;
+    }
     switch (random_.below(8)) {
     case 0:
     case 1:
@@ -143,7 +154,7 @@
 void fault_schedule::inject_store_fault() {
     auto& store = world_.store();
     const auto fault_duration = random_duration(random_, duration{300}, duration{5'000});
-    switch (random_.below(3)) {
+    switch (random_.below(4)) {
     case 0:
         log_fault("refuse calls to the store");
         store.refuses = true;
@@ -152,23 +163,47 @@
         log_fault("the store does not respond");
         store.is_silent = true;
         break;
-    default:
+    case 2:
         log_fault("the store discards its history");
         store.forget_history();
         return;
+    default:
+        return_from_copy();
+        return;
     }
-    for (auto& each : world_.entries()) {
-        each.store_link->reset_connections(); // ends the watches, so no entry counts as connected
-    }
+    reset_store_links(); // ends the watches, so no entry counts as connected
     run_after(fault_duration, [this, &store] {
         store.refuses = false;
         store.is_silent = false;
-        for (auto& each : world_.entries()) {
-            each.store_link->reset_connections();
-        }
+        reset_store_links();
+    });
+}
+
+void fault_schedule::return_from_copy() {
+    log_fault("copy the store");
+    world_.store().save_copy();
+    run_after(random_duration(random_, duration{200}, duration{2'500}), [this] {
+        log_fault("the store is away");
+        world_.store().refuses = true;
+        reset_store_links();
+    });
+    run_after(random_duration(random_, duration{2'600}, duration{4'000}), [this] {
+        log_fault("the store comes back from its copy");
+        auto& store = world_.store();
+        store.restore_copy();
+        store.refuses = false;
+        reset_store_links();
+        run_after(random_duration(random_, duration{100}, duration{1'500}),
+                  [&store] { store.write_lost_again(); });
     });
 }
 
+void fault_schedule::reset_store_links() {
+    for (auto& each : world_.entries()) {
+        each.store_link->reset_connections();
+    }
+}
+
 void fault_schedule::inject_backend_fault() {
     auto& site = pick(world_.backends());
     const auto fault_duration = random_duration(random_, duration{300}, duration{3'000});
@@ -228,15 +263,55 @@
     log_fault("replace " + site.backend->id());
     world_.write_registration(site, "draining");
     const auto replaced_id = site.backend->id();
-    run_after(duration{4'500}, [this, &site, replaced_id] {
-        if (site.backend->id() != replaced_id) {
-            return; // the server crashed while it was draining
+    run_after(replacement_time,
+              [this, &site, replaced_id] { restart_replaced(site, replaced_id); });
+}
+
+void fault_schedule::restart_replaced(backend_site& site, const std::string& replaced_id) {
+    if (site.backend->id() != replaced_id) {
+        return; // the server crashed while it was draining
+    }
+    world_.remove_registration(site);
+    site.request_link->reset_connections();
+    site.backend->restart(true);
+    world_.write_registration(site, "ready");
+}
+
+void fault_schedule::replace_version() {
+    const auto version = software_version_of(pick(world_.backends()).backend->id());
+    log_fault("replace the engines of " + version);
+    for (auto& each : world_.backends()) {
+        if (each.agent && software_version_of(each.backend->id()) == version) {
+            world_.remove_registration(each);
+            run_after(replacement_time,
+                      [this, &each, id = each.backend->id()] { restart_replaced(each, id); });
         }
-        world_.remove_registration(site);
-        site.request_link->reset_connections();
-        site.backend->restart(true);
-        world_.write_registration(site, "ready");
-    });
+    }
+}
+
+void fault_schedule::inject_stream_fault() {
+    auto& entries = world_.entries();
+    auto& entry = pick(entries);
+    const auto now = clock_.now();
+    switch (random_.below(8)) {
+    case 0:
+        log_fault("kill " + entry.process->log_path());
+        entry.process->kill(now, random_duration(random_, duration{50}, duration{600}));
+        break;
+    case 1:
+        log_fault("kill all entries");
+        for (auto& each : entries) {
+            each.process->kill(now, duration{300});
+        }
+        break;
+    case 2:
+        replace_version();
+        break;
+    default:
+        log_fault("reset the callers of " + entry.process->log_path());
+        entry.caller_link->reset_connections();
+        break;
+    }
 }
 
 void fault_schedule::change_configuration() {
--- a/tests/soak/fault_schedule.h
+++ b/tests/soak/fault_schedule.h
@@ -30,6 +30,9 @@
         response_kinds_ = std::move(kinds);
     }
 
+    /** Every second fault is one that breaks the streams of callers. */
+    void break_streams() { breaks_streams_ = true; }
+
     /** Starts a random fault or configuration change; a timer on the event loop ends the fault. */
     void inject_fault();
 
@@ -47,8 +50,16 @@
     void inject_process_fault();
     void inject_link_fault();
     void inject_store_fault();
+    /** The store goes away for a moment and comes back from a copy; its writers write again. */
+    void return_from_copy();
+    void reset_store_links();
     void inject_backend_fault();
     void inject_response_fault();
+    void inject_stream_fault();
+    /** Replaces all engines of one software version; none of them says that it is leaving. */
+    void replace_version();
+    /** Restarts the server under a new id at its address. */
+    void restart_replaced(backend_site& site, const std::string& replaced_id);
     void crash(backend_site& site, duration fault_duration, bool assigns_new_id);
     void replace(backend_site& site);
     void change_configuration();
@@ -60,6 +71,7 @@
     std::vector<std::string>& fault_log_;
     time_point started_at_;
     std::vector<response_fault_kind> response_kinds_;
+    bool breaks_streams_ = false;
 };
 
 } // namespace camphorgrade::soak
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -138,6 +138,11 @@
 }
 
 void ledger::check_aggregate_limits() {
+    if (resumptions_.crossed > bounds_.max_crossed_streams) {
+        report_violation("streams go on at the software version that began them",
+                         std::to_string(resumptions_.crossed) + " of " +
+                             std::to_string(resumptions_.sent) + " didn't");
+    }
     check_retries();
     check_quota();
     for (const auto& each : crashes_.violations()) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -70,9 +70,19 @@
     abandoned  /**< The caller disconnected or timed out. */
 };
 
+/** What became of the streams that callers took up again. */
+struct resumption_counts {
+    std::size_t sent = 0;
+    std::size_t continued = 0; /**< Brought at least one event, or the end of the stream. */
+    std::size_t refused = 0;
+    std::size_t crossed = 0; /**< Continued at another software version. */
+};
+
 /** Limits that a soak test checks. */
 struct ledger_bounds {
     std::uint32_t max_attempts = 2;
+    /** Streams that may go on at another software version over their callers' requests. */
+    std::size_t max_crossed_streams = 2;
     double retry_ratio = 0.2; /**< Allowed retries for each request sent in a window. */
     double retry_slack = 50;  /**< Retries allowed in a window in addition. */
     duration retry_window{10'000};
@@ -106,6 +116,7 @@
 
     response_ledger& responses() noexcept { return responses_; }
     crash_ledger& crashes() noexcept { return crashes_; }
+    resumption_counts& resumptions() noexcept { return resumptions_; }
 
     /** Records how a request ended for its caller. */
     void on_request_end(const std::string& request, request_outcome outcome, int status,
@@ -176,6 +187,7 @@
     std::map<std::string, std::vector<token_charge>> token_charges_;     // by account
     response_ledger responses_;
     crash_ledger crashes_;
+    resumption_counts resumptions_;
     std::vector<std::string> violations_;
 };
 
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -26,6 +26,12 @@
               << " failed, " << result.complete_share_after_recovery
               << " complete after recovery, stalled " << result.longest_stall.count() << " ms"
               << std::endl;
+    if (run_options.has_resuming_callers) {
+        const auto& counts = result.resumptions;
+        std::cout << "  streams taken up again: " << counts.sent << ", continued "
+                  << counts.continued << ", refused " << counts.refused
+                  << ", at another software version " << counts.crossed << '\n';
+    }
     if (run_options.has_crashing_requests) {
         std::cout << "  " << result.crashes << '\n';
     }
@@ -72,7 +78,11 @@
         "response-faults", options::value<std::vector<std::string>>()->multitoken(),
         "also inject faults of responses, of these kinds: unframed, fragmented, cut, "
         "unframed-cut, repeated, early, wrong-ids")(
-        "callers", options::value<int>()->default_value(24), "callers, each with one connection");
+        "resume-streams", "callers take broken streams up again at any entry")(
+        "programs", options::value<std::string>()->default_value(""),
+        "folder of the programs under test, for example of an earlier version; default: this "
+        "build")("callers", options::value<int>()->default_value(24),
+                 "callers, each with one connection");
     try {
         options::variables_map values;
         options::store(options::parse_command_line(argc, argv, description), values);
@@ -85,7 +95,8 @@
         run_options.fault_duration = std::chrono::seconds(values["seconds"].as<int>());
         run_options.callers = values["callers"].as<int>();
         run_options.sizes = {values["entries"].as<int>(), values["engines"].as<int>(),
-                             values["services"].as<int>()};
+                             values["services"].as<int>(), values["programs"].as<std::string>()};
+        run_options.has_resuming_callers = values.count("resume-streams") != 0;
         run_options.has_crashing_requests = values.count("crashing-requests") != 0;
         if (values.count("response-faults") != 0) {
             run_options.response_faults =
--- a/tests/soak/response_ledger.cpp
+++ b/tests/soak/response_ledger.cpp
@@ -28,6 +28,16 @@
     return begin == end ? std::string_view{} : seal.substr(begin + 1, end - begin - 1);
 }
 
+/** In which way an event is not the next one after event `last`. */
+std::string kind_of_fault(std::string_view event, const std::string& seal, int last) {
+    for (int number = 1; number <= stream_event_count; ++number) {
+        if (event == stream_event(seal, number)) {
+            return number <= last ? "twice" : number == last + 1 ? "foreign" : "missing";
+        }
+    }
+    return "joined";
+}
+
 std::string shortened(std::string_view text) {
     constexpr std::size_t shown_bytes = 120;
     std::string out;
@@ -105,44 +115,60 @@
     return std::nullopt;
 }
 
-std::optional<std::string> response_ledger::check_stream(const std::string& request,
-                                                         const std::string& body,
-                                                         bool is_complete) const {
-    std::string_view rest = body;
-    std::string last_event;
-    std::string version;
-    int last_number = 0;
+stream_check response_ledger::check_events(const std::string& request, std::string_view& rest,
+                                           const stream_progress& begun) const {
+    stream_check out{std::nullopt, false, begun};
+    auto& progress = out.progress;
+    bool is_first = true;
     while (rest.find(event_end) != std::string_view::npos) {
         const auto event = rest.substr(0, rest.find(event_end) + event_end.size());
         const auto seal = seal_of(event);
-        int number = last_number + 1;
+        int number = progress.last_event + 1;
         while (number < stream_event_count && is_omitted(request, number) &&
                event != stream_event(seal, number)) {
             ++number;
         }
         if (!is_response_of(request, seal) || event != stream_event(seal, number)) {
-            return "after event " + std::to_string(last_number) + ": " + shortened(event);
+            out.fault = "after event " + std::to_string(progress.last_event) + " (" +
+                        kind_of_fault(event, seal, progress.last_event) + "): " + shortened(event);
+            return out;
         }
-        const auto event_version = software_version_of(server_of(seal));
-        if (!version.empty() && event_version != version) {
-            return "another software version after event " + std::to_string(last_number);
+        const auto version = software_version_of(server_of(seal));
+        const bool is_other = !progress.version.empty() && version != progress.version;
+        if (is_other && (!is_first || begun.version.empty())) {
+            out.fault =
+                "another software version after event " + std::to_string(progress.last_event);
+            return out;
         }
-        version = event_version;
-        last_number = number;
-        last_event = event;
+        out.crosses_versions = out.crosses_versions || is_other;
+        is_first = false;
+        progress = {number, version};
         rest.remove_prefix(event.size());
     }
+    return out;
+}
+
+stream_check response_ledger::check_stream(const std::string& request, const std::string& body,
+                                           bool is_complete, const stream_progress& begun) const {
+    std::string_view rest = body;
+    auto out = check_events(request, rest, begun);
+    if (out.fault) {
+        return out;
+    }
+    const auto last_number = out.progress.last_event;
     if (!is_complete) {
-        return rest.empty() || begins_any_event(request, rest, last_number)
-                   ? std::nullopt
-                   : std::optional("ends with " + shortened(rest));
+        if (!rest.empty() && !begins_any_event(request, rest, last_number)) {
+            out.fault = "ends with " + shortened(rest);
+        }
+        return out;
     }
-    const bool may_end = last_number == stream_event_count || ends_any_run(request, last_event);
+    const auto events = std::string_view(body).substr(0, body.size() - rest.size());
+    const bool may_end = last_number == stream_event_count || ends_any_run(request, events);
     if (!rest.empty() || !may_end) {
-        return "looks complete after event " + std::to_string(last_number) + ", rest " +
-               shortened(rest);
+        out.fault = "looks complete after event " + std::to_string(last_number) +
+                    " (ended short), rest " + shortened(rest);
     }
-    return std::nullopt;
+    return out;
 }
 
 bool response_ledger::is_omitted(const std::string& request, int number) const {
@@ -153,13 +179,18 @@
            });
 }
 
-bool response_ledger::ends_any_run(const std::string& request, const std::string& event) const {
+bool response_ledger::ends_any_run(const std::string& request, std::string_view events) const {
     const auto found = requests_.find(request);
-    return found != requests_.end() && !event.empty() &&
-           std::any_of(found->second.begin(), found->second.end(), [&](const std::string& seal) {
-               const auto& run = runs_.at(seal);
-               return run.end == response_end::closed_early && run.body.ends_with(event);
-           });
+    if (found == requests_.end() || events.empty()) {
+        return false;
+    }
+    const auto before = events.substr(0, events.size() - event_end.size()).rfind(event_end);
+    const auto last =
+        before == std::string_view::npos ? events : events.substr(before + event_end.size());
+    return std::any_of(found->second.begin(), found->second.end(), [&](const std::string& seal) {
+        const auto& run = runs_.at(seal);
+        return run.end == response_end::closed_early && run.body.ends_with(last);
+    });
 }
 
 bool response_ledger::begins_any_event(const std::string& request, std::string_view text,
--- a/tests/soak/response_ledger.h
+++ b/tests/soak/response_ledger.h
@@ -24,6 +24,23 @@
     std::set<int> omitted_events;
 };
 
+/** How far a caller has got in a stream, over all requests with which it has read it. A value
+    type. */
+struct stream_progress {
+    int last_event = 0;  /**< Number of the last whole event; 0: none. */
+    std::string version; /**< Software version of the servers; empty: no event yet. */
+
+    friend bool operator==(const stream_progress&, const stream_progress&) = default;
+};
+
+/** What is wrong with a response, or that its first event is of another software version than those
+    that its caller got with earlier requests. */
+struct stream_check {
+    std::optional<std::string> fault;
+    bool crosses_versions = false;
+    stream_progress progress; /**< Including this response. */
+};
+
 /** Software version of a server with this id: one of two, which changes with the server's number
     and with each of its processes that has an id of its own. */
 std::string software_version_of(std::string_view server_id);
@@ -58,13 +75,17 @@
     std::optional<std::string> check_plain(const std::string& request, const std::string& seal,
                                            const std::string& body, bool is_complete) const;
 
-    /** Returns what is wrong with the events that a caller of `request` got. */
-    std::optional<std::string> check_stream(const std::string& request, const std::string& body,
-                                            bool is_complete) const;
+    /** Checks the events that a caller of `request` got, which goes on after `begun`. */
+    stream_check check_stream(const std::string& request, const std::string& body, bool is_complete,
+                              const stream_progress& begun) const;
 
 private:
+    /** Checks the whole events at the front of `rest`, and removes them from it. */
+    stream_check check_events(const std::string& request, std::string_view& rest,
+                              const stream_progress& begun) const;
     bool is_omitted(const std::string& request, int number) const;
-    bool ends_any_run(const std::string& request, const std::string& event) const;
+    /** Whether a run that ended without framing wrote the last of these events as its last. */
+    bool ends_any_run(const std::string& request, std::string_view events) const;
     bool begins_any_event(const std::string& request, std::string_view text, int number) const;
 
     std::map<std::string, run_response> runs_;              // by seal
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -19,6 +19,9 @@
 constexpr duration config_propagation_bound{2'000};
 constexpr duration max_pause{80};
 constexpr int requests_per_connection = 12;
+constexpr int max_resumptions = 3;
+constexpr duration min_resumption_time{300}; // a shorter rest of the deadline is given up
+constexpr duration refusal_pause{300};
 constexpr std::uint64_t plan_tokens = 9'190;
 constexpr std::uint64_t answer_tokens = 826;
 constexpr double abandoned_share = 0.05;
@@ -102,17 +105,15 @@
     });
 }
 
-const caller_key& soak_caller::pick_key() {
-    return context_.keys[random_.below(context_.keys.size())];
-}
-
 sent_request soak_caller::next_request(const caller_key& key) {
     constexpr std::array classes{request_class::plan, request_class::answer, request_class::booking,
                                  request_class::report};
     sent_request out;
     out.number = ++sent_count_;
     out.id = name_ + '-' + std::to_string(out.number);
-    out.kind = classes[random_.below(classes.size())];
+    out.kind = context_.resumes_streams && random_.below(2) == 0
+                   ? request_class::answer
+                   : classes[random_.below(classes.size())];
     const bool is_read = out.kind == request_class::report;
     out.method = is_read ? "GET" : "POST";
     out.target = route_path(out.kind) + out.id + "?part=" + std::to_string(random_.below(100));
@@ -165,13 +166,40 @@
         connect();
         return;
     }
-    const auto& key = pick_key();
+    if (broken_) {
+        resume_stream();
+        return;
+    }
+    key_number_ = random_.below(context_.keys.size());
+    const auto& key = context_.keys[key_number_];
     request_ = next_request(key);
+    adapter_ = "a" + std::to_string(
+                         random_.below(static_cast<std::uint64_t>(std::max(context_.adapters, 1))));
+    progress_ = {};
+    is_resumption_ = false;
+    message_ = make_message(request_, key, adapter_);
+    send_message();
+}
+
+void soak_caller::resume_stream() {
+    const auto& key = context_.keys[key_number_];
+    request_.number = ++sent_count_;
+    request_.id = name_ + '-' + std::to_string(request_.number);
+    request_.gateway = gateway_;
+    request_.sent = clock_.now();
+    request_.deadline = broken_->give_up_at - request_.sent;
+    request_.key = key_state_at(key, request_.sent);
+    progress_ = broken_->progress;
+    is_resumption_ = true;
+    ++ledger_.resumptions().sent;
+    message_ = make_message(request_, key, adapter_);
+    message_.set("Resumes", broken_->first_request);
+    message_.set("Last-Event-Id", std::to_string(progress_.last_event));
+    send_message();
+}
+
+void soak_caller::send_message() {
     ledger_.on_sent(request_);
-    const auto adapter =
-        "a" +
-        std::to_string(random_.below(static_cast<std::uint64_t>(std::max(context_.adapters, 1))));
-    message_ = make_message(request_, key, adapter);
     parser_.emplace();
     const bool is_abandoned = random_.unit() < abandoned_share;
     stream_.expires_after(is_abandoned ? duration{static_cast<duration::rep>(random_.below(150))}
@@ -228,7 +256,7 @@
     const auto fault = !responses.is_response_of(request_.id, seal)
                            ? std::optional("no run made the seal " + seal)
                        : is_stream(request_.kind)
-                           ? responses.check_stream(request_.id, response.body(), is_complete)
+                           ? check_stream(response.body(), is_complete)
                            : responses.check_plain(request_.id, seal, response.body(), is_complete);
     if (fault) {
         ledger_.report_violation(
@@ -238,6 +266,13 @@
     }
 }
 
+std::optional<std::string> soak_caller::check_stream(const std::string& body, bool is_complete) {
+    const auto check = ledger_.responses().check_stream(request_.id, body, is_complete, progress_);
+    ledger_.resumptions().crossed += check.crosses_versions ? 1 : 0;
+    progress_ = check.progress;
+    return check.fault;
+}
+
 void soak_caller::on_connection_end(const error_code& error, request_outcome outcome, int status) {
     const bool has_timed_out = error == boost::beast::error::timeout;
     on_request_end({has_timed_out ? request_outcome::abandoned : outcome, status, false});
@@ -260,8 +295,42 @@
     return {request_outcome::complete, status, keeps_open};
 }
 
+void soak_caller::record_resumption(const result& end) {
+    auto& counts = ledger_.resumptions();
+    const bool has_new_event = progress_.last_event > broken_->progress.last_event;
+    counts.continued += has_new_event || end.outcome == request_outcome::complete ? 1 : 0;
+    counts.refused += end.outcome == request_outcome::refused ? 1 : 0;
+}
+
+std::optional<duration> soak_caller::prepare_resumption(const result& end) {
+    const auto now = clock_.now();
+    if (is_resumption_) {
+        record_resumption(end);
+        broken_->progress = progress_;
+        --broken_->remaining_tries;
+    } else {
+        broken_ = resumable_stream{request_.id, progress_, request_.sent + request_.deadline,
+                                   max_resumptions};
+    }
+    const bool has_failed =
+        end.outcome != request_outcome::complete && end.outcome != request_outcome::abandoned;
+    const bool may_resume = context_.resumes_streams && has_failed &&
+                            request_.kind == request_class::answer &&
+                            broken_->progress.last_event > 0 && broken_->remaining_tries > 0 &&
+                            broken_->give_up_at - now > min_resumption_time;
+    if (!may_resume) {
+        broken_.reset();
+        return std::nullopt;
+    }
+    return end.outcome == request_outcome::refused ? refusal_pause : duration::zero();
+}
+
 void soak_caller::on_request_end(const result& end) {
     record_outcome(end);
+    if (const auto delay = prepare_resumption(end)) {
+        schedule(*delay, &soak_caller::connect);
+        return;
+    }
     const auto pause = duration{
         static_cast<duration::rep>(random_.below(static_cast<std::uint64_t>(max_pause.count())))};
     schedule(pause, end.keeps_open ? &soak_caller::send_request : &soak_caller::connect);
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -34,10 +34,11 @@
     /** Time since the last fault of a gateway or of its links to callers and to the store. */
     std::function<duration(std::size_t gateway)> fault_free_time;
     std::vector<caller_key> keys;
-    double crashing_share = 0;  /**< Share of the streams whose prompt crashes servers. */
-    double long_body_share = 0; /**< Share of the requests with a body that have a long one. */
-    int adapters = 8;           /**< Number of adapters that callers select from. */
-    bool is_stopping = false;   /**< Callers send no further requests. */
+    double crashing_share = 0;    /**< Share of the streams whose prompt crashes servers. */
+    double long_body_share = 0;   /**< Share of the requests with a body that have a long one. */
+    int adapters = 8;             /**< Number of adapters that callers select from. */
+    bool resumes_streams = false; /**< Callers take broken streams up again. */
+    bool is_stopping = false;     /**< Callers send no further requests. */
 };
 
 /** Requests that were open at and after their route's timeout, on a path without faults. */
@@ -70,8 +71,23 @@
         bool keeps_open = false;
     };
 
+    /** A stream that broke and that the caller takes up again. */
+    struct resumable_stream {
+        std::string first_request; /**< Id of the request that brought its first event. */
+        stream_progress progress;
+        time_point give_up_at;
+        int remaining_tries = 0;
+    };
+
+    /** Sends the request that takes up `broken_`. */
+    void resume_stream();
+    /** Takes note of the stream if it is to be taken up again; returns the time until then. */
+    std::optional<duration> prepare_resumption(const result& end);
+    void record_resumption(const result& end);
     void connect();
     void send_request();
+    /** Sends `message_` and reads its response. */
+    void send_message();
     void on_sent(const error_code& error);
     void on_head(const error_code& error);
     void on_response(const error_code& error);
@@ -83,10 +99,11 @@
     result check_response();
     void check_identity();
     void check_body(bool is_complete);
+    /** Checks the events of a stream; returns what is wrong with them. */
+    std::optional<std::string> check_stream(const std::string& body, bool is_complete);
     void schedule(duration delay, void (soak_caller::*next)());
     sent_request next_request(const caller_key& key);
     prompt next_prompt();
-    const caller_key& pick_key();
     void record_outcome(const result& end);
     key_state key_state_at(const caller_key& key, time_point now) const;
     bool is_fault_free_since(time_point start) const;
@@ -103,6 +120,12 @@
     boost::beast::http::request<boost::beast::http::string_body> message_;
     std::optional<string_response_parser> parser_;
     sent_request request_;
+    std::string adapter_;
+    std::size_t key_number_ = 0;
+    stream_progress progress_; /**< Of the stream of `request_`. */
+    std::optional<resumable_stream>
+        broken_;                 /**< The stream that `request_` or the next takes up. */
+    bool is_resumption_ = false; /**< Of `request_`. */
     int remaining_requests_ = 0;
     std::size_t gateway_ = 0;
     std::uint64_t sent_count_ = 0;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -94,6 +94,7 @@
 
     void add_callers() {
         constexpr double long_body_share = 0.03;
+        world_.callers().resumes_streams = options_.has_resuming_callers;
         world_.callers().long_body_share = options_.response_faults.empty() ? 0 : long_body_share;
         for (int i = 0; i < options_.callers; ++i) {
             callers_.push_back(std::make_unique<soak_caller>(
@@ -108,6 +109,9 @@
         random_source random(options_.seed ^ 0x5eedULL);
         auto& schedule = schedule_.emplace(loop_, clock_, world_, options_.seed, faults_);
         schedule.set_response_faults(options_.response_faults);
+        if (options_.has_resuming_callers) {
+            schedule.break_streams();
+        }
         const auto end = clock_.now() + options_.fault_duration;
         schedule.crash_on_requests();
         if (options_.has_crashing_requests) {
@@ -186,6 +190,7 @@
         soak_result out;
         out.violations = ledger_.violations();
         out.faults = faults_;
+        out.resumptions = ledger_.resumptions();
         out.crashes = ledger_.crashes().summary();
         out.log_folder = world_.folder();
         out.complete = ledger_.count_ended(request_outcome::complete, {}, time_point::max());
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -16,6 +16,7 @@
     duration fault_duration{8'000}; /**< Time during which faults are injected. */
     int callers = 24;
     soak_sizes sizes;
+    bool has_resuming_callers = false; /**< Callers take broken streams up again. */
     /** Injects no other faults than requests that crash the engines. */
     bool has_crashing_requests = false;
     std::vector<response_fault_kind> response_faults; /**< Injected besides all other faults. */
@@ -26,6 +27,7 @@
     std::vector<std::string> violations;
     std::vector<std::string> faults; /**< Injected faults with their times. */
     std::string log_folder;
+    resumption_counts resumptions;
     std::string crashes; /**< Figures of requests that crash servers. */
     std::size_t complete = 0;
     std::size_t refused = 0;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -99,7 +99,8 @@
 soak_world::soak_world(boost::asio::io_context& loop, const clock& clock, std::uint64_t seed,
                        const soak_sizes& sizes, ledger& request_ledger)
     : loop_(loop), clock_(clock), random_(seed), ledger_(request_ledger),
-      folder_(create_log_folder()), network_(find_free_network()), store_(loop, clock) {
+      folder_(create_log_folder()), program_folder_(sizes.program_folder),
+      network_(find_free_network()), store_(loop, clock) {
     for (const char* account : {"north", "south"}) {
         for (int number = 1; number <= 2; ++number) {
             const auto key = std::string(account) + "-key-" + std::to_string(number);
@@ -139,6 +140,10 @@
            "bounds.budget_slack=50\nbounds.budget_window_s=10\n";
 }
 
+std::string soak_world::program_path(const std::string& name) const {
+    return program_folder_.empty() ? name : program_folder_ + '/' + name;
+}
+
 void soak_world::add_entry(int number) {
     const auto vm_ip = ip(entry_vm, number);
     const auto store_ip = ip(store_link_address, number);
@@ -155,7 +160,7 @@
         "\nlisten.control=" + host_port(vm_ip, control_port) +
         "\nplatform.address=" + host_port(store_ip, store_port) + '\n' + common_settings();
     site.process = std::make_unique<soak_process>(
-        program_spec{"camphor-entry", name, settings, folder_}, ledger_);
+        program_spec{program_path("camphor-entry"), name, settings, folder_}, ledger_);
     entries_.push_back(std::move(site));
     callers_.gateways.push_back(caller_endpoint);
 }
@@ -181,7 +186,7 @@
                               "\nplatform.address=" + host_port("127.0.0.1", store_.port()) + '\n' +
                               common_settings();
         site.agent = std::make_unique<soak_process>(
-            program_spec{"camphor-engine-agent", agent, settings, folder_}, ledger_);
+            program_spec{program_path("camphor-engine-agent"), agent, settings, folder_}, ledger_);
     }
     backends_.push_back(std::move(site));
 }
--- a/tests/soak/soak_world.h
+++ b/tests/soak/soak_world.h
@@ -22,6 +22,7 @@
     int entries = 3;
     int engines = 3;
     int services = 2;
+    std::string program_folder = {}; /**< Of the programs under test; empty: those of this build. */
 };
 
 /** An entry process with its links. */
@@ -94,12 +95,14 @@
     void add_backend(int number, bool is_engine);
     std::string ip(int kind, int number) const;
     std::string common_settings() const;
+    std::string program_path(const std::string& name) const;
 
     boost::asio::io_context& loop_;
     const clock& clock_;
     random_source random_;
     ledger& ledger_;
     std::string folder_;
+    std::string program_folder_;
     int network_ = 0;
     platform::testing::store_standin store_;
     std::vector<entry_site> entries_;
