End a run of a stream at an event whose id doesn't rise

Cause: that ids rise was asked only of a body that ends with its connection, and after a resumption, because the check was made to tell two runs apart. The users' pages promise increasing ids in each stream.

Change: an event whose id isn't above the last one's ends its run, whatever the framing. A resumable stream goes on at another server after the last event; any other ends as broken.

Tests that held the earlier behaviour: "a stream whose position isn't known isn't resumed" had falling ids among its values; they have a case of their own now, which asks for the cut and the resumption. The oracle of test_stream_property took a framed body with falling ids for whole; it now asks for rising ids within each run, and no longer calls such a body lost.

--- a/libs/entry/src/request_flow.cpp
+++ b/libs/entry/src/request_flow.cpp
@@ -211,10 +211,9 @@
         const auto& after = attempt_->resumed_after;
         return !after || (event.id && *event.id > *after);
     }
-    // Only rising ids show that the events of a body without length and chunks are of one run.
+    // The ids of a run rise; one that doesn't shows a repeated event, or one of another run.
     const auto last = position_.last_event_id();
-    const bool must_rise = attempt_->framing.ends_with_connection && event.id && last;
-    return !must_rise || *event.id > *last;
+    return !event.id || !last || *event.id > *last;
 }
 
 void request_flow::begin_response() {
--- a/libs/entry/tests/stream_oracle.h
+++ b/libs/entry/tests/stream_oracle.h
@@ -28,8 +28,7 @@
     two_runs,            /**< A request that may run once only was sent again. */
     foreign_bytes,       /**< Bytes that aren't a whole event of the present or a later run. */
     skipped_event,       /**< An event of a run is missing between or before its others. */
-    ids_not_rising,      /**< Ids don't rise where runs were joined, or within a body that ends with
-                            its connection. */
+    ids_not_rising,      /**< Ids don't rise where runs were joined, or within a run. */
     wrong_position,      /**< An attempt was asked to go on at another place. */
     incomplete_finished, /**< Finished although the last run's body or event wasn't complete. */
     false_promise,       /**< "Not run" although an attempt may have run. */
@@ -99,8 +98,7 @@
         const bool is_join = run != run_ && !ids_.empty();
         if (index != (run == run_ ? next_ : 0)) {
             found_ = violation::skipped_event;
-        } else if (is_join ? !are_rising_ || !id || !rises(id)
-                           : run == run_ && ends_with_connection(run) && !rises(id)) {
+        } else if (is_join ? !are_rising_ || !id || !rises(id) : run == run_ && !rises(id)) {
             found_ = violation::ids_not_rising;
         }
         are_rising_ = are_rising_ && id && (ids_.empty() || *id > ids_.back().id.value_or(*id));
@@ -109,10 +107,6 @@
         next_ = index + 1;
     }
 
-    bool ends_with_connection(std::size_t run) const {
-        return played_.runs[run].script.framing == body_framing::until_close;
-    }
-
     /** Whether an event of the present run may follow the last one, by their ids if both have one.
      */
     bool rises(std::optional<std::uint64_t> id) const {
@@ -191,11 +185,9 @@
     return is_made ? violation::none : violation::altered_response;
 }
 
-/** Whether nothing shows that a response is one run's: a body that ends with its connection, and
-    ids that go back. */
-inline bool has_unproven_events(const made_response& run) {
-    return run.script.framing == body_framing::until_close && run.script.ids == id_style::falling &&
-           run.events.size() > 1;
+/** Whether a run's ids go back, so that an event of it may be repeated or another run's. */
+inline bool has_falling_ids(const made_response& run) {
+    return run.script.ids == id_style::falling && run.events.size() > 1;
 }
 
 /** Whether the first attempt's response, a run's, is whole and sent by an orderly server. */
@@ -206,7 +198,7 @@
                          first.script.close == close_style::orderly;
     return is_sent && (!played.script.is_event_stream ||
                        (first.script.lines == line_end::lf && !first.script.has_open_end &&
-                        !has_unproven_events(first) && !is_empty_unframed(first)));
+                        !has_falling_ids(first) && !is_empty_unframed(first)));
 }
 
 /** The rule that the caller's response breaks. */
--- a/libs/entry/tests/test_joined_streams.cpp
+++ b/libs/entry/tests/test_joined_streams.cpp
@@ -81,10 +81,10 @@
 }
 
 TEST_CASE("a stream whose position isn't known isn't resumed") {
-    const auto events = GENERATE(
-        as<std::string>{}, "data: without an id\n\n", event(1, "a1") + "data: without an id\n\n",
-        event(2, "a2") + event(1, "a1"), "id: one\ndata: a1\n\n", "id: 1x\ndata: a1\n\n",
-        "id: 99999999999999999999999\ndata: a1\n\n");
+    const auto events =
+        GENERATE(as<std::string>{}, "data: without an id\n\n",
+                 event(1, "a1") + "data: without an id\n\n", "id: one\ndata: a1\n\n",
+                 "id: 1x\ndata: a1\n\n", "id: 99999999999999999999999\ndata: a1\n\n");
     flow_fixture context(kind::streaming, true,
                          {with_length + events + "data: cut", until_close + second_run});
     const auto response = context.run();
@@ -94,6 +94,26 @@
     CHECK(context.server.requests.size() == 1);
 }
 
+// Guards against the review's case 5: a server wrote an event twice, and its caller got it twice in
+// a response that ended as complete.
+TEST_CASE("an event whose id doesn't rise ends its run, and another server goes on") {
+    const auto repeated = GENERATE(as<std::string>{}, event(2, "a2"), event(1, "a1"));
+    const auto framing = GENERATE(as<std::string>{}, with_length, until_close);
+    const auto first = event(1, "a1") + event(2, "a2");
+    flow_fixture context(
+        kind::streaming, true,
+        {framing + first + repeated + event(3, "a3"), until_close + event(3, "b3")});
+    const auto response = context.run();
+    CHECK(response.body == first + event(3, "b3"));
+    CHECK(context.server.requests.size() == 2);
+
+    flow_fixture once(kind::streaming, false, {framing + first + repeated + event(3, "a3")});
+    const auto cut = once.run();
+    CHECK(cut.body == first);
+    CHECK(cut.is_aborted);
+    CHECK_FALSE(cut.is_finished);
+}
+
 TEST_CASE("comments and events with carriage returns are forwarded unchanged and resumed") {
     const std::string first = "id: 1\r\ndata: a1\r\n\r\n: still there\r\n\r\n";
     const std::string second = "id: 2\r\ndata: b2\r\n\r\n";
