--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -146,7 +146,7 @@
     if (now - versions_observed_at_ >= settings_.version_observation_interval) {
         observe_software(now);
     }
-    // Another gateway that is asked for a stream can't tell its version from the servers either.
+    // Until the history is known, several versions may have served, so all origins are shared.
     const bool knows_all = software_.is_known_since(now - settings_.software.memory);
     return origins_.take_messages(knows_all ? software_.mixed_services() : software_.services(),
                                   now);
