--- a/libs/serving/include/serving/stream_origins.h
+++ b/libs/serving/include/serving/stream_origins.h
@@ -83,7 +83,8 @@
  *
  * Each origin goes to a few gateways that are chosen by rendezvous hashing, and any gateway can ask
  * them for it. Origins are sent only while several versions of their service serve, or may have
- * served, since any server may continue a stream otherwise. Deterministic; performs no I/O. Not thread safe.
+ * served, since any server may continue a stream otherwise. Deterministic; performs no I/O. Not
+ * thread safe.
  */
 class stream_origins {
 public:
