Rank gateways and agents by hash in one place, and build a history of versions once per message

Cause: software_exchange ranked agents with a copy of the loop by which stream_origins chooses the holders of a stream. It also built the whole history twice for each message received, to compare one time, and once for each receiver of a message sent. Callers saw nothing of it.

Change: first_by_hash serves both; known_from() is compared; the message is built once. Behaviour is the same, no test was touched.

The soaks and the other process tests (13, and the two known red) were not run on this commit.

--- a/libs/serving/include/serving/software_versions.h
+++ b/libs/serving/include/serving/software_versions.h
@@ -78,6 +78,9 @@
     /** What this process knows, for other processes. */
     software_history history(time_point now) const;
 
+    /** Begin of the period in which all versions are known; empty if there is none. */
+    std::optional<time_point> known_from() const;
+
     /** Whether all versions that have served since `time` are known. */
     bool is_known_since(time_point time) const;
 
--- a/libs/serving/src/software_exchange.cpp
+++ b/libs/serving/src/software_exchange.cpp
@@ -1,6 +1,6 @@
 #include <serving/software_exchange.h>
 
-#include <xxhash.h>
+#include "hash_rank.h"
 
 #include <algorithm>
 #include <iterator>
@@ -22,19 +22,9 @@
 }
 
 void software_exchange::set_agents(const std::vector<std::string>& agents) {
-    // All gateways choose the same agents, so that those that start ask the ones that were told.
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    ranked.reserve(agents.size());
-    for (const auto& each : agents) {
-        ranked.emplace_back(XXH64(each.data(), each.size(), 0), each);
-    }
-    const auto kept = std::min(settings_.agents, ranked.size());
-    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(kept);
-    std::partial_sort(ranked.begin(), end, ranked.end());
     const bool had_none = agents_.empty();
-    agents_.clear();
-    std::transform(ranked.begin(), end, std::back_inserter(agents_),
-                   [](const auto& each) { return each.second; });
+    // All gateways choose the same agents, so that those that start ask the ones that were told.
+    agents_ = first_by_hash(agents, 0, settings_.agents);
     if (had_none && !agents_.empty()) {
         last_asked_ = {}; // they may be the only ones that know the history
     }
@@ -42,10 +32,10 @@
 
 void software_exchange::on_message(const std::string& from, const software_message& message,
                                    time_point now) {
-    const auto before = versions_.history(now).known;
+    const auto before = versions_.known_from();
     versions_.learn(message.history, now);
-    const auto after = versions_.history(now).known;
-    has_answer_ = has_answer_ || (after && (!before || before->from_age < after->from_age));
+    const auto after = versions_.known_from();
+    has_answer_ = has_answer_ || (after && (!before || *after < *before));
     if (message.is_query) {
         send({from}, false, now);
     }
@@ -74,8 +64,9 @@
 }
 
 void software_exchange::send(const std::vector<std::string>& to, bool is_query, time_point now) {
+    const software_message message{is_query, versions_.history(now)};
     for (const auto& each : to) {
-        messages_.push_back({each, {is_query, versions_.history(now)}});
+        messages_.push_back({each, message});
     }
 }
 
--- a/libs/serving/src/software_versions.cpp
+++ b/libs/serving/src/software_versions.cpp
@@ -80,6 +80,10 @@
     return out;
 }
 
+std::optional<time_point> software_versions::known_from() const {
+    return known_ ? std::optional(known_->from) : std::nullopt;
+}
+
 bool software_versions::is_known_since(time_point time) const {
     return known_ && known_->from <= time;
 }
--- a/libs/serving/src/stream_origins.cpp
+++ b/libs/serving/src/stream_origins.cpp
@@ -1,5 +1,7 @@
 #include <serving/stream_origins.h>
 
+#include "hash_rank.h"
+
 #include <kernel/check.h>
 
 #include <xxhash.h>
@@ -69,19 +71,10 @@
 }
 
 std::vector<std::string> stream_origins::holders(stream_key stream, std::size_t count) const {
-    std::vector<std::pair<std::uint64_t, std::string>> ranked;
-    for (const auto& each : live_) {
-        if (each != own_) {
-            ranked.emplace_back(XXH64(each.data(), each.size(), stream), each);
-        }
-    }
-    const auto kept = std::min(count, ranked.size());
-    const auto end = ranked.begin() + static_cast<std::ptrdiff_t>(kept);
-    std::partial_sort(ranked.begin(), end, ranked.end());
-    std::vector<std::string> out;
-    std::transform(ranked.begin(), end, std::back_inserter(out),
-                   [](const auto& each) { return each.second; });
-    return out;
+    std::vector<std::string> others;
+    std::copy_if(live_.begin(), live_.end(), std::back_inserter(others),
+                 [this](const std::string& each) { return each != own_; });
+    return first_by_hash(others, stream, count);
 }
 
 bool stream_origins::ask(stream_key stream) {
