Log why a request isn't sent again, failed accepts and delays of the event loop

Now retry_decided gives the decision, the count and limit that it was taken by and the number of gateways; accept_failed the error that accept_next swallowed; event_loop_delayed a timer that ran late. Counters and gauges beside them.

--- a/libs/edge/include/edge/caller_server.h
+++ b/libs/edge/include/edge/caller_server.h
@@ -38,6 +38,12 @@
 
     /** A request was rejected with `status` because of its framing, size or a timeout. */
     virtual void on_bad_request(int status) = 0;
+
+    /** A connection could not be accepted, for example because the process has no descriptor left.
+        Does nothing unless overridden. */
+    virtual void on_accept_failed(const boost::system::error_code& error) {
+        static_cast<void>(error);
+    }
 };
 
 /**
@@ -93,6 +99,9 @@
     /** Rejects (408) each request that has arrived in part only, and closes its connection. */
     void reject_incomplete_requests();
 
+    /** Number of open connections. */
+    std::size_t connections() const;
+
     /**
      * Number of connections that have received a part of a request, whose response is not complete,
      * or that wait for the caller to close after the last response.
--- a/libs/edge/src/caller_server.cpp
+++ b/libs/edge/src/caller_server.cpp
@@ -27,18 +27,21 @@
 namespace {
 
 /** Accepts connections until the acceptor is closed. */
-template <typename Acceptor, typename OnAccepted>
-void accept_next(Acceptor& acceptor, OnAccepted on_accepted) {
-    acceptor.async_accept([&acceptor, on_accepted](const boost::system::error_code& error,
-                                                   boost::asio::ip::tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted || !acceptor.is_open()) {
-            return;
-        }
-        if (!error) {
-            on_accepted(std::move(socket));
-        }
-        accept_next(acceptor, on_accepted);
-    });
+template <typename Acceptor, typename OnAccepted, typename OnFailed>
+void accept_next(Acceptor& acceptor, OnAccepted on_accepted, OnFailed on_failed) {
+    acceptor.async_accept(
+        [&acceptor, on_accepted, on_failed](const boost::system::error_code& error,
+                                            boost::asio::ip::tcp::socket socket) {
+            if (error == boost::asio::error::operation_aborted || !acceptor.is_open()) {
+                return;
+            }
+            if (error) {
+                on_failed(error);
+            } else {
+                on_accepted(std::move(socket));
+            }
+            accept_next(acceptor, on_accepted, on_failed);
+        });
 }
 
 } // namespace
@@ -49,9 +52,14 @@
     acceptor.set_option(boost::asio::socket_base::reuse_address(true));
     acceptor.bind(address);
     acceptor.listen(accept_backlog);
-    accept_next(acceptor, [shared = state_](boost::asio::ip::tcp::socket socket) {
-        std::make_shared<connection>(std::move(socket), shared)->start();
-    });
+    accept_next(
+        acceptor,
+        [shared = state_](boost::asio::ip::tcp::socket socket) {
+            std::make_shared<connection>(std::move(socket), shared)->start();
+        },
+        [shared = state_](const boost::system::error_code& error) {
+            shared->handler.on_accept_failed(error);
+        });
 }
 
 std::uint16_t caller_server::bound_port() const {
@@ -95,6 +103,10 @@
     }
 }
 
+std::size_t caller_server::connections() const {
+    return state_->connections.size();
+}
+
 std::size_t caller_server::busy_connections() const {
     const auto& all = state_->connections;
     return static_cast<std::size_t>(
--- a/libs/entry/src/gateway_effects.cpp
+++ b/libs/entry/src/gateway_effects.cpp
@@ -133,6 +133,19 @@
                    {{"origin", std::string(to_string(effect.source))}});
 }
 
+void gateway_node::execute(const serving::retry_decided& effect) {
+    log_.line("retry_decided", log_category::failure)
+        .text("request", correlation_id_of(effect.request))
+        .text("decision", to_string(effect.decision))
+        .text("service", effect.service)
+        .number("requests", static_cast<std::int64_t>(effect.usage.requests))
+        .number("retries", static_cast<std::int64_t>(effect.usage.retries))
+        .decimal("allowed_retries", effect.usage.allowed)
+        .number("gateways", static_cast<std::int64_t>(effect.usage.gateways));
+    metrics_.count("camphor_retry_decisions_total",
+                   {{"decision", std::string(to_string(effect.decision))}});
+}
+
 void gateway_node::execute(const serving::limit_changed& effect) {
     constexpr double no_limit = -1;
     log_.line("backend_server_limit")
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -16,6 +17,8 @@
 namespace {
 
 constexpr duration tick_interval{50};
+// A tick that is late by at least this much is logged.
+constexpr duration notable_loop_delay{250};
 constexpr int min_success_status = 200;
 constexpr int min_redirection_status = 300;
 
@@ -123,8 +126,19 @@
     return !shutdown_.has_begun() && fleet_.is_complete();
 }
 
+void gateway_node::record_loop_delay(duration delay) {
+    longest_loop_delay_ = std::max(longest_loop_delay_, delay);
+    if (delay >= notable_loop_delay) {
+        log_.line("event_loop_delayed", log_category::failure)
+            .number("delay_ms", delay.count())
+            .number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
+            .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    }
+}
+
 void gateway_node::tick() {
     const auto at = now();
+    record_loop_delay(tick_due_ == time_point{} ? duration::zero() : at - tick_due_);
     fleet_.expire();
     dispatcher_.tick(at);
     execute_effects();
@@ -134,6 +148,7 @@
         loop_.stop();
         return;
     }
+    tick_due_ = now() + tick_interval;
     timer_.expires_after(tick_interval);
     timer_.async_wait([this](const boost::system::error_code& error) {
         if (!error) {
@@ -178,6 +193,14 @@
     metrics_.count("camphor_malformed_requests_total", {{"status", std::to_string(status)}});
 }
 
+void gateway_node::on_accept_failed(const boost::system::error_code& error) {
+    log_.line("accept_failed", log_category::failure)
+        .text("reason", error.message())
+        .number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
+        .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    metrics_.count("camphor_failed_accepts_total");
+}
+
 void gateway_node::on_caller_disconnected(serving::request_handle request) {
     const auto found = flows_.find(request);
     if (found == flows_.end()) {
@@ -310,6 +333,10 @@
 }
 
 std::string gateway_node::metrics_text() {
+    metrics_.set("camphor_caller_connections", {},
+                 static_cast<double>(caller_server_.connections()));
+    metrics_.set("camphor_loop_delay_ms", {},
+                 static_cast<double>(std::exchange(longest_loop_delay_, {}).count()));
     metrics_.set("camphor_open_requests", {}, static_cast<double>(flows_.size()));
     metrics_.set("camphor_waiting_requests", {},
                  static_cast<double>(dispatcher_.waiting_requests()));
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -43,6 +43,7 @@
 
     void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
     void on_bad_request(int status) override;
+    void on_accept_failed(const boost::system::error_code& error) override;
 
     void on_caller_limits(const edge::caller_limits& limits) override;
     void on_fleet_changed() override;
@@ -81,6 +82,7 @@
     void execute(const serving::wait_for_backend& effect);
     void execute(const serving::limit_changed& effect);
     void execute(const serving::stream_resumption& effect);
+    void execute(const serving::retry_decided& effect);
     void log_permit_wait(const serving::wait_for_backend& effect,
                          const std::string& correlation_id);
     /** The id that the caller gave the request; empty if the request is unknown. */
@@ -91,6 +93,8 @@
     /** Ends what buffers most until the process keeps within its budget. */
     void enforce_buffer_budget();
     void tick();
+    /** `delay` is how late the event loop ran a timer. */
+    void record_loop_delay(duration delay);
     void listen_for_metrics();
     void on_signal(int signal);
     void begin_shutdown();
@@ -114,6 +118,8 @@
     gateway_peers peers_;
     std::unique_ptr<fleet_source> source_;
     boost::asio::steady_timer timer_;
+    time_point tick_due_;
+    duration longest_loop_delay_{}; /**< Since the metrics were last read. */
     boost::asio::signal_set signals_;
     graceful_shutdown shutdown_;
 };
--- a/libs/serving/include/serving/dispatch_effects.h
+++ b/libs/serving/include/serving/dispatch_effects.h
@@ -2,6 +2,7 @@
 
 #include <kernel/clock.h>
 #include <serving/backend_server.h>
+#include <serving/retry_limiter.h>
 #include <serving/server_limits.h>
 #include <serving/software_versions.h>
 
@@ -122,8 +123,32 @@
     friend bool operator==(const stream_resumption&, const stream_resumption&) = default;
 };
 
-using dispatch_effect =
-    std::variant<end_request, send_attempt, wait_for_backend, limit_changed, stream_resumption>;
+/** Whether a request is sent again after a failed attempt, and otherwise why not. */
+enum class retry_decision : std::uint8_t {
+    allowed,
+    over_limit,       /**< The gateways have sent as many retries as the limit allows. */
+    may_have_run,     /**< The request isn't idempotent, or its response can't be continued. */
+    no_attempts_left, /**< Its route allows no further attempt, or too many were refused. */
+    deadline_passed,
+    quarantined /**< It crashed several backend servers. */
+};
+
+/** Returns the name of a decision as written to logs and metrics. */
+std::string_view to_string(retry_decision decision) noexcept;
+
+/** Effect: it was decided whether a request is sent again. Informational: needs no action. A value
+    type. */
+struct retry_decided {
+    request_handle request = 0;
+    retry_decision decision = retry_decision::allowed;
+    std::string service;
+    retry_usage usage; /**< What the limit was, and what was used of it, after the decision. */
+
+    friend bool operator==(const retry_decided&, const retry_decided&) = default;
+};
+
+using dispatch_effect = std::variant<end_request, send_attempt, wait_for_backend, limit_changed,
+                                     stream_resumption, retry_decided>;
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -373,6 +373,8 @@
     duration estimate_first_byte(const request& entry, const backend_view& view,
                                  time_point now) const;
     void retry_or_end(request_handle id, request& entry, attempt_outcome outcome, time_point now);
+    /** Whether the request may be sent again; counts the retry if it may. */
+    retry_decision decide_retry(const request& entry, time_point now);
     duration caller_timeout(const request& entry) const;
     duration with_jitter(duration delay);
     /** A random duration that is not shorter than `delay`; may exceed max_retry_after. */
--- a/libs/serving/include/serving/retry_limiter.h
+++ b/libs/serving/include/serving/retry_limiter.h
@@ -20,6 +20,16 @@
     friend bool operator==(const retry_limiter_settings&, const retry_limiter_settings&) = default;
 };
 
+/** The limit on the retries of a service at one gateway, and what is used of it. A value type. */
+struct retry_usage {
+    std::size_t requests = 0; /**< Requests in the window. */
+    std::size_t retries = 0;  /**< Retries in the window. */
+    double allowed = 0;       /**< Retries that these requests allow. */
+    std::size_t gateways = 1; /**< Gateways that share the additional retries. */
+
+    friend bool operator==(const retry_usage&, const retry_usage&) = default;
+};
+
 /**
  * Limits per service how often requests are sent to another backend server.
  *
@@ -38,6 +48,9 @@
         Precondition: gateway_count > 0. */
     bool try_retry(const std::string& service, std::size_t gateway_count, time_point now);
 
+    /** The limit now and what is used of it. Precondition: gateway_count > 0. */
+    retry_usage usage(const std::string& service, std::size_t gateway_count, time_point now);
+
 private:
     struct counts {
         std::deque<time_point> requests;
--- a/libs/serving/src/dispatch_names.cpp
+++ b/libs/serving/src/dispatch_names.cpp
@@ -66,6 +66,24 @@
     return "unknown";
 }
 
+std::string_view to_string(retry_decision decision) noexcept {
+    switch (decision) {
+    case retry_decision::allowed:
+        return "allowed";
+    case retry_decision::over_limit:
+        return "over_limit";
+    case retry_decision::may_have_run:
+        return "may_have_run";
+    case retry_decision::no_attempts_left:
+        return "no_attempts_left";
+    case retry_decision::deadline_passed:
+        return "deadline_passed";
+    case retry_decision::quarantined:
+        return "quarantined";
+    }
+    return "unknown";
+}
+
 bool has_not_run(end_reason reason) noexcept {
     return reason != end_reason::timed_out_sent && reason != end_reason::invalid_response;
 }
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -240,36 +240,6 @@
     }
 }
 
-void dispatcher::retry_or_end(request_handle id, request& entry, attempt_outcome outcome,
-                              time_point now) {
-    const bool has_run = outcome == attempt_outcome::invalid_response ||
-                         outcome == attempt_outcome::error_response ||
-                         outcome == attempt_outcome::unproven_response;
-    entry.may_have_run = entry.may_have_run || has_run;
-    entry.refusals += has_run ? 0 : 1;
-    entry.attempts -= has_run || entry.attempts == 0 ? 0 : 1;
-    const auto reason = has_run ? end_reason::invalid_response : end_reason::refused;
-    entry.excluded.insert(entry.backend_id);
-    if (is_held(entry, now)) {
-        end(id, entry, has_run ? end_reason::invalid_response : end_reason::quarantined,
-            parts_.retry_after(entry.metadata.prompt_parts, now)
-                .value_or(settings_.max_retry_after));
-        return;
-    }
-    const bool may_run_again =
-        !entry.is_retry_forbidden && (!entry.may_have_run || entry.found_route->is_retryable());
-    const bool has_attempts_left =
-        entry.attempts < std::max<std::uint32_t>(entry.found_route->max_attempts, 1) &&
-        entry.refusals <= settings_.max_refusals;
-    if (!may_run_again || !has_attempts_left || now >= entry.deadline ||
-        crashes_.is_quarantined(entry.fingerprint, now) ||
-        !retries_.try_retry(entry.service, limiter_.gateway_count(), now)) {
-        end(id, entry, reason, with_jitter(settings_.placement_retry_interval));
-        return;
-    }
-    place(id, entry, now);
-}
-
 void dispatcher::release(request_handle id, time_point now) {
     const auto found = requests_.find(id);
     if (found == requests_.end()) {
--- a/libs/serving/src/retry_limiter.cpp
+++ b/libs/serving/src/retry_limiter.cpp
@@ -20,18 +20,25 @@
     by_service_[service].requests.push_back(now);
 }
 
-bool retry_limiter::try_retry(const std::string& service, std::size_t gateway_count,
-                              time_point now) {
+retry_usage retry_limiter::usage(const std::string& service, std::size_t gateway_count,
+                                 time_point now) {
     CAMPHOR_PRECONDITION(gateway_count > 0);
     auto& service_counts = by_service_[service];
     expire(service_counts, now);
-    const double allowed = settings_.usable_share *
-                           (settings_.ratio * static_cast<double>(service_counts.requests.size()) +
-                            settings_.base_retries / static_cast<double>(gateway_count));
-    if (static_cast<double>(service_counts.retries.size()) + 1 > allowed) {
+    const auto requests = service_counts.requests.size();
+    const double allowed =
+        settings_.usable_share * (settings_.ratio * static_cast<double>(requests) +
+                                  settings_.base_retries / static_cast<double>(gateway_count));
+    return {requests, service_counts.retries.size(), allowed, gateway_count};
+}
+
+bool retry_limiter::try_retry(const std::string& service, std::size_t gateway_count,
+                              time_point now) {
+    const auto used = usage(service, gateway_count, now);
+    if (static_cast<double>(used.retries) + 1 > used.allowed) {
         return false;
     }
-    service_counts.retries.push_back(now);
+    by_service_[service].retries.push_back(now);
     return true;
 }
 
