--- a/libs/entry/src/gateway_effects.cpp
+++ b/libs/entry/src/gateway_effects.cpp
@@ -8,6 +8,7 @@
 namespace camphorgrade::entry {
 
 void gateway_node::execute_effects() {
+    log_retry_decisions();
     for (auto effects = dispatcher_.take_effects(); !effects.empty();
          effects = dispatcher_.take_effects()) {
         peers_.demand_changed();
@@ -27,6 +28,21 @@
     }
 }
 
+void gateway_node::log_retry_decisions() {
+    for (const auto& each : dispatcher_.take_retry_decisions()) {
+        log_.line("retry_decided", log_category::failure)
+            .text("request", correlation_id_of(each.request))
+            .text("decision", to_string(each.decision))
+            .text("service", each.service)
+            .number("requests", static_cast<std::int64_t>(each.usage.requests))
+            .number("retries", static_cast<std::int64_t>(each.usage.retries))
+            .decimal("allowed_retries", each.usage.allowed)
+            .number("gateways", static_cast<std::int64_t>(each.usage.gateways));
+        metrics_.count("camphor_retry_decisions_total",
+                       {{"decision", std::string(to_string(each.decision))}});
+    }
+}
+
 void gateway_node::execute(const serving::end_request& effect) {
     const auto found = flows_.find(effect.request);
     if (found == flows_.end()) {
@@ -133,19 +149,6 @@
                    {{"origin", std::string(to_string(effect.source))}});
 }
 
-void gateway_node::execute(const serving::retry_decided& effect) {
-    log_.line("retry_decided", log_category::failure)
-        .text("request", correlation_id_of(effect.request))
-        .text("decision", to_string(effect.decision))
-        .text("service", effect.service)
-        .number("requests", static_cast<std::int64_t>(effect.usage.requests))
-        .number("retries", static_cast<std::int64_t>(effect.usage.retries))
-        .decimal("allowed_retries", effect.usage.allowed)
-        .number("gateways", static_cast<std::int64_t>(effect.usage.gateways));
-    metrics_.count("camphor_retry_decisions_total",
-                   {{"decision", std::string(to_string(effect.decision))}});
-}
-
 void gateway_node::execute(const serving::limit_changed& effect) {
     constexpr double no_limit = -1;
     log_.line("backend_server_limit")
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -76,13 +76,13 @@
 
     void execute_effects();
     void log_part_changes();
+    void log_retry_decisions();
     void execute(const serving::end_request& effect);
     void log_end(const serving::end_request& effect, const std::string& correlation_id);
     void execute(const serving::send_attempt& effect);
     void execute(const serving::wait_for_backend& effect);
     void execute(const serving::limit_changed& effect);
     void execute(const serving::stream_resumption& effect);
-    void execute(const serving::retry_decided& effect);
     void log_permit_wait(const serving::wait_for_backend& effect,
                          const std::string& correlation_id);
     /** The id that the caller gave the request; empty if the request is unknown. */
--- a/libs/serving/include/serving/dispatch_effects.h
+++ b/libs/serving/include/serving/dispatch_effects.h
@@ -136,8 +136,7 @@
 /** Returns the name of a decision as written to logs and metrics. */
 std::string_view to_string(retry_decision decision) noexcept;
 
-/** Effect: it was decided whether a request is sent again. Informational: needs no action. A value
-    type. */
+/** It was decided whether a request is sent again. A value type. */
 struct retry_decided {
     request_handle request = 0;
     retry_decision decision = retry_decision::allowed;
@@ -147,8 +146,8 @@
     friend bool operator==(const retry_decided&, const retry_decided&) = default;
 };
 
-using dispatch_effect = std::variant<end_request, send_attempt, wait_for_backend, limit_changed,
-                                     stream_resumption, retry_decided>;
+using dispatch_effect =
+    std::variant<end_request, send_attempt, wait_for_backend, limit_changed, stream_resumption>;
 
 /** Result of one attempt. */
 enum class attempt_outcome : std::uint8_t {
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -226,6 +226,9 @@
     /** Returns the pending effects in order and clears them. */
     std::vector<dispatch_effect> take_effects();
 
+    /** Returns the decisions on retries since the last call, in order, and clears them. */
+    std::vector<retry_decided> take_retry_decisions();
+
     /** Unfinished requests for adapters and base models, by backend server id. */
     std::map<std::string, std::vector<open_demand>> open_demand_by_backend(time_point now) const;
 
@@ -406,6 +409,7 @@
     std::optional<time_point> answer_by_; /**< Latest deadline of every request. */
     std::map<request_handle, request> requests_;
     std::vector<dispatch_effect> effects_;
+    std::vector<retry_decided> retry_decisions_;
     request_handle next_handle_ = 1;
 };
 
--- a/libs/serving/src/dispatch_retries.cpp
+++ b/libs/serving/src/dispatch_retries.cpp
@@ -1,6 +1,7 @@
 #include <serving/dispatcher.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorgrade::serving {
 
@@ -21,8 +22,8 @@
         return;
     }
     const auto decision = decide_retry(entry, now);
-    effects_.emplace_back(retry_decided{
-        id, decision, entry.service, retries_.usage(entry.service, limiter_.gateway_count(), now)});
+    retry_decisions_.push_back({id, decision, entry.service,
+                                retries_.usage(entry.service, limiter_.gateway_count(), now)});
     if (decision == retry_decision::allowed) {
         place(id, entry, now);
     } else {
@@ -53,4 +54,8 @@
                : retry_decision::over_limit;
 }
 
+std::vector<retry_decided> dispatcher::take_retry_decisions() {
+    return std::exchange(retry_decisions_, {});
+}
+
 } // namespace camphorgrade::serving
