Gateways that hear few others don't each take the whole fleet's retries

Cause: retry_limiter divided the additional retries by the gateways whose reports had come in 20 s.

Now the share is that of all gateways known in the last minute (seeds, advertised and heard), and a gateway that doesn't hear most of them has none: then only the ratio to its own requests counts.

--- a/libs/entry/src/gateway_effects.cpp
+++ b/libs/entry/src/gateway_effects.cpp
@@ -37,7 +37,8 @@
             .number("requests", static_cast<std::int64_t>(each.usage.requests))
             .number("retries", static_cast<std::int64_t>(each.usage.retries))
             .decimal("allowed_retries", each.usage.allowed)
-            .number("gateways", static_cast<std::int64_t>(each.usage.gateways));
+            .number("known_gateways", static_cast<std::int64_t>(each.usage.known_gateways))
+            .number("live_gateways", static_cast<std::int64_t>(each.usage.live_gateways));
         metrics_.count("camphor_retry_decisions_total",
                        {{"decision", std::string(to_string(each.decision))}});
     }
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -309,7 +309,8 @@
     if (granters_updated_at_ == time_point{} ||
         now - granters_updated_at_ >= settings_.granter_update_interval) {
         granters_updated_at_ = now;
-        dispatcher_.set_gateways(transport_.own_address(), transport_.live_granters(), now);
+        dispatcher_.set_gateways(transport_.own_address(), transport_.live_granters(),
+                                 transport_.peers(), now);
         update_software_peers();
     }
 }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -185,9 +185,10 @@
         return limits_.next_reports(is_complete, now);
     }
 
-    /** Sets this gateway's address and the live gateways that share request limits and trials of
-        parts, itself included. */
-    void set_gateways(const std::string& own, const std::vector<std::string>& live, time_point now);
+    /** Sets this gateway's address, the live gateways that share request limits, retries and trials
+        of parts, itself included, and all other gateways that are known, live or not. */
+    void set_gateways(const std::string& own, const std::vector<std::string>& live,
+                      const std::vector<std::string>& others, time_point now);
 
     /** Applies what a peer knows of parts that crash servers; ends requests with newly held
         parts. */
--- a/libs/serving/src/dispatch_parts.cpp
+++ b/libs/serving/src/dispatch_parts.cpp
@@ -48,7 +48,8 @@
 }
 
 void dispatcher::set_gateways(const std::string& own, const std::vector<std::string>& live,
-                              time_point now) {
+                              const std::vector<std::string>& others, time_point now) {
+    retries_.set_gateways(live, others, now);
     permits_.set_gateways(own, live, now);
     origins_.set_gateways(own, live);
     std::set<std::string> gateways(live.begin(), live.end());
--- a/libs/serving/src/dispatch_retries.cpp
+++ b/libs/serving/src/dispatch_retries.cpp
@@ -22,8 +22,7 @@
         return;
     }
     const auto decision = decide_retry(entry, now);
-    retry_decisions_.push_back({id, decision, entry.service,
-                                retries_.usage(entry.service, limiter_.gateway_count(), now)});
+    retry_decisions_.push_back({id, decision, entry.service, retries_.usage(entry.service, now)});
     if (decision == retry_decision::allowed) {
         place(id, entry, now);
     } else {
@@ -49,9 +48,8 @@
     if (crashes_.is_quarantined(entry.fingerprint, now)) {
         return retry_decision::quarantined;
     }
-    return retries_.try_retry(entry.service, limiter_.gateway_count(), now)
-               ? retry_decision::allowed
-               : retry_decision::over_limit;
+    return retries_.try_retry(entry.service, now) ? retry_decision::allowed
+                                                  : retry_decision::over_limit;
 }
 
 std::vector<retry_decided> dispatcher::take_retry_decisions() {
--- a/libs/serving/src/retry_limiter.cpp
+++ b/libs/serving/src/retry_limiter.cpp
@@ -1,6 +1,6 @@
 #include <serving/retry_limiter.h>
 
-#include <kernel/check.h>
+#include <algorithm>
 
 namespace camphorgrade::serving {
 
@@ -20,21 +20,39 @@
     by_service_[service].requests.push_back(now);
 }
 
-retry_usage retry_limiter::usage(const std::string& service, std::size_t gateway_count,
-                                 time_point now) {
-    CAMPHOR_PRECONDITION(gateway_count > 0);
+void retry_limiter::set_gateways(const std::vector<std::string>& live,
+                                 const std::vector<std::string>& others, time_point now) {
+    live_gateways_ = live.size();
+    for (const auto* group : {&live, &others}) {
+        for (const auto& each : *group) {
+            gateways_known_at_[each] = now;
+        }
+    }
+    std::erase_if(gateways_known_at_,
+                  [&](const auto& each) { return now - each.second >= settings_.gateway_memory; });
+}
+
+double retry_limiter::additional_share() const {
+    if (gateways_known_at_.empty()) {
+        return settings_.base_retries;
+    }
+    const auto known = gateways_known_at_.size();
+    const bool hears_most = 2 * live_gateways_ > known;
+    return hears_most ? settings_.base_retries / static_cast<double>(known) : 0;
+}
+
+retry_usage retry_limiter::usage(const std::string& service, time_point now) {
     auto& service_counts = by_service_[service];
     expire(service_counts, now);
     const auto requests = service_counts.requests.size();
-    const double allowed =
-        settings_.usable_share * (settings_.ratio * static_cast<double>(requests) +
-                                  settings_.base_retries / static_cast<double>(gateway_count));
-    return {requests, service_counts.retries.size(), allowed, gateway_count};
+    const double allowed = settings_.usable_share *
+                           (settings_.ratio * static_cast<double>(requests) + additional_share());
+    return {requests, service_counts.retries.size(), allowed,
+            std::max<std::size_t>(gateways_known_at_.size(), 1), live_gateways_};
 }
 
-bool retry_limiter::try_retry(const std::string& service, std::size_t gateway_count,
-                              time_point now) {
-    const auto used = usage(service, gateway_count, now);
+bool retry_limiter::try_retry(const std::string& service, time_point now) {
+    const auto used = usage(service, now);
     if (static_cast<double>(used.retries) + 1 > used.allowed) {
         return false;
     }
--- a/libs/serving/tests/origin_fleet.h
+++ b/libs/serving/tests/origin_fleet.h
@@ -129,7 +129,7 @@
         catalogue.services = {{"s1", std::nullopt}};
         out->set_catalogue(catalogue, now_);
         add_servers(*out, has_all_versions_[number] ? script_.versions : 1);
-        out->set_gateways(addresses_[number], addresses_, now_);
+        out->set_gateways(addresses_[number], addresses_, {}, now_);
         out->set_software_peers(addresses_[number], addresses_, agent_addresses_);
         return out;
     }
--- a/libs/serving/tests/test_fleet_knowledge.cpp
+++ b/libs/serving/tests/test_fleet_knowledge.cpp
@@ -43,16 +43,17 @@
 
 TEST_CASE("retries stay within the fleet's limit, which gateways share") {
     retry_limiter limiter({0.2, 50, duration{10'000}, 1.0});
+    limiter.set_gateways({"g1", "g2", "g3", "g4", "g5"}, {}, at_ms(0));
     for (int i = 0; i < 100; ++i) {
         limiter.on_request("s", at_ms(i));
     }
     int allowed = 0;
     for (int i = 0; i < 100; ++i) {
-        allowed += limiter.try_retry("s", 5, at_ms(200)) ? 1 : 0;
+        allowed += limiter.try_retry("s", at_ms(200)) ? 1 : 0;
     }
     CHECK(allowed == 30); // 0.2 of 100 requests, and 1/5 of 50 base retries
-    CHECK_FALSE(limiter.try_retry("s", 5, at_ms(9'000)));
-    CHECK(limiter.try_retry("s", 5, at_ms(10'300)));
+    CHECK_FALSE(limiter.try_retry("s", at_ms(9'000)));
+    CHECK(limiter.try_retry("s", at_ms(10'300)));
 }
 
 TEST_CASE("only crashes of different processes count towards the quarantine of a request") {
