Count a retry when it is sent, not when it is allowed

Cause: try_retry counted at the decision, but place() may let the request wait for seconds, for an adapter or a permit.

Now a retry is reserved at the decision and counted when it is sent, if the limit still allows it; else the request ends as refused. A reservation ends with its request.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -227,6 +227,11 @@
     /** Returns the pending effects in order and clears them. */
     std::vector<dispatch_effect> take_effects();
 
+    /** The limit on the retries of a service now, and what is used of it. */
+    retry_usage retry_usage_of(const std::string& service, time_point now) {
+        return retries_.usage(service, now);
+    }
+
     /** Returns the decisions on retries since the last call, in order, and clears them. */
     std::vector<retry_decided> take_retry_decisions();
 
@@ -280,6 +285,7 @@
         std::uint32_t refusals = 0;
         bool may_have_run = false;
         bool is_retry_forbidden = false;
+        bool has_reserved_retry = false; /**< Is to be sent again, and hasn't been yet. */
         phase state = phase::placing;
         bool has_first_byte = false;
         bool is_part_trial = false;    /**< Sent although a part of its prompt is held. */
@@ -377,8 +383,12 @@
     duration estimate_first_byte(const request& entry, const backend_view& view,
                                  time_point now) const;
     void retry_or_end(request_handle id, request& entry, attempt_outcome outcome, time_point now);
-    /** Whether the request may be sent again; counts the retry if it may. */
+    /** Whether the request may be sent again; reserves the retry if it may. */
     retry_decision decide_retry(const request& entry, time_point now);
+    /** Whether the limit on retries lets the request be sent now; counts the retry if it is one. */
+    bool may_send(request& entry, time_point now);
+    /** The request won't be sent again, though a retry may be reserved for it. */
+    void release_retry(request& entry);
     duration caller_timeout(const request& entry) const;
     duration with_jitter(duration delay);
     /** A random duration that is not shorter than `delay`; may exceed max_retry_after. */
--- a/libs/serving/include/serving/retry_limiter.h
+++ b/libs/serving/include/serving/retry_limiter.h
@@ -44,7 +44,8 @@
  * retries, so all gateways together stay within the limit without exchanging messages. A gateway
  * that doesn't hear most of the gateways that it knows may know too few, so it takes no share of
  * the additional retries. Neither does one that has restarted, until what its
- * predecessor sent has left the window. Deterministic. Not thread safe.
+ * predecessor sent has left the window. A retry that waits before it is sent is reserved: it counts
+ * all the while, and in the window in which it is sent. Deterministic. Not thread safe.
  */
 class retry_limiter {
 public:
@@ -61,8 +62,15 @@
     /** Counts a request to the service. */
     void on_request(const std::string& service, time_point now);
 
-    /** Counts one retry and returns true if the limit allows it, else returns false. */
-    bool try_retry(const std::string& service, time_point now);
+    /** Reserves one retry and returns true if the limit allows it, else returns false. */
+    bool try_reserve(const std::string& service, time_point now);
+
+    /** A retry that was reserved is to be sent now: counts it and returns true, unless the limit
+        has fallen meanwhile. Its reservation ends. Precondition: one is reserved. */
+    bool try_send(const std::string& service, time_point now);
+
+    /** A retry that was reserved won't be sent. Precondition: one is reserved. */
+    void release(const std::string& service);
 
     /** The limit now and what is used of it. */
     retry_usage usage(const std::string& service, time_point now);
@@ -70,7 +78,8 @@
 private:
     struct counts {
         std::deque<time_point> requests;
-        std::deque<time_point> retries;
+        std::deque<time_point> retries; /**< By the time of sending. */
+        std::size_t reserved = 0;
     };
 
     void expire(counts& target, time_point now) const;
--- a/libs/serving/src/dispatch_retries.cpp
+++ b/libs/serving/src/dispatch_retries.cpp
@@ -24,6 +24,7 @@
     const auto decision = decide_retry(entry, now);
     retry_decisions_.push_back({id, decision, entry.service, retries_.usage(entry.service, now)});
     if (decision == retry_decision::allowed) {
+        entry.has_reserved_retry = true;
         place(id, entry, now);
     } else {
         end(id, entry, reason, with_jitter(settings_.placement_retry_interval));
@@ -48,8 +49,19 @@
     if (crashes_.is_quarantined(entry.fingerprint, now)) {
         return retry_decision::quarantined;
     }
-    return retries_.try_retry(entry.service, now) ? retry_decision::allowed
-                                                  : retry_decision::over_limit;
+    return retries_.try_reserve(entry.service, now) ? retry_decision::allowed
+                                                    : retry_decision::over_limit;
+}
+
+bool dispatcher::may_send(request& entry, time_point now) {
+    const bool is_retry = std::exchange(entry.has_reserved_retry, false);
+    return !is_retry || retries_.try_send(entry.service, now);
+}
+
+void dispatcher::release_retry(request& entry) {
+    if (std::exchange(entry.has_reserved_retry, false)) {
+        retries_.release(entry.service);
+    }
 }
 
 std::vector<retry_decided> dispatcher::take_retry_decisions() {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -102,6 +102,12 @@
 }
 
 void dispatcher::send(request_handle id, request& entry, const placement& target, time_point now) {
+    if (!may_send(entry, now)) {
+        retry_decisions_.push_back(
+            {id, retry_decision::over_limit, entry.service, retries_.usage(entry.service, now)});
+        end(id, entry, end_reason::refused, with_jitter(settings_.placement_retry_interval));
+        return;
+    }
     auto* view = backends_.find(target.backend_id);
     CAMPHOR_INVARIANT(view != nullptr);
     permits_.take(view->server.process(), now);
@@ -161,6 +167,7 @@
 
 void dispatcher::end(request_handle id, request& entry, end_reason reason, duration retry_after) {
     detach_from_backend(entry);
+    release_retry(entry);
     entry.state = phase::ended;
     if (entry.may_have_run && has_not_run(reason)) {
         reason = end_reason::invalid_response; // an earlier attempt may have run
@@ -247,6 +254,7 @@
     }
     record_timeout(found->second, now);
     detach_from_backend(found->second);
+    release_retry(found->second);
     requests_.erase(found);
 }
 
--- a/libs/serving/src/retry_limiter.cpp
+++ b/libs/serving/src/retry_limiter.cpp
@@ -1,5 +1,7 @@
 #include <serving/retry_limiter.h>
 
+#include <kernel/check.h>
+
 #include <algorithm>
 
 namespace camphorgrade::serving {
@@ -54,17 +56,35 @@
     const double allowed =
         settings_.usable_share *
         (settings_.ratio * static_cast<double>(requests) + additional_share(now));
-    return {requests, service_counts.retries.size(), allowed,
+    return {requests, service_counts.retries.size() + service_counts.reserved, allowed,
             std::max<std::size_t>(gateways_known_at_.size(), 1), live_gateways_};
 }
 
-bool retry_limiter::try_retry(const std::string& service, time_point now) {
+bool retry_limiter::try_reserve(const std::string& service, time_point now) {
     const auto used = usage(service, now);
     if (static_cast<double>(used.retries) + 1 > used.allowed) {
         return false;
     }
-    by_service_[service].retries.push_back(now);
+    ++by_service_[service].reserved;
     return true;
 }
 
+bool retry_limiter::try_send(const std::string& service, time_point now) {
+    release(service);
+    const auto used = usage(service, now);
+    auto& target = by_service_[service];
+    // Other reservations are checked when they are sent.
+    if (static_cast<double>(target.retries.size()) + 1 > used.allowed) {
+        return false;
+    }
+    target.retries.push_back(now);
+    return true;
+}
+
+void retry_limiter::release(const std::string& service) {
+    auto& reserved = by_service_[service].reserved;
+    CAMPHOR_PRECONDITION(reserved > 0);
+    --reserved;
+}
+
 } // namespace camphorgrade::serving
--- a/libs/serving/tests/test_fleet_knowledge.cpp
+++ b/libs/serving/tests/test_fleet_knowledge.cpp
@@ -41,6 +41,14 @@
     CHECK(tracker.on_deregistration("desk-1", at_ms(2'500)));
 }
 
+namespace {
+
+bool try_retry(retry_limiter& limiter, time_point now) {
+    return limiter.try_reserve("s", now) && limiter.try_send("s", now);
+}
+
+} // namespace
+
 TEST_CASE("retries stay within the fleet's limit, which gateways share") {
     retry_limiter limiter({0.2, 50, duration{10'000}, 1.0});
     limiter.set_gateways({"g1", "g2", "g3", "g4", "g5"}, {}, at_ms(0));
@@ -49,11 +57,11 @@
     }
     int allowed = 0;
     for (int i = 0; i < 100; ++i) {
-        allowed += limiter.try_retry("s", at_ms(200)) ? 1 : 0;
+        allowed += try_retry(limiter, at_ms(200)) ? 1 : 0;
     }
     CHECK(allowed == 30); // 0.2 of 100 requests, and 1/5 of 50 base retries
-    CHECK_FALSE(limiter.try_retry("s", at_ms(9'000)));
-    CHECK(limiter.try_retry("s", at_ms(10'300)));
+    CHECK_FALSE(try_retry(limiter, at_ms(9'000)));
+    CHECK(try_retry(limiter, at_ms(10'300)));
 }
 
 TEST_CASE("only crashes of different processes count towards the quarantine of a request") {
--- a/libs/serving/tests/test_retry_fleet.cpp
+++ b/libs/serving/tests/test_retry_fleet.cpp
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 using namespace camphorgrade;
@@ -38,6 +39,8 @@
     std::vector<time_point> restarts; /**< All gateways restart. */
     duration time_without_peers{};    /**< How long a gateway hears no other after a start. */
     std::vector<period> cuts;         /**< No gateway hears another. */
+    /** Retries that are allowed in this period wait until its end. */
+    period waiting{};
 };
 
 std::size_t count_in(const std::vector<time_point>& times, time_point from) {
@@ -66,6 +69,9 @@
             if ((now - at_ms(0)) % duration{100} == duration::zero()) {
                 tell_of_gateways(now);
             }
+            if (!script_.waiting.contains(now)) {
+                send_waiting(now);
+            }
             if (random_.unit() < step_share) {
                 request(random_.below(script_.gateways), now);
             }
@@ -106,11 +112,28 @@
     void request(std::size_t gateway, time_point now) {
         requests_.push_back(now);
         limiters_[gateway]->on_request("s", now);
-        if (random_.unit() < failing_share && limiters_[gateway]->try_retry("s", now)) {
+        if (random_.unit() >= failing_share || !limiters_[gateway]->try_reserve("s", now)) {
+            return;
+        }
+        if (script_.waiting.contains(now)) {
+            waiting_.push_back(gateway);
+        } else {
+            send_retry(gateway, now);
+        }
+    }
+
+    void send_retry(std::size_t gateway, time_point now) {
+        if (limiters_[gateway]->try_send("s", now)) {
             retries_.push_back(now);
         }
     }
 
+    void send_waiting(time_point now) {
+        for (const auto each : std::exchange(waiting_, {})) {
+            send_retry(each, now);
+        }
+    }
+
     double find_worst() const {
         double worst = -base_retries;
         for (auto from = at_ms(0); from < at_ms(0) + play_length; from += duration{50}) {
@@ -130,6 +153,7 @@
     random_source random_{7};
     std::vector<time_point> requests_;
     std::vector<time_point> retries_;
+    std::vector<std::size_t> waiting_; /**< Gateways of the retries that wait. */
 };
 
 } // namespace
@@ -138,7 +162,7 @@
     for (const std::size_t gateways : {1, 4, 16, 26, 60}) {
         for (const double requests_per_s : {20.0, 142.0, 790.0}) {
             INFO(gateways << " gateways, " << requests_per_s << " requests a second");
-            fleet_script script{gateways, requests_per_s, {}, {}, {}};
+            fleet_script script{gateways, requests_per_s, {}, {}, {}, {}};
             CHECK(retry_fleet(script).worst_excess() <= 0);
             script.time_without_peers = play_length;
             CHECK(retry_fleet(script).worst_excess() <= 0);
@@ -153,7 +177,7 @@
     for (const std::size_t gateways : {1, 4, 26}) {
         for (const double requests_per_s : {20.0, 142.0, 790.0}) {
             INFO(gateways << " gateways, " << requests_per_s << " requests a second");
-            fleet_script script{gateways, requests_per_s, {}, {}, {}};
+            fleet_script script{gateways, requests_per_s, {}, {}, {}, {}};
             for (auto at = at_ms(2'000); at < at_ms(30'000); at += duration{2'000}) {
                 script.restarts.push_back(at);
             }
@@ -165,3 +189,32 @@
         }
     }
 }
+
+TEST_CASE("retries that wait and are sent together stay within the limit of that time") {
+    for (const std::size_t gateways : {1, 4, 26}) {
+        for (const auto length : {2'000, 5'000, 9'000}) {
+            INFO(gateways << " gateways, retries wait for " << length << " ms");
+            const period waiting{at_ms(12'000), at_ms(12'000 + length)};
+            CHECK(retry_fleet({gateways, 142, {}, {}, {}, waiting}).worst_excess() <= 0);
+        }
+    }
+}
+
+TEST_CASE("a retry that waits for an adapter counts when it is sent") {
+    dispatcher_settings settings;
+    settings.retries.ratio = 0;
+    settings.retries.base_retries = 1;
+    settings.retries.usable_share = 1;
+    dispatcher_fixture test(settings);
+    test.decisions.on_engine_state(
+        "engine-1", engine_with({adapter_status{{"m/a1", 1}, false, 0}}, 2), at_ms(0));
+    const auto first = test.arrive(profile_of("/plan/x", "a1"), 0);
+    test.ended(first, attempt_outcome::refused, 10); // now waits for the adapter at the other one
+    REQUIRE(test.only<wait_for_backend>() != nullptr);
+    test.decisions.on_engine_state(
+        "engine-2", engine_with({adapter_status{{"m/a1", 1}, false, 0}}, 2), at_ms(900));
+    test.effects = test.decisions.take_effects();
+    REQUIRE(test.only<send_attempt>() != nullptr);
+    CHECK(test.decisions.retry_usage_of("llm", at_ms(10'500)).retries == 1);
+    CHECK(test.decisions.retry_usage_of("llm", at_ms(10'900)).retries == 0);
+}
