Forget requests that have left the window of the limit on retries

Cause: retry_limiter dropped old requests only when a retry was asked for, so a gateway whose requests didn't fail kept 8 bytes for each request of its life.

Now each request drops those that have left the window. Test: 100,000 requests at 100 a second; 100,000 were remembered before, 1,000 now.

--- a/libs/serving/include/serving/retry_limiter.h
+++ b/libs/serving/include/serving/retry_limiter.h
@@ -75,6 +75,9 @@
     /** The limit now and what is used of it. */
     retry_usage usage(const std::string& service, time_point now);
 
+    /** Number of requests to the service that are remembered. */
+    std::size_t remembered_requests(const std::string& service) const;
+
 private:
     struct counts {
         std::deque<time_point> requests;
--- a/libs/serving/src/retry_limiter.cpp
+++ b/libs/serving/src/retry_limiter.cpp
@@ -20,7 +20,9 @@
 
 void retry_limiter::on_request(const std::string& service, time_point now) {
     first_request_at_ = first_request_at_.value_or(now);
-    by_service_[service].requests.push_back(now);
+    auto& target = by_service_[service];
+    expire(target, now);
+    target.requests.push_back(now);
 }
 
 void retry_limiter::set_gateways(const std::vector<std::string>& live,
@@ -60,6 +62,11 @@
             std::max<std::size_t>(gateways_known_at_.size(), 1), live_gateways_};
 }
 
+std::size_t retry_limiter::remembered_requests(const std::string& service) const {
+    const auto found = by_service_.find(service);
+    return found == by_service_.end() ? 0 : found->second.requests.size();
+}
+
 bool retry_limiter::try_reserve(const std::string& service, time_point now) {
     const auto used = usage(service, now);
     if (static_cast<double>(used.retries) + 1 > used.allowed) {
--- a/libs/serving/tests/test_retry_fleet.cpp
+++ b/libs/serving/tests/test_retry_fleet.cpp
@@ -218,3 +218,11 @@
     CHECK(test.decisions.retry_usage_of("llm", at_ms(10'500)).retries == 1);
     CHECK(test.decisions.retry_usage_of("llm", at_ms(10'900)).retries == 0);
 }
+
+TEST_CASE("requests to a service without failures don't take more memory for ever") {
+    retry_limiter limiter({});
+    for (int i = 0; i < 100'000; ++i) {
+        limiter.on_request("s", at_ms(i * 10));
+    }
+    CHECK(limiter.remembered_requests("s") == 1'000); // those of the last 10 s
+}
