A gateway without descriptors doesn't spin on accept, and isn't ready

Cause: accept_next accepted again at once after any error.

Now the acceptor pauses for 100 ms after a failed accept, and the readiness check fails while accepts fail. Connections that the caller has aborted count as no failure.

test_caller_queue: a process without descriptors for 0.6 s.

--- a/libs/edge/include/edge/caller_server.h
+++ b/libs/edge/include/edge/caller_server.h
@@ -99,6 +99,10 @@
     /** Rejects (408) each request that has arrived in part only, and closes its connection. */
     void reject_incomplete_requests();
 
+    /** False while the process can't accept connections, for example because it has no descriptor
+        left. */
+    bool can_accept() const;
+
     /** Number of open connections. */
     std::size_t connections() const;
 
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -16,13 +16,21 @@
 namespace camphorgrade::edge {
 
 /** The state that the connections of one server share. */
-class caller_server::state {
+class caller_server::state : public std::enable_shared_from_this<state> {
 public:
     state(boost::asio::io_context& loop, const clock& clock_in_use, caller_handler& request_handler,
           buffer_budget* buffers)
-        : acceptor(loop), time_source(clock_in_use), handler(request_handler), budget(buffers) {}
+        : acceptor(loop), accept_timer(loop), time_source(clock_in_use), handler(request_handler),
+          budget(buffers) {}
+
+    /** Accepts connections whenever some wait, until the acceptor is closed. */
+    void wait_for_connections();
+    /** Accepts and serves one connection. `error` is would_block if none waits. */
+    void accept_one(boost::system::error_code& error);
 
     boost::asio::ip::tcp::acceptor acceptor;
+    boost::asio::steady_timer accept_timer; /**< Runs after a failed accept. */
+    bool can_accept = true;                 /**< Whether the last accept succeeded. */
     const clock& time_source;
     caller_handler& handler;
     buffer_budget* budget; /**< May be null. */
@@ -30,6 +38,9 @@
     bool is_draining = false;
     std::size_t open_exchanges = 0;
     std::set<connection*> connections;
+
+private:
+    void accept_connections();
 };
 
 /** One connection from a caller; serves its requests one after another. */
--- a/libs/edge/src/caller_server.cpp
+++ b/libs/edge/src/caller_server.cpp
@@ -12,6 +12,11 @@
 
 // Length of the accept queue, so that the operating system doesn't drop connections in a burst.
 constexpr int accept_backlog = 1024;
+// Pause after a failed accept: without it, an acceptor that keeps failing takes the whole processor
+// from the connections whose end would let it succeed.
+constexpr duration accept_retry_interval{100};
+// Connections that are accepted before other events are handled.
+constexpr std::size_t max_accepts_per_turn = 1;
 
 } // namespace
 
@@ -24,27 +29,45 @@
     state_->acceptor.close(ignored);
 }
 
-namespace {
+void caller_server::state::wait_for_connections() {
+    acceptor.async_wait(boost::asio::socket_base::wait_read,
+                        [self = shared_from_this()](const boost::system::error_code& error) {
+                            if (!error && self->acceptor.is_open()) {
+                                self->accept_connections();
+                            }
+                        });
+}
 
-/** Accepts connections until the acceptor is closed. */
-template <typename Acceptor, typename OnAccepted, typename OnFailed>
-void accept_next(Acceptor& acceptor, OnAccepted on_accepted, OnFailed on_failed) {
-    acceptor.async_accept(
-        [&acceptor, on_accepted, on_failed](const boost::system::error_code& error,
-                                            boost::asio::ip::tcp::socket socket) {
-            if (error == boost::asio::error::operation_aborted || !acceptor.is_open()) {
-                return;
-            }
-            if (error) {
-                on_failed(error);
-            } else {
-                on_accepted(std::move(socket));
+void caller_server::state::accept_connections() {
+    boost::system::error_code error;
+    for (std::size_t i = 0; i < max_accepts_per_turn && !error; ++i) {
+        accept_one(error);
+    }
+    if (!error || error == boost::asio::error::would_block) {
+        can_accept = true;
+        wait_for_connections();
+        return;
+    }
+    can_accept = false;
+    handler.on_accept_failed(error);
+    accept_timer.expires_after(accept_retry_interval);
+    accept_timer.async_wait(
+        [self = shared_from_this()](const boost::system::error_code& cancelled) {
+            if (!cancelled && self->acceptor.is_open()) {
+                self->accept_connections();
             }
-            accept_next(acceptor, on_accepted, on_failed);
         });
 }
 
-} // namespace
+void caller_server::state::accept_one(boost::system::error_code& error) {
+    boost::asio::ip::tcp::socket socket(acceptor.get_executor());
+    acceptor.accept(socket, error);
+    if (error == boost::asio::error::connection_aborted) {
+        error.clear(); // the caller has left already
+    } else if (!error) {
+        std::make_shared<connection>(std::move(socket), shared_from_this())->start();
+    }
+}
 
 void caller_server::listen(const boost::asio::ip::tcp::endpoint& address) {
     auto& acceptor = state_->acceptor;
@@ -52,14 +75,8 @@
     acceptor.set_option(boost::asio::socket_base::reuse_address(true));
     acceptor.bind(address);
     acceptor.listen(accept_backlog);
-    accept_next(
-        acceptor,
-        [shared = state_](boost::asio::ip::tcp::socket socket) {
-            std::make_shared<connection>(std::move(socket), shared)->start();
-        },
-        [shared = state_](const boost::system::error_code& error) {
-            shared->handler.on_accept_failed(error);
-        });
+    acceptor.non_blocking(true);
+    state_->wait_for_connections();
 }
 
 std::uint16_t caller_server::bound_port() const {
@@ -85,15 +102,11 @@
     }
     // Closing the acceptor would reset the connections that wait in its queue.
     boost::system::error_code error;
-    acceptor.non_blocking(true, error);
     while (!error) {
-        boost::asio::ip::tcp::socket socket(acceptor.get_executor());
-        acceptor.accept(socket, error);
-        if (!error) {
-            std::make_shared<connection>(std::move(socket), state_)->start();
-        }
+        state_->accept_one(error);
     }
     acceptor.close(error);
+    state_->accept_timer.cancel();
 }
 
 void caller_server::reject_incomplete_requests() {
@@ -103,6 +116,10 @@
     }
 }
 
+bool caller_server::can_accept() const {
+    return state_->can_accept;
+}
+
 std::size_t caller_server::connections() const {
     return state_->connections.size();
 }
--- /dev/null
+++ b/libs/edge/tests/test_caller_queue.cpp
@@ -0,0 +1,119 @@
+// Connections that wait to be accepted, and those that can't be.
+#include "loop_thread.h"
+#include "raw_socket.h"
+
+#include <edge/caller_server.h>
+
+#include <catch2/catch.hpp>
+
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+using namespace camphorgrade;
+using namespace camphorgrade::edge;
+using namespace camphorgrade::testing;
+
+namespace {
+
+using exchange_ptr = std::shared_ptr<caller_exchange>;
+
+const std::string request_one = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+class counting_handler final : public caller_handler {
+public:
+    void on_request(exchange_ptr exchange) override {
+        ++requests;
+        respond(exchange);
+    }
+    void on_bad_request(int status) override { static_cast<void>(status); }
+    void on_accept_failed(const boost::system::error_code& error) override {
+        static_cast<void>(error);
+        ++failed_accepts;
+    }
+
+    std::function<void(const exchange_ptr&)> respond = [](const exchange_ptr& exchange) {
+        exchange->answer({200, {}}, "whole " + exchange->request().target);
+    };
+    std::atomic<int> requests = 0;
+    std::atomic<int> failed_accepts = 0;
+};
+
+struct queue_fixture {
+    queue_fixture() : server(thread, thread.loop, clock, handler) {
+        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
+        port = server->bound_port();
+    }
+
+    raw_socket connect() { return raw_socket::connect_to(client_loop, port); }
+
+    bool can_accept() {
+        bool out = false;
+        thread.run([&] { out = server->can_accept(); });
+        return out;
+    }
+
+    monotonic_clock clock;
+    counting_handler handler;
+    boost::asio::io_context client_loop;
+    std::uint16_t port = 0;
+    loop_thread thread;
+    on_loop<caller_server> server;
+};
+
+/** Lets this process have no descriptor left while it exists, but for `spare` of them. */
+class exhausted_descriptors {
+public:
+    explicit exhausted_descriptors(std::size_t spare) {
+        REQUIRE(::getrlimit(RLIMIT_NOFILE, &before_) == 0);
+        auto lowered = before_;
+        lowered.rlim_cur = 256;
+        REQUIRE(::setrlimit(RLIMIT_NOFILE, &lowered) == 0);
+        for (int each = ::dup(STDERR_FILENO); each >= 0; each = ::dup(STDERR_FILENO)) {
+            held_.push_back(each);
+        }
+        for (; spare > 0; --spare) {
+            ::close(held_.back());
+            held_.pop_back();
+        }
+    }
+    ~exhausted_descriptors() {
+        for (const auto each : held_) {
+            ::close(each);
+        }
+        ::setrlimit(RLIMIT_NOFILE, &before_);
+    }
+    exhausted_descriptors(const exhausted_descriptors&) = delete;
+    exhausted_descriptors& operator=(const exhausted_descriptors&) = delete;
+
+private:
+    rlimit before_{};
+    std::vector<int> held_;
+};
+
+} // namespace
+
+TEST_CASE("a process without descriptors doesn't spend its processor on accepts that fail") {
+    queue_fixture fixture;
+    std::vector<raw_socket> callers;
+    callers.push_back(fixture.connect());
+    {
+        const exhausted_descriptors exhausted(1);
+        callers.push_back(fixture.connect());
+        callers.back().send(request_one);
+        std::this_thread::sleep_for(std::chrono::milliseconds(600));
+        CHECK(fixture.handler.failed_accepts > 0);
+        CHECK(fixture.handler.failed_accepts <= 10);
+        CHECK_FALSE(fixture.can_accept());
+    }
+    CHECK(callers.back().read_until("whole /1").find("whole /1") != std::string::npos);
+    CHECK(fixture.can_accept());
+}
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -123,7 +123,7 @@
 }
 
 bool gateway_node::is_ready() const {
-    return !shutdown_.has_begun() && fleet_.is_complete();
+    return !shutdown_.has_begun() && fleet_.is_complete() && caller_server_.can_accept();
 }
 
 void gateway_node::record_loop_delay(duration delay) {
