Don't pass on a request whose caller has left before it was read

Cause: a request that waited in the accept queue or in its socket, behind other work, was passed to a server as soon as it was read, although the close that followed it had already arrived; the close was noticed only later.

Now the socket is looked at before a request is passed on; if the caller has closed or reset the connection, it is closed. A caller that shuts its sending side down after a request counted as gone before, too.

The test of a caller that disconnects before the response closed at once after sending, so that its request need not be passed on any more: it closes after the request has arrived now, and checks the same.

--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -73,9 +73,7 @@
 }
 
 bool caller_server::connection::has_unread_input() {
-    char byte = 0;
-    return input_.size() > 0 ||
-           ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    return input_.size() > 0 || peek_input() == input_state::readable;
 }
 
 void caller_server::connection::read_request() {
@@ -169,7 +167,21 @@
     dispatch_request();
 }
 
+caller_server::connection::input_state caller_server::connection::peek_input() {
+    char byte = 0;
+    const auto peeked_bytes = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (peeked_bytes > 0) {
+        return input_state::readable;
+    }
+    const bool is_open = peeked_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return is_open ? input_state::empty : input_state::ended;
+}
+
 void caller_server::connection::dispatch_request() {
+    if (peek_input() == input_state::ended) { // the caller has left
+        close();
+        return;
+    }
     auto& message = parser_->get();
     keep_alive_ = message.keep_alive();
     caller_request request{std::string(message.method_string()), std::string(message.target()),
@@ -228,16 +240,16 @@
     if (is_closed_ || current_exchange_.expired() || error) {
         return;
     }
-    char byte = 0;
-    const auto peeked_bytes = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    if (peeked_bytes > 0) {
-        return; // a pipelined request; it is read after the current response
-    }
-    if (peeked_bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) {
+    switch (peek_input()) {
+    case input_state::readable:
+        break; // a pipelined request; it is read after the current response
+    case input_state::empty:
         watch_for_close();
-        return;
+        break;
+    case input_state::ended:
+        on_caller_disconnected();
+        break;
     }
-    on_caller_disconnected();
 }
 
 void caller_server::connection::on_caller_disconnected() {
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -67,6 +67,7 @@
 private:
     class exchange;
     friend class exchange;
+    enum class input_state : std::uint8_t { empty, readable, ended };
     using parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
 
     void read_request();
@@ -83,6 +84,9 @@
     void reject_for_error(const boost::system::error_code& error);
     /** Detects that the caller closes the connection while its request is handled. */
     void watch_for_close();
+    /** What the socket has to read; `ended` if the caller has closed or reset the connection and
+        everything was read. */
+    input_state peek_input();
     void on_readable(const boost::system::error_code& error);
     void on_caller_disconnected();
 
--- a/libs/edge/tests/test_caller_queue.cpp
+++ b/libs/edge/tests/test_caller_queue.cpp
@@ -117,3 +117,24 @@
     CHECK(callers.back().read_until("whole /1").find("whole /1") != std::string::npos);
     CHECK(fixture.can_accept());
 }
+
+TEST_CASE("a request whose caller has left before it is read isn't passed on") {
+    queue_fixture fixture;
+    auto earlier = fixture.connect();
+    earlier.send(request_one);
+    REQUIRE(earlier.read_until("whole /1").find("whole /1") != std::string::npos);
+    fixture.thread.run([&] { // the loop accepts and reads nothing meanwhile
+        auto closed = fixture.connect();
+        closed.send(request_one);
+        closed.close();
+        auto reset = fixture.connect();
+        reset.send(request_one);
+        reset.reset();
+        earlier.send(request_one);
+        earlier.close();
+    });
+    auto later = fixture.connect();
+    later.send(request_one);
+    REQUIRE(later.read_until("whole /1").find("whole /1") != std::string::npos);
+    CHECK(fixture.handler.requests == 2);
+}
--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -172,14 +172,17 @@
 
 TEST_CASE("a caller that disconnects before the response is detected") {
     server_fixture fixture;
+    std::promise<void> arrived;
     std::promise<void> gone;
     exchange_ptr kept;
     fixture.handler.respond = [&](const exchange_ptr& exchange) {
         kept = exchange;
         exchange->on_disconnect([&] { gone.set_value(); });
+        arrived.set_value();
     };
     auto caller = fixture.connect();
     caller.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    REQUIRE(arrived.get_future().wait_for(std::chrono::seconds(5)) == std::future_status::ready);
     SECTION("with an orderly close") {
         caller.close();
     }
