Accept the connections that wait together

Cause: one connection was accepted in each turn of the event loop, behind all other events.

Now up to 64 are accepted in a turn. Test: of 100 waiting connections 10 turns accepted 10 before, all now.

--- a/libs/edge/src/caller_server.cpp
+++ b/libs/edge/src/caller_server.cpp
@@ -16,7 +16,7 @@
 // from the connections whose end would let it succeed.
 constexpr duration accept_retry_interval{100};
 // Connections that are accepted before other events are handled.
-constexpr std::size_t max_accepts_per_turn = 1;
+constexpr std::size_t max_accepts_per_turn = 64;
 
 } // namespace
 
--- a/libs/edge/tests/test_caller_queue.cpp
+++ b/libs/edge/tests/test_caller_queue.cpp
@@ -138,3 +138,22 @@
     REQUIRE(later.read_until("whole /1").find("whole /1") != std::string::npos);
     CHECK(fixture.handler.requests == 2);
 }
+
+TEST_CASE("connections that wait are accepted together, not one in each turn of the event loop") {
+    constexpr std::size_t waiting = 100;
+    constexpr int turns = 10;
+    monotonic_clock clock;
+    counting_handler handler;
+    boost::asio::io_context loop;
+    boost::asio::io_context client_loop;
+    caller_server server(loop, clock, handler);
+    server.listen({boost::asio::ip::make_address("127.0.0.1"), 0});
+    std::vector<raw_socket> callers;
+    for (std::size_t i = 0; i < waiting; ++i) {
+        callers.push_back(raw_socket::connect_to(client_loop, server.bound_port()));
+    }
+    for (int i = 0; i < turns; ++i) {
+        loop.poll_one();
+    }
+    CHECK(server.connections() == waiting);
+}
