Bound the connections of callers by the descriptors of the gateway

Beyond the limit a new connection takes the place of the one that has been unused for longest; if all are in use its request is refused at once (503, Retry-After), and only when more wait to be refused than an eighth of the limit are new connections closed. Each is logged as connection_limit and counted.

--- a/libs/edge/include/edge/caller_server.h
+++ b/libs/edge/include/edge/caller_server.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <string_view>
 
 namespace camphorgrade::edge {
 
@@ -25,6 +26,16 @@
     friend bool operator==(const caller_limits&, const caller_limits&) = default;
 };
 
+/** What a server that has reached its limit on connections does about one more. */
+enum class connection_limit_action : std::uint8_t {
+    idle_closed, /**< The connection that has been unused for longest is closed. */
+    refused,     /**< All are in use: the first request of the new connection is refused. */
+    closed       /**< Too many wait to be refused: the new connection is closed. */
+};
+
+/** Returns the name of an action as written to logs and metrics. */
+std::string_view to_string(connection_limit_action action) noexcept;
+
 /** Handles the requests that a server receives. Must outlive the server. */
 class caller_handler {
 public:
@@ -44,6 +55,9 @@
     virtual void on_accept_failed(const boost::system::error_code& error) {
         static_cast<void>(error);
     }
+
+    /** A connection was accepted beyond the limit. Does nothing unless overridden. */
+    virtual void on_connection_limit(connection_limit_action action) { static_cast<void>(action); }
 };
 
 /**
@@ -81,6 +95,15 @@
     /** The TCP port that the server listens on. Precondition: listen() was called. */
     std::uint16_t bound_port() const;
 
+    /**
+     * Sets how many connections may be open; there is no limit before the first call. Beyond it, a
+     * new connection takes the place of the one that has been unused for longest: idle, or waiting
+     * for its caller to close it. If all are in use, its request is refused (503), for which up to
+     * an eighth of `max_connections` more may be
+     * open. Precondition: max_connections > 0.
+     */
+    void set_max_connections(std::size_t max_connections);
+
     /** Sets the limits for requests that begin after this call. */
     void set_limits(const caller_limits& limits);
 
--- a/libs/edge/include/edge/upstream_pool.h
+++ b/libs/edge/include/edge/upstream_pool.h
@@ -126,6 +126,8 @@
     std::size_t max_header_bytes = std::size_t{32} * 1024;
     /** Maximum number of idle connections kept for one address. */
     std::size_t max_idle_per_address = 64;
+    /** Maximum number of idle connections kept for all addresses together. */
+    std::size_t max_idle = 4'096;
     /** Maximum number of buffered bytes of a head, or of the lines between the chunks of a body. */
     std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
     /** Interim responses and responses to other requests that one call skips before it fails. */
--- a/libs/edge/src/caller_connection.cpp
+++ b/libs/edge/src/caller_connection.cpp
@@ -25,8 +25,12 @@
 constexpr std::size_t max_unparsed_bytes = std::size_t{64} * 1024;
 // A buffer of a response that was larger than this is freed when the response has been sent.
 constexpr std::size_t max_kept_buffer_bytes = std::size_t{16} * 1024;
-// Retry-After of a request that is refused because the process buffers too much, in s.
+// Retry-After of a request that is refused because the process buffers too much or has too many
+// connections, in s.
 constexpr const char* overload_retry_after = "1";
+// How long a connection whose request is to be refused may take to send its first byte, and then
+// the rest of its headers.
+constexpr duration refusal_timeout{1'000};
 // How long the caller may take to read the last response before the socket is closed.
 constexpr duration linger_timeout{1'000};
 
@@ -45,10 +49,13 @@
     : shared_(std::move(shared)), socket_(std::move(socket)), timer_(socket_.get_executor()),
       share_(shared_->budget, *this) {
     shared_->connections.insert(this);
+    ++shared_->open_connections;
 }
 
 caller_server::connection::~connection() {
+    end_replaceable();
     shared_->connections.erase(this);
+    shared_->open_connections -= is_closed_ ? 0 : 1;
 }
 
 void caller_server::connection::start() {
@@ -56,6 +63,20 @@
     read_request();
 }
 
+void caller_server::connection::start_refusing() {
+    is_refusing_ = true;
+    start();
+}
+
+void caller_server::connection::become_replaceable() {
+    replaceable_number_ = shared_->next_replaceable_number++;
+    shared_->replaceable.emplace(replaceable_number_, this);
+}
+
+void caller_server::connection::end_replaceable() {
+    shared_->replaceable.erase(std::exchange(replaceable_number_, 0));
+}
+
 bool caller_server::connection::is_idle() {
     return is_closed_ || (is_idle_ && !has_unread_input());
 }
@@ -66,6 +87,14 @@
     }
 }
 
+bool caller_server::connection::make_room() {
+    const bool is_unused = !is_closed_ && (is_lingering_ || is_idle());
+    if (is_unused) {
+        close();
+    }
+    return is_unused;
+}
+
 void caller_server::connection::reject_incomplete_request() {
     if (is_reading_ && !is_closed_) {
         on_request_timeout();
@@ -91,7 +120,9 @@
         on_first_bytes({});
         return;
     }
-    set_timer(shared_->limits.idle_timeout, &connection::on_close_timeout);
+    become_replaceable();
+    set_timer(is_refusing_ ? refusal_timeout : shared_->limits.idle_timeout,
+              &connection::on_close_timeout);
     socket_.async_wait(boost::asio::socket_base::wait_read,
                        [self = shared_from_this()](const boost::system::error_code& error) {
                            self->on_first_bytes(error);
@@ -99,13 +130,15 @@
 }
 
 void caller_server::connection::on_first_bytes(const boost::system::error_code& error) {
+    end_replaceable();
     if (error || is_closed_) {
         close();
         return;
     }
     is_idle_ = false;
     is_reading_ = true;
-    set_timer(shared_->limits.header_timeout, &connection::on_request_timeout);
+    set_timer(is_refusing_ ? refusal_timeout : shared_->limits.header_timeout,
+              &connection::on_request_timeout);
     http::async_read_header(socket_, input_, *parser_,
                             [self = shared_from_this()](const boost::system::error_code& failed,
                                                         std::size_t) { self->on_headers(failed); });
@@ -119,6 +152,10 @@
         reject_for_error(error);
         return;
     }
+    if (is_refusing_) {
+        refuse();
+        return;
+    }
     const auto& head = parser_->get();
     supports_chunked_ = head.version() >= 11;
     if (head.count(http::field::host) != 1 || head.version() > 11) {
@@ -196,6 +233,16 @@
 void caller_server::connection::reject(const http_head& head) {
     cancel_timer();
     shared_->handler.on_bad_request(head.status);
+    send_rejection(head);
+}
+
+void caller_server::connection::refuse() {
+    cancel_timer();
+    shared_->handler.on_connection_limit(connection_limit_action::refused);
+    send_rejection({503, {{"Retry-After", overload_retry_after}}});
+}
+
+void caller_server::connection::send_rejection(const http_head& head) {
     is_reading_ = false;
     keep_alive_ = false;
     is_response_queued_ = true;
@@ -338,6 +385,8 @@
 void caller_server::connection::linger() {
     boost::system::error_code ignored; // the caller may have closed already
     socket_.shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    is_lingering_ = true;
+    become_replaceable();
     set_timer(linger_timeout, &connection::on_close_timeout);
     discard_buffer_.resize(discard_buffer_bytes);
     discard_input();
@@ -360,6 +409,8 @@
         return;
     }
     is_closed_ = true;
+    --shared_->open_connections;
+    end_replaceable();
     timer_.cancel();
     boost::system::error_code ignored; // a failed close leaves nothing to clean up
     socket_.close(ignored);
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -7,7 +7,10 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <cstdint>
 #include <functional>
+#include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -35,12 +38,22 @@
     caller_handler& handler;
     buffer_budget* budget; /**< May be null. */
     caller_limits limits;
+    std::size_t max_connections = std::numeric_limits<std::size_t>::max();
     bool is_draining = false;
+    std::size_t open_connections = 0;
     std::size_t open_exchanges = 0;
+    /** Connections that wait for the first byte of a request, or for the caller to close them, in
+        the order in which they began to. */
+    std::map<std::uint64_t, connection*> replaceable;
+    std::uint64_t next_replaceable_number = 1;
     std::set<connection*> connections;
 
 private:
     void accept_connections();
+    /** Serves an accepted connection, or does without one because of the limit. */
+    void admit(const std::shared_ptr<connection>& accepted);
+    /** Closes the connection that has been unused for longest; false if there is none. */
+    bool close_oldest_unused();
 };
 
 /** One connection from a caller; serves its requests one after another. */
@@ -54,10 +67,15 @@
     connection& operator=(const connection&) = delete;
 
     void start();
+    /** As start(), but refuses the first request. */
+    void start_refusing();
     /** Whether the connection waits for the first byte of a request. */
     bool is_idle();
     /** Closes the connection if it is idle. */
     void close_if_idle();
+    /** Closes the connection if it is idle or only waits for the caller to close it; returns
+       whether it did. */
+    bool make_room();
     /** Rejects a request that has arrived in part only, and closes the connection afterwards. */
     void reject_incomplete_request();
     /** Refuses a request that has arrived in part only; ends a response that isn't read. A request
@@ -79,6 +97,13 @@
     void dispatch_request();
     /** Sends an empty response and closes the connection afterwards. */
     void reject(const http_head& head);
+    /** Sends an empty response to a request that isn't handled, and closes the connection. */
+    void send_rejection(const http_head& head);
+    /** Refuses a request because too many connections are open. */
+    void refuse();
+    /** Others may take the place of this connection from now on. */
+    void become_replaceable();
+    void end_replaceable();
     /** Rejects a request whose rest hasn't arrived. */
     void reject_partial(const http_head& head);
     void reject_for_error(const boost::system::error_code& error);
@@ -130,6 +155,9 @@
     bool is_response_queued_ = false;        /**< The whole response was passed to send(). */
     bool body_ends_with_connection_ = false; /**< Of the present response. */
     bool is_closed_ = false;
+    bool is_refusing_ = false;             /**< Requests are refused. */
+    bool is_lingering_ = false;            /**< Waits for the caller to close the connection. */
+    std::uint64_t replaceable_number_ = 0; /**< Key in `state::replaceable`; 0 if it isn't there. */
     std::string discard_buffer_;
     /** Of the body of the present request, until the response to it is passed to send(). */
     std::size_t request_bytes_ = 0;
--- a/libs/edge/src/caller_server.cpp
+++ b/libs/edge/src/caller_server.cpp
@@ -1,6 +1,6 @@
 #include "caller_connection.h"
 
-#include <boost/asio/post.hpp>
+#include <kernel/check.h>
 
 #include <algorithm>
 #include <utility>
@@ -17,9 +17,23 @@
 constexpr duration accept_retry_interval{100};
 // Connections that are accepted before other events are handled.
 constexpr std::size_t max_accepts_per_turn = 64;
+// Connections beyond the limit, as a part of it, that may be open to refuse their requests.
+constexpr std::size_t refusing_divisor = 8;
 
 } // namespace
 
+std::string_view to_string(connection_limit_action action) noexcept {
+    switch (action) {
+    case connection_limit_action::idle_closed:
+        return "idle_closed";
+    case connection_limit_action::refused:
+        return "refused";
+    case connection_limit_action::closed:
+        return "closed";
+    }
+    return "unknown";
+}
+
 caller_server::caller_server(boost::asio::io_context& loop, const clock& clock,
                              caller_handler& handler, buffer_budget* budget)
     : state_(std::make_shared<state>(loop, clock, handler, budget)) {}
@@ -65,10 +79,30 @@
     if (error == boost::asio::error::connection_aborted) {
         error.clear(); // the caller has left already
     } else if (!error) {
-        std::make_shared<connection>(std::move(socket), shared_from_this())->start();
+        admit(std::make_shared<connection>(std::move(socket), shared_from_this()));
     }
 }
 
+void caller_server::state::admit(const std::shared_ptr<connection>& accepted) {
+    if (open_connections > max_connections && close_oldest_unused()) {
+        handler.on_connection_limit(connection_limit_action::idle_closed);
+    }
+    if (open_connections <= max_connections) {
+        accepted->start();
+    } else if (open_connections <= max_connections + max_connections / refusing_divisor + 1) {
+        accepted->start_refusing();
+    } else {
+        handler.on_connection_limit(connection_limit_action::closed);
+    }
+}
+
+bool caller_server::state::close_oldest_unused() {
+    // Those with unread input aren't idle any more; closing one changes the map, and ends the
+    // search.
+    return std::any_of(replaceable.begin(), replaceable.end(),
+                       [](const auto& each) { return each.second->make_room(); });
+}
+
 void caller_server::listen(const boost::asio::ip::tcp::endpoint& address) {
     auto& acceptor = state_->acceptor;
     acceptor.open(address.protocol());
@@ -83,6 +117,11 @@
     return state_->acceptor.local_endpoint().port();
 }
 
+void caller_server::set_max_connections(std::size_t max_connections) {
+    CAMPHOR_PRECONDITION(max_connections > 0);
+    state_->max_connections = max_connections;
+}
+
 void caller_server::set_limits(const caller_limits& limits) {
     state_->limits = limits;
 }
@@ -121,7 +160,7 @@
 }
 
 std::size_t caller_server::connections() const {
-    return state_->connections.size();
+    return state_->open_connections;
 }
 
 std::size_t caller_server::busy_connections() const {
--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -405,7 +405,8 @@
 
 void upstream_pool::connection::return_to_pool(duration idle_for) {
     auto& idle = shared_->idle[address_];
-    if (shared_->is_closing || idle.size() >= shared_->settings.max_idle_per_address) {
+    if (shared_->is_closing || idle.size() >= shared_->settings.max_idle_per_address ||
+        shared_->idle_connections() >= shared_->settings.max_idle) {
         close();
         return;
     }
--- a/libs/edge/src/upstream_pool.cpp
+++ b/libs/edge/src/upstream_pool.cpp
@@ -52,6 +52,14 @@
     return nullptr;
 }
 
+std::size_t upstream_pool::state::idle_connections() const {
+    std::size_t out = 0;
+    for (const auto& each : idle) {
+        out += each.second.size();
+    }
+    return out;
+}
+
 upstream_pool::upstream_pool(boost::asio::io_context& loop, const clock& clock,
                              upstream_settings settings, buffer_budget* budget)
     : state_(std::make_shared<state>(loop, clock, settings)), budget_(budget) {}
--- a/libs/edge/tests/test_caller_queue.cpp
+++ b/libs/edge/tests/test_caller_queue.cpp
@@ -157,3 +157,47 @@
     }
     CHECK(server.connections() == waiting);
 }
+
+TEST_CASE("beyond the limit on connections, one that is idle makes room for a new one") {
+    queue_fixture fixture;
+    fixture.thread.run([&] { fixture.server->set_max_connections(3); });
+    std::vector<raw_socket> callers;
+    for (int i = 0; i < 10; ++i) {
+        callers.push_back(fixture.connect());
+        callers.back().send(request_one);
+        CHECK(callers.back().read_until("whole /1").find("whole /1") != std::string::npos);
+    }
+    std::size_t open = 0;
+    fixture.thread.run([&] { open = fixture.server->connections(); });
+    CHECK(open == 3);
+    CHECK(callers.front().read_all().empty()); // idle for longest
+    CHECK_FALSE(callers.front().was_reset());
+}
+
+TEST_CASE("beyond the limit on connections, all of them busy, a request is refused at once") {
+    queue_fixture fixture;
+    fixture.thread.run([&] { fixture.server->set_max_connections(3); });
+    std::vector<exchange_ptr> kept;
+    fixture.handler.respond = [&](const exchange_ptr& exchange) { kept.push_back(exchange); };
+    std::vector<raw_socket> callers;
+    for (int i = 0; i < 3; ++i) {
+        callers.push_back(fixture.connect());
+        callers.back().send(request_one);
+    }
+    while (fixture.handler.requests < 3) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
+    }
+    auto refused = fixture.connect();
+    refused.send(request_one);
+    const auto response = refused.read_all();
+    CHECK(response.find("HTTP/1.1 503") == 0);
+    CHECK(response.find("Retry-After: 1") != std::string::npos);
+    CHECK(fixture.handler.requests == 3);
+    fixture.thread.run([&] {
+        for (const auto& each : kept) {
+            each->answer({200, {}}, "whole");
+        }
+        kept.clear();
+    });
+    CHECK(callers.front().read_until("whole").find("whole") != std::string::npos);
+}
--- a/libs/entry/include/entry/entry_process.h
+++ b/libs/entry/include/entry/entry_process.h
@@ -36,6 +36,8 @@
     std::uint32_t capacity_millicores = 0;
     /** Memory that this process may take; 0: not known. */
     std::size_t memory_limit_bytes = 0;
+    /** Descriptors that this process may open; 0: as many as the system allows. */
+    std::size_t max_descriptors = 0;
     /** Time from SIGTERM until the process must have exited. */
     duration shutdown_grace{8'000};
     /** Identifies this process on its VM; a later process has a larger one. */
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -32,6 +32,12 @@
                                             : settings.memory_limit_bytes / buffer_memory_divisor;
 }
 
+edge::upstream_settings upstream_settings_for(const descriptor_shares& shares) {
+    edge::upstream_settings out;
+    out.max_idle = shares.idle_upstream;
+    return out;
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(const serving::network_address& address) {
     return {boost::asio::ip::make_address(address.ip), address.port};
 }
@@ -41,10 +47,13 @@
 gateway_node::gateway_node(const entry_settings& settings, const serving::request_codec& codec,
                            const serving::catalogue_reader& reader,
                            const fleet_source_factory& make_source)
-    : settings_(settings), codec_(codec),
+    : settings_(settings),
+      descriptors_(share_descriptors(available_descriptors(settings.max_descriptors))),
+      codec_(codec),
       buffers_(buffer_budget_bytes(settings),
                [this] { boost::asio::post(loop_, [this] { enforce_buffer_budget(); }); }),
-      log_(settings.node_name, clock_, sink_, {}), pool_(loop_, clock_, {}, &buffers_),
+      log_(settings.node_name, clock_, sink_, {}),
+      pool_(loop_, clock_, upstream_settings_for(descriptors_), &buffers_),
       liveness_(loop_, pool_, codec),
       dispatcher_(settings.dispatch, settings.data_centre,
                   std::hash<std::string>{}(settings.node_name) ^ settings.incarnation),
@@ -56,7 +65,9 @@
              settings.seeds, {}),
       source_(make_source(loop_, pool_, fleet_)), timer_(loop_),
       signals_(loop_, SIGTERM, SIGINT, SIGHUP),
-      shutdown_(settings.shutdown_grace, caller_server_, dispatcher_) {}
+      shutdown_(settings.shutdown_grace, caller_server_, dispatcher_) {
+    caller_server_.set_max_connections(descriptors_.caller_connections);
+}
 
 gateway_node::~gateway_node() = default;
 
@@ -64,7 +75,9 @@
     log_.line("process_started")
         .text("role", "entry")
         .text("data_centre", settings_.data_centre)
-        .number("life", static_cast<std::int64_t>(settings_.incarnation));
+        .number("life", static_cast<std::int64_t>(settings_.incarnation))
+        .number("max_caller_connections",
+                static_cast<std::int64_t>(descriptors_.caller_connections));
     operator_endpoints_->listen(endpoint_of(settings_.operator_address));
     listen_for_metrics();
     caller_server_.listen(endpoint_of(settings_.caller_address));
@@ -201,6 +214,15 @@
     metrics_.count("camphor_failed_accepts_total");
 }
 
+void gateway_node::on_connection_limit(edge::connection_limit_action action) {
+    log_.line("connection_limit")
+        .text("action", edge::to_string(action))
+        .number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
+        .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    metrics_.count("camphor_connection_limit_total",
+                   {{"action", std::string(edge::to_string(action))}});
+}
+
 void gateway_node::on_caller_disconnected(serving::request_handle request) {
     const auto found = flows_.find(request);
     if (found == flows_.end()) {
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "descriptor_shares.h"
 #include "gateway_peers.h"
 #include "graceful_shutdown.h"
 #include "request_flow.h"
@@ -44,6 +45,7 @@
     void on_request(std::shared_ptr<edge::caller_exchange> exchange) override;
     void on_bad_request(int status) override;
     void on_accept_failed(const boost::system::error_code& error) override;
+    void on_connection_limit(edge::connection_limit_action action) override;
 
     void on_caller_limits(const edge::caller_limits& limits) override;
     void on_fleet_changed() override;
@@ -100,6 +102,7 @@
     void begin_shutdown();
 
     entry_settings settings_;
+    descriptor_shares descriptors_;
     const serving::request_codec& codec_;
     monotonic_clock clock_;
     edge::buffer_budget buffers_; /**< Outlives the connections, which the event loop owns. */
