Look for an unused connection among few, and in an unlimited process

Found in reading: the search for an unused connection looked at each one in use, a system call each, for every connection accepted beyond the limit, and left a loop over a map whose element it had erased; a process without a configured or a system limit on descriptors would have had one connection.

Now 16 connections are looked at, and 65,536 descriptors are taken where nothing limits them. test_descriptor_shares: each request can have a connection to a server for 64 to 65,536 descriptors.

--- a/libs/edge/include/edge/caller_server.h
+++ b/libs/edge/include/edge/caller_server.h
@@ -99,8 +99,7 @@
      * Sets how many connections may be open; there is no limit before the first call. Beyond it, a
      * new connection takes the place of the one that has been unused for longest: idle, or waiting
      * for its caller to close it. If all are in use, its request is refused (503), for which up to
-     * an eighth of `max_connections` more may be
-     * open. Precondition: max_connections > 0.
+     * an eighth of `max_connections` more may be open. Precondition: max_connections > 0.
      */
     void set_max_connections(std::size_t max_connections);
 
--- a/libs/edge/src/caller_connection.h
+++ b/libs/edge/src/caller_connection.h
@@ -52,7 +52,7 @@
     void accept_connections();
     /** Serves an accepted connection, or does without one because of the limit. */
     void admit(const std::shared_ptr<connection>& accepted);
-    /** Closes the connection that has been unused for longest; false if there is none. */
+    /** Closes the connection that has been unused for longest; false if none is found. */
     bool close_oldest_unused();
 };
 
--- a/libs/edge/src/caller_server.cpp
+++ b/libs/edge/src/caller_server.cpp
@@ -17,6 +17,8 @@
 constexpr duration accept_retry_interval{100};
 // Connections that are accepted before other events are handled.
 constexpr std::size_t max_accepts_per_turn = 64;
+// Connections that are looked at to find an unused one; those with unread input are in use.
+constexpr std::size_t max_examined_connections = 16;
 // Connections beyond the limit, as a part of it, that may be open to refuse their requests.
 constexpr std::size_t refusing_divisor = 8;
 
@@ -97,10 +99,16 @@
 }
 
 bool caller_server::state::close_oldest_unused() {
-    // Those with unread input aren't idle any more; closing one changes the map, and ends the
-    // search.
-    return std::any_of(replaceable.begin(), replaceable.end(),
-                       [](const auto& each) { return each.second->make_room(); });
+    std::size_t examined = 0;
+    for (const auto& [number, oldest] : replaceable) {
+        if (oldest->make_room()) {
+            return true; // it has left the map
+        }
+        if (++examined == max_examined_connections) {
+            break;
+        }
+    }
+    return false;
 }
 
 void caller_server::listen(const boost::asio::ip::tcp::endpoint& address) {
--- a/libs/entry/src/descriptor_shares.h
+++ b/libs/entry/src/descriptor_shares.h
@@ -15,8 +15,8 @@
 /** Divides `descriptors` so that each request of the callers can have a connection to a server. */
 descriptor_shares share_descriptors(std::size_t descriptors) noexcept;
 
-/** Descriptors that this process may open: the lower of `configured`, if it isn't 0, and the limit
-    of the system. Thread safe. */
+/** Descriptors that this process may open: the lower of `configured`, if it isn't 0, the limit of
+    the system, and 65,536 where one of them is missing. Thread safe. */
 std::size_t available_descriptors(std::size_t configured) noexcept;
 
 } // namespace camphorgrade::entry
