--- a/libs/serving/tests/test_retry_fleet.cpp
+++ b/libs/serving/tests/test_retry_fleet.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <utility>
@@ -221,7 +222,7 @@
 
 TEST_CASE("requests to a service without failures don't take more memory for ever") {
     retry_limiter limiter({});
-    for (int i = 0; i < 100'000; ++i) {
+    for (std::int64_t i = 0; i < 100'000; ++i) {
         limiter.on_request("s", at_ms(i * 10));
     }
     CHECK(limiter.remembered_requests("s") == 1'000); // those of the last 10 s
