Remember gateways, count idle connections and set up caller servers in one place each

A constant shared its name with one of another meaning. - Four tests of caller_server set up the same fixture: caller_server_fixture. Their assertions are as before.

--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -406,12 +406,13 @@
 void upstream_pool::connection::return_to_pool(duration idle_for) {
     auto& idle = shared_->idle[address_];
     if (shared_->is_closing || idle.size() >= shared_->settings.max_idle_per_address ||
-        shared_->idle_connections() >= shared_->settings.max_idle) {
+        shared_->idle_connections >= shared_->settings.max_idle) {
         close();
         return;
     }
     usable_until_ = shared_->time_source.now() + idle_for;
     idle.push_back(shared_from_this());
+    ++shared_->idle_connections;
     watch_idle();
     timer_.expires_after(idle_for);
     timer_.async_wait([weak = weak_from_this()](const boost::system::error_code& error) {
@@ -436,8 +437,7 @@
     const auto self = shared_from_this();
     const auto found = shared_->idle.find(address_);
     if (found != shared_->idle.end()) {
-        auto& kept = found->second;
-        kept.erase(std::remove(kept.begin(), kept.end(), self), kept.end());
+        shared_->idle_connections -= std::erase(found->second, self);
     }
     close();
 }
--- a/libs/edge/src/upstream_connection.h
+++ b/libs/edge/src/upstream_connection.h
@@ -34,10 +34,8 @@
     std::shared_ptr<connection> take_idle(const upstream_address& to,
                                           const upstream_request& request);
 
-    /** Number of idle connections to all addresses. */
-    std::size_t idle_connections() const;
-
     std::map<upstream_address, std::vector<std::shared_ptr<connection>>> idle;
+    std::size_t idle_connections = 0; /**< To all addresses. */
     unframed_servers unframed;
     bool is_closing = false;
 };
--- a/libs/edge/src/upstream_pool.cpp
+++ b/libs/edge/src/upstream_pool.cpp
@@ -44,6 +44,7 @@
         }
         auto candidate = std::move(candidates[position]);
         candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(position));
+        --idle_connections;
         if (candidate->is_usable(now)) {
             return candidate;
         }
@@ -52,14 +53,6 @@
     return nullptr;
 }
 
-std::size_t upstream_pool::state::idle_connections() const {
-    std::size_t out = 0;
-    for (const auto& each : idle) {
-        out += each.second.size();
-    }
-    return out;
-}
-
 upstream_pool::upstream_pool(boost::asio::io_context& loop, const clock& clock,
                              upstream_settings settings, buffer_budget* budget)
     : state_(std::make_shared<state>(loop, clock, settings)), budget_(budget) {}
@@ -93,6 +86,7 @@
     }
     const auto connections = std::move(found->second);
     state_->idle.erase(found);
+    state_->idle_connections -= connections.size();
     for (const auto& each : connections) {
         each->close();
     }
--- a/libs/edge/tests/test_caller_drain.cpp
+++ b/libs/edge/tests/test_caller_drain.cpp
@@ -1,6 +1,5 @@
 // The end of a caller_server: what has arrived is answered, and no response is lost.
-#include "loop_thread.h"
-#include "raw_socket.h"
+#include "caller_server_fixture.h"
 
 #include <edge/caller_server.h>
 
@@ -35,14 +34,7 @@
     };
 };
 
-struct drain_fixture {
-    drain_fixture() : server(thread, thread.loop, clock, handler) {
-        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
-        port = server->bound_port();
-    }
-
-    raw_socket connect() { return raw_socket::connect_to(client_loop, port); }
-
+struct drain_fixture : caller_server_fixture<scripted_handler> {
     std::size_t busy_connections() {
         std::size_t out = 0;
         thread.run([&] { out = server->busy_connections(); });
@@ -56,13 +48,6 @@
         }
         return busy_connections() == count;
     }
-
-    monotonic_clock clock;
-    scripted_handler handler;
-    boost::asio::io_context client_loop;
-    std::uint16_t port = 0;
-    loop_thread thread;
-    on_loop<caller_server> server;
 };
 
 } // namespace
--- a/libs/edge/tests/test_caller_queue.cpp
+++ b/libs/edge/tests/test_caller_queue.cpp
@@ -1,6 +1,5 @@
 // Connections that wait to be accepted, and those that can't be.
-#include "loop_thread.h"
-#include "raw_socket.h"
+#include "caller_server_fixture.h"
 
 #include <edge/caller_server.h>
 
@@ -47,26 +46,12 @@
     std::atomic<int> failed_accepts = 0;
 };
 
-struct queue_fixture {
-    queue_fixture() : server(thread, thread.loop, clock, handler) {
-        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
-        port = server->bound_port();
-    }
-
-    raw_socket connect() { return raw_socket::connect_to(client_loop, port); }
-
+struct queue_fixture : caller_server_fixture<counting_handler> {
     bool can_accept() {
         bool out = false;
         thread.run([&] { out = server->can_accept(); });
         return out;
     }
-
-    monotonic_clock clock;
-    counting_handler handler;
-    boost::asio::io_context client_loop;
-    std::uint16_t port = 0;
-    loop_thread thread;
-    on_loop<caller_server> server;
 };
 
 /** Lets this process have no descriptor left while it exists, but for `spare` of them. */
--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -1,5 +1,4 @@
-#include "loop_thread.h"
-#include "raw_socket.h"
+#include "caller_server_fixture.h"
 
 #include <edge/caller_server.h>
 
@@ -33,25 +32,13 @@
     std::vector<int> rejected_statuses;
 };
 
-struct server_fixture {
-    server_fixture() : server(thread, thread.loop, clock, handler) {
-        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
-    }
-
-    raw_socket connect() { return raw_socket::connect_to(client_loop, server->bound_port()); }
-
+struct server_fixture : caller_server_fixture<scripted_handler> {
     /** Sends `bytes` and returns the response; expects the server to close the connection. */
     std::string send_and_read_all(const std::string& bytes) {
         auto caller = connect();
         caller.send(bytes);
         return caller.read_all();
     }
-
-    monotonic_clock clock;
-    scripted_handler handler;
-    boost::asio::io_context client_loop;
-    loop_thread thread;
-    on_loop<caller_server> server;
 };
 
 const std::string close_line = "Connection: close\r\n";
--- a/libs/edge/tests/test_single_response.cpp
+++ b/libs/edge/tests/test_single_response.cpp
@@ -1,7 +1,6 @@
 // Guards against two responses to one request, and cut responses that look complete (incident
 // MIXED).
-#include "loop_thread.h"
-#include "raw_socket.h"
+#include "caller_server_fixture.h"
 
 #include <edge/caller_server.h>
 
@@ -38,19 +37,7 @@
     int rejected_status = 0;
 };
 
-struct server_fixture {
-    server_fixture() : server(thread, thread.loop, clock, handler) {
-        thread.run([&] { server->listen({boost::asio::ip::make_address("127.0.0.1"), 0}); });
-    }
-
-    raw_socket connect() { return raw_socket::connect_to(client_loop, server->bound_port()); }
-
-    monotonic_clock clock;
-    counting_handler handler;
-    boost::asio::io_context client_loop;
-    loop_thread thread;
-    on_loop<caller_server> server;
-};
+using server_fixture = caller_server_fixture<counting_handler>;
 
 /** A response of unknown length to a caller of HTTP/1.0, whose first event is written. */
 struct begun_response {
--- a/libs/entry/src/descriptor_shares.cpp
+++ b/libs/entry/src/descriptor_shares.cpp
@@ -13,7 +13,7 @@
 // With few descriptors, at most this part of them is reserved.
 constexpr std::size_t max_reserved_divisor = 3;
 // Taken as the limit where neither the settings nor the system set one.
-constexpr std::size_t max_descriptors = 65'536;
+constexpr std::size_t default_descriptors = 65'536;
 constexpr double caller_share = 0.4;        // and as much for their requests at servers
 constexpr double idle_upstream_share = 0.1; // the rest is for requests that are being refused
 
@@ -33,8 +33,9 @@
     rlimit limit{};
     const bool is_limited =
         ::getrlimit(RLIMIT_NOFILE, &limit) == 0 && limit.rlim_cur != RLIM_INFINITY;
-    const auto allowed = is_limited ? static_cast<std::size_t>(limit.rlim_cur) : max_descriptors;
-    return std::min(configured == 0 ? max_descriptors : configured, allowed);
+    const auto allowed =
+        is_limited ? static_cast<std::size_t>(limit.rlim_cur) : default_descriptors;
+    return std::min(configured == 0 ? default_descriptors : configured, allowed);
 }
 
 } // namespace camphorgrade::entry
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -139,13 +139,16 @@
     return !shutdown_.has_begun() && fleet_.is_complete() && caller_server_.can_accept();
 }
 
+void gateway_node::add_load(log_line& line) const {
+    line.number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
+        .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+}
+
 void gateway_node::record_loop_delay(duration delay) {
     longest_loop_delay_ = std::max(longest_loop_delay_, delay);
     if (delay >= notable_loop_delay) {
-        log_.line("event_loop_delayed", log_category::failure)
-            .number("delay_ms", delay.count())
-            .number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
-            .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+        auto line = log_.line("event_loop_delayed", log_category::failure);
+        add_load(line.number("delay_ms", delay.count()));
     }
 }
 
@@ -207,18 +210,14 @@
 }
 
 void gateway_node::on_accept_failed(const boost::system::error_code& error) {
-    log_.line("accept_failed", log_category::failure)
-        .text("reason", error.message())
-        .number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
-        .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    auto line = log_.line("accept_failed", log_category::failure);
+    add_load(line.text("reason", error.message()));
     metrics_.count("camphor_failed_accepts_total");
 }
 
 void gateway_node::on_connection_limit(edge::connection_limit_action action) {
-    log_.line("connection_limit")
-        .text("action", edge::to_string(action))
-        .number("caller_connections", static_cast<std::int64_t>(caller_server_.connections()))
-        .number("open_requests", static_cast<std::int64_t>(flows_.size()));
+    auto line = log_.line("connection_limit");
+    add_load(line.text("action", edge::to_string(action)));
     metrics_.count("camphor_connection_limit_total",
                    {{"action", std::string(edge::to_string(action))}});
 }
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -95,6 +95,8 @@
     /** Ends what buffers most until the process keeps within its budget. */
     void enforce_buffer_budget();
     void tick();
+    /** Adds the number of open connections and requests. */
+    void add_load(log_line& line) const;
     /** `delay` is how late the event loop ran a timer. */
     void record_loop_delay(duration delay);
     void listen_for_metrics();
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -186,7 +186,7 @@
         return;
     }
     if (!knows_agents_) {
-        update_software_peers();
+        update_software_peers(transport_.peers());
         exchange_origins();
     }
     std::erase_if(sent_demands_, [this](const auto& each) {
@@ -309,16 +309,16 @@
     if (granters_updated_at_ == time_point{} ||
         now - granters_updated_at_ >= settings_.granter_update_interval) {
         granters_updated_at_ = now;
-        dispatcher_.set_gateways(transport_.own_address(), transport_.live_granters(),
-                                 transport_.peers(), now);
-        update_software_peers();
+        const auto peers = transport_.peers();
+        dispatcher_.set_gateways(transport_.own_address(), transport_.live_granters(), peers, now);
+        update_software_peers(peers);
     }
 }
 
-void gateway_peers::update_software_peers() {
+void gateway_peers::update_software_peers(const std::vector<std::string>& peers) {
     const auto known = agents();
     knows_agents_ = !known.empty();
-    dispatcher_.set_software_peers(transport_.own_address(), transport_.peers(), known);
+    dispatcher_.set_software_peers(transport_.own_address(), peers, known);
 }
 
 std::string gateway_peers::agent_of(const serving::backend_view& view) const {
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -145,7 +145,7 @@
     void exchange_permits();
     void update_granters();
     /** Updates the processes that know the history of software versions. */
-    void update_software_peers();
+    void update_software_peers(const std::vector<std::string>& peers);
     /** Addresses of the agents beside the engines of all services. */
     std::vector<std::string> agents() const;
     std::string agent_of(const serving::backend_view& view) const;
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -385,6 +385,8 @@
     void retry_or_end(request_handle id, request& entry, attempt_outcome outcome, time_point now);
     /** Whether the request may be sent again; reserves the retry if it may. */
     retry_decision decide_retry(const request& entry, time_point now);
+    void record_retry_decision(request_handle id, const request& entry, retry_decision decision,
+                               time_point now);
     /** Whether the limit on retries lets the request be sent now; counts the retry if it is one. */
     bool may_send(request& entry, time_point now);
     /** The request won't be sent again, though a retry may be reserved for it. */
--- a/libs/serving/include/serving/permit_exchange.h
+++ b/libs/serving/include/serving/permit_exchange.h
@@ -4,6 +4,7 @@
 #include <serving/permit_granter.h>
 #include <serving/permit_holder.h>
 #include <serving/permit_messages.h>
+#include <serving/recent_gateways.h>
 #include <serving/server_limits.h>
 
 #include <map>
@@ -115,7 +116,7 @@
     permit_holder holder_;
     std::string own_;
     std::vector<std::string> live_;
-    std::map<std::string, time_point> last_live_;    /**< By gateway. */
+    recent_gateways last_live_{settings_.gateway_memory};
     time_point grants_from_;                         /**< No permit of a new bucket before. */
     std::map<server_process, std::string> granters_; /**< Of the servers that permits are wanted
                                                            for. */
--- a/libs/serving/include/serving/retry_limiter.h
+++ b/libs/serving/include/serving/retry_limiter.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <kernel/clock.h>
+#include <serving/recent_gateways.h>
 
 #include <cstddef>
 #include <deque>
@@ -91,7 +92,7 @@
 
     retry_limiter_settings settings_;
     std::map<std::string, counts> by_service_;
-    std::map<std::string, time_point> gateways_known_at_; /**< Empty until set_gateways(). */
+    recent_gateways known_gateways_{settings_.gateway_memory}; /**< None until set_gateways(). */
     std::size_t live_gateways_ = 1;
     std::optional<time_point> first_request_at_;
 };
--- a/libs/serving/src/dispatch_retries.cpp
+++ b/libs/serving/src/dispatch_retries.cpp
@@ -22,7 +22,7 @@
         return;
     }
     const auto decision = decide_retry(entry, now);
-    retry_decisions_.push_back({id, decision, entry.service, retries_.usage(entry.service, now)});
+    record_retry_decision(id, entry, decision, now);
     if (decision == retry_decision::allowed) {
         entry.has_reserved_retry = true;
         place(id, entry, now);
@@ -53,6 +53,11 @@
                                                     : retry_decision::over_limit;
 }
 
+void dispatcher::record_retry_decision(request_handle id, const request& entry,
+                                       retry_decision decision, time_point now) {
+    retry_decisions_.push_back({id, decision, entry.service, retries_.usage(entry.service, now)});
+}
+
 bool dispatcher::may_send(request& entry, time_point now) {
     const bool is_retry = std::exchange(entry.has_reserved_retry, false);
     return !is_retry || retries_.try_send(entry.service, now);
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -103,8 +103,7 @@
 
 void dispatcher::send(request_handle id, request& entry, const placement& target, time_point now) {
     if (!may_send(entry, now)) {
-        retry_decisions_.push_back(
-            {id, retry_decision::over_limit, entry.service, retries_.usage(entry.service, now)});
+        record_retry_decision(id, entry, retry_decision::over_limit, now);
         end(id, entry, end_reason::refused, with_jitter(settings_.placement_retry_interval));
         return;
     }
--- a/libs/serving/src/permit_exchange.cpp
+++ b/libs/serving/src/permit_exchange.cpp
@@ -49,11 +49,8 @@
 }
 
 void permit_exchange::update_fleet_share(const std::vector<std::string>& live, time_point now) {
-    for (const auto& each : live) {
-        last_live_[each] = now;
-    }
-    std::erase_if(last_live_,
-                  [&](const auto& each) { return now - each.second >= settings_.gateway_memory; });
+    last_live_.add(live, now);
+    last_live_.remove_expired(now);
     granter_.set_fleet_share(
         static_cast<double>(live.size()) / static_cast<double>(last_live_.size()), now);
 }
--- a/libs/serving/src/retry_limiter.cpp
+++ b/libs/serving/src/retry_limiter.cpp
@@ -28,13 +28,9 @@
 void retry_limiter::set_gateways(const std::vector<std::string>& live,
                                  const std::vector<std::string>& others, time_point now) {
     live_gateways_ = live.size();
-    for (const auto* group : {&live, &others}) {
-        for (const auto& each : *group) {
-            gateways_known_at_[each] = now;
-        }
-    }
-    std::erase_if(gateways_known_at_,
-                  [&](const auto& each) { return now - each.second >= settings_.gateway_memory; });
+    known_gateways_.add(live, now);
+    known_gateways_.add(others, now);
+    known_gateways_.remove_expired(now);
 }
 
 double retry_limiter::additional_share(time_point now) const {
@@ -43,10 +39,10 @@
     if (settings_.is_restart && !covers_window) {
         return 0;
     }
-    if (gateways_known_at_.empty()) {
+    const auto known = known_gateways_.size();
+    if (known == 0) {
         return settings_.base_retries;
     }
-    const auto known = gateways_known_at_.size();
     const bool hears_most = 2 * live_gateways_ > known;
     return hears_most ? settings_.base_retries / static_cast<double>(known) : 0;
 }
@@ -59,7 +55,7 @@
         settings_.usable_share *
         (settings_.ratio * static_cast<double>(requests) + additional_share(now));
     return {requests, service_counts.retries.size() + service_counts.reserved, allowed,
-            std::max<std::size_t>(gateways_known_at_.size(), 1), live_gateways_};
+            std::max<std::size_t>(known_gateways_.size(), 1), live_gateways_};
 }
 
 std::size_t retry_limiter::remembered_requests(const std::string& service) const {
