Limit cold servers to the rate that they sustain, and evacuate data centres

Callers lost the answers of servers that crashed cold: 16 requests in one second reached one that stands 15.4, and 663 requests reached a data centre after its evacuation. Nothing read the cold time and rate of services and registrations, or the operators' evacuations.

A cold server's rate is now a request limit like those that servers name: the permits of the present exchange hold it over all gateways. Evacuated data centres are read from the store and told to peers with the store's position; their servers accept nothing, and requests that wait there are placed again.

--- a/libs/entry/src/fleet_state.cpp
+++ b/libs/entry/src/fleet_state.cpp
@@ -91,6 +91,36 @@
     dispatcher_.set_adapter_version(weights, version);
 }
 
+void fleet_state::on_evacuations(const serving::evacuation_state& state) {
+    const auto before = dispatcher_.backends().evacuated();
+    if (!dispatcher_.set_evacuations(state, clock_.now())) {
+        return;
+    }
+    for (const auto& each : state.data_centres) {
+        if (before.count(each) == 0) {
+            log_evacuation("data_centre_evacuated", each);
+        }
+    }
+    for (const auto& each : before) {
+        if (state.data_centres.count(each) == 0) {
+            log_evacuation("data_centre_restored", each);
+        }
+    }
+    listener_.on_fleet_changed();
+}
+
+void fleet_state::log_evacuation(const char* event, const std::string& data_centre) {
+    const auto& servers = dispatcher_.backends().all();
+    const auto count = std::count_if(servers.begin(), servers.end(), [&](const auto& each) {
+        return each.second.server.data_centre == data_centre;
+    });
+    log_.line(event)
+        .text("data_centre", data_centre)
+        .number("backend_servers", count)
+        .number("revision", static_cast<std::int64_t>(dispatcher_.evacuations()->position.revision))
+        .number("store_age_ms", store_age().count());
+}
+
 void fleet_state::on_registrations(const std::vector<serving::backend_server>& servers) {
     has_registrations_ = true;
     is_following_ = false;
@@ -253,7 +283,14 @@
             .text("service", server.service)
             .flag("draining", server.is_draining);
     }
+    const bool was_cold = dispatcher_.cold().find(server.process()).has_value();
     dispatcher_.on_registration(server, clock_.now());
+    if (const auto limit = dispatcher_.cold().find(server.process()); limit && !was_cold) {
+        log_.line("server_cold")
+            .text("backend_server", server.id)
+            .number("cold_left_ms", server.cold_left.count())
+            .decimal("limit_per_s", limit->requests_per_s);
+    }
     if (is_change) {
         listener_.on_fleet_changed();
     }
--- a/libs/entry/src/fleet_state.h
+++ b/libs/entry/src/fleet_state.h
@@ -43,6 +43,8 @@
 
     void on_catalogue(serving::service_catalogue catalogue, const std::string& text) override;
     void on_adapter_version(const std::string& weights, std::uint64_t version) override;
+    /** Applies a state from the store or from a peer, whichever is newer. */
+    void on_evacuations(const serving::evacuation_state& state) override;
     void on_registrations(const std::vector<serving::backend_server>& servers) override;
     void on_registration(const serving::backend_server& server) override;
     void on_deregistration(const std::string& id) override;
@@ -88,6 +90,7 @@
     /** The snapshot without servers that can't be called, each of which is logged. */
     peering::registration_snapshot without_unusable(peering::registration_snapshot snapshot);
     void apply_peer_registration(const serving::backend_server& server);
+    void log_evacuation(const char* event, const std::string& data_centre);
     void remove_server(const std::string& id, const char* reason);
     /** The registrations known now are the store's as of `time`. `is_continuous`: no change since
         the last such time is missing. */
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -366,6 +366,10 @@
                  static_cast<double>(fleet_.store_restorations()));
     metrics_.set("camphor_limited_backend_servers", {},
                  static_cast<double>(dispatcher_.limits().all().size()));
+    metrics_.set("camphor_cold_backend_servers", {},
+                 static_cast<double>(dispatcher_.cold().size()));
+    metrics_.set("camphor_evacuated_data_centres", {},
+                 static_cast<double>(dispatcher_.backends().evacuated().size()));
     metrics_.set("camphor_granted_permits", {},
                  static_cast<double>(dispatcher_.permits().granted_permits()));
     metrics_.set("camphor_prompt_parts", {{"state", "suspect"}},
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -128,6 +128,10 @@
     for (const auto& [weights, version] : report.versions) {
         dispatcher_.set_adapter_version(weights, version);
     }
+    if (report.evacuations) {
+        fleet_.on_evacuations(*report.evacuations);
+        host_.on_effects_pending();
+    }
     fetch_catalogue(sender, report.catalogue_version, settings_.fetch_delay);
 }
 
@@ -285,7 +289,7 @@
 }
 
 void gateway_peers::permits_changed() {
-    if (!dispatcher_.limits().all().empty()) {
+    if (dispatcher_.has_limited_servers()) {
         schedule_permits(settings_.permit_delay);
     }
 }
@@ -404,6 +408,7 @@
         report.crashes = dispatcher_.crashes().newest(settings_.max_crash_records);
         report.gateways = gateway_selector_.next(transport_.peers());
         report.versions = dispatcher_.versions();
+        report.evacuations = dispatcher_.evacuations();
     }
     last_report_ = now;
     dispatcher_.limiter().on_report_sent();
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -5,6 +5,7 @@
 #include <serving/backend_server.h>
 #include <serving/crash_register.h>
 #include <serving/crashing_parts.h>
+#include <serving/evacuation_state.h>
 #include <serving/permit_messages.h>
 #include <serving/server_limits.h>
 #include <serving/service_catalogue.h>
@@ -51,6 +52,8 @@
     std::vector<serving::server_process> avoided_servers;
     std::vector<serving::limit_report> limits; /**< Request limits that backend servers name. */
     bool has_all_usage = true; /**< False: `usage` lists only recently changed accounts. */
+    /** Empty in reports that leave it out, and if the sender knows none. */
+    std::optional<serving::evacuation_state> evacuations;
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
 };
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -22,6 +22,8 @@
 constexpr int max_stream_origins = 1'000;
 // Bounds the software versions that one message may name.
 constexpr int max_software_records = 256;
+// Bounds the data centres that one report may state as evacuated.
+constexpr int max_evacuated_data_centres = 1'000;
 
 bool is_amount(double value) {
     return std::isfinite(value) && value >= 0;
@@ -322,6 +324,18 @@
     return out;
 }
 
+void write(const serving::evacuation_state& state, wire::evacuation_state& out) {
+    for (const auto& each : state.data_centres) {
+        out.add_data_centres(each);
+    }
+    out.set_revision(state.position.revision);
+    out.set_era(state.position.era);
+}
+
+serving::evacuation_state read(const wire::evacuation_state& in) {
+    return {{in.data_centres().begin(), in.data_centres().end()}, {in.era(), in.revision()}};
+}
+
 void write(const gateway_report& report, wire::gateway_report& out) {
     for (const auto& [account, usage] : report.usage) {
         auto& count = *out.add_usage();
@@ -347,6 +361,9 @@
         adapter_version.set_version(version);
     }
     out.set_has_all_usage(report.has_all_usage);
+    if (report.evacuations) {
+        write(*report.evacuations, *out.mutable_evacuations());
+    }
     for (const auto& each : report.avoided_servers) {
         auto& server = *out.add_troubles();
         server.set_backend_id(each.id);
@@ -374,6 +391,11 @@
         report.versions[each.weights()] = each.version();
     }
     report.has_all_usage = in.has_all_usage();
+    const bool has_evacuations =
+        in.has_evacuations() && in.evacuations().data_centres_size() <= max_evacuated_data_centres;
+    if (has_evacuations) {
+        report.evacuations = read(in.evacuations());
+    }
     for (const auto& each : in.troubles()) {
         report.avoided_servers.push_back({each.backend_id(), each.born()});
     }
--- a/libs/peering/src/registrations.cpp
+++ b/libs/peering/src/registrations.cpp
@@ -4,6 +4,7 @@
 
 #include <wire/peering.pb.h>
 
+#include <algorithm>
 #include <limits>
 
 namespace camphorgrade::peering {
@@ -21,6 +22,7 @@
     out.is_draining = in.is_draining();
     out.started_at_ms = in.born();
     out.software_version = in.software_version();
+    out.cold_left = std::max(read_age(in.cold_left_ms()), duration::zero());
     for (const auto& each : in.held()) {
         out.held.push_back({each.weights(), each.version()});
     }
@@ -37,6 +39,7 @@
     out.set_is_draining(server.is_draining);
     out.set_born(server.started_at_ms);
     out.set_software_version(server.software_version);
+    out.set_cold_left_ms(static_cast<std::uint64_t>(server.cold_left.count()));
     for (const auto& each : server.held) {
         auto& held = *out.add_held();
         held.set_weights(each.name);
--- a/libs/serving/include/serving/backend_registry.h
+++ b/libs/serving/include/serving/backend_registry.h
@@ -58,6 +58,7 @@
     std::map<std::string, time_point> avoided_by;
     /** This process announced its shutdown, in a response or as draining. */
     bool is_leaving = false;
+    bool is_evacuated = false; /**< Operators have evacuated its data centre. */
     time_point hold_off_until; /**< The server accepts no requests before this time. */
     double failure_rate = 0;   /**< Moving average of the share of failed attempts, 0 to 1. */
     /** Moving average of the ratio of the measured to the expected time to the first byte. */
@@ -117,12 +118,16 @@
         in effect. */
     void on_hold_off(const std::string& id, time_point until);
 
-    /** Whether the server may be sent a request: it is neither draining nor shutting down, and
-        its hold-off time has passed. */
+    /** Sets the evacuated data centres; their servers accept no requests. */
+    void set_evacuated(std::set<std::string> data_centres);
+    const std::set<std::string>& evacuated() const noexcept { return evacuated_; }
+
+    /** Whether the server may be sent a request: it is neither draining nor shutting down, its data
+        centre isn't evacuated, and its hold-off time has passed. */
     static bool accepts_requests(const backend_view& view, time_point now);
 
-    /** Registered servers of the service that are neither draining nor shutting down. The
-        pointers are valid until the entry is erased. */
+    /** Registered servers of the service that are neither draining nor shutting down nor in an
+        evacuated data centre. The pointers are valid until the entry is erased. */
     std::vector<backend_view*> servers_of_service(const std::string& service);
 
     /** All entries by server id, including removed servers with open requests. */
@@ -186,6 +191,7 @@
     load_time_estimator load_times_;
     std::set<server_process> leaving_; /**< Processes that have announced their shutdown. */
     std::deque<server_process> leaving_in_order_;
+    std::set<std::string> evacuated_; /**< Data centres. */
     std::map<std::string, backend_view> views_;
 };
 
--- a/libs/serving/include/serving/backend_server.h
+++ b/libs/serving/include/serving/backend_server.h
@@ -53,6 +53,7 @@
     /** Version of its software, not of weights; empty if it states none. Servers that state none
         count as of one version. */
     std::string software_version{};
+    duration cold_left{}; /**< How much longer it stays cold, as of its registration. */
 
     /** The process that this registration describes. */
     server_process process() const { return {id, started_at_ms}; }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -4,9 +4,11 @@
 #include <kernel/random.h>
 #include <serving/account_limiter.h>
 #include <serving/backend_registry.h>
+#include <serving/cold_servers.h>
 #include <serving/crash_register.h>
 #include <serving/crashing_parts.h>
 #include <serving/dispatch_effects.h>
+#include <serving/evacuation_state.h>
 #include <serving/permit_exchange.h>
 #include <serving/placement.h>
 #include <serving/request_metadata.h>
@@ -112,6 +114,13 @@
         is ignored. */
     void set_adapter_version(const std::string& weights, std::uint64_t version);
 
+    /** Evacuates the data centres of `state` and takes all others back into service: requests that
+        wait there are placed again, sent ones go on. A state that isn't newer than the known one is
+        ignored. Returns whether the evacuated data centres changed. */
+    bool set_evacuations(const evacuation_state& state, time_point now);
+    /** The newest known state; empty until one is known. */
+    const std::optional<evacuation_state>& evacuations() const noexcept { return evacuations_; }
+
     const catalogue_index* catalogue() const noexcept { return catalogue_.get(); }
     const adapter_versions& versions() const noexcept { return versions_; }
     backend_registry& backends() noexcept { return backends_; }
@@ -121,6 +130,9 @@
     crashing_parts& parts() noexcept { return parts_; }
     const crashing_parts& parts() const noexcept { return parts_; }
     const server_limits& limits() const noexcept { return limits_; }
+    const cold_servers& cold() const noexcept { return cold_; }
+    /** Whether any server has a request limit, so that permits are exchanged. */
+    bool has_limited_servers() const { return !effective_limits_.is_empty(); }
     const permit_exchange& permits() const noexcept { return permits_; }
     store_recovery_estimator& store_recovery() noexcept { return store_recovery_; }
 
@@ -306,6 +318,8 @@
     /** Forgets the limits of server processes that are gone. */
     void erase_ended_limits(time_point now);
     void on_limit_changed(limit_changed effect, time_point now);
+    /** Ends the limits of servers that have become warm. */
+    void update_cold_servers(time_point now);
     /** Sends the requests that wait at the server and have all that they wait for. */
     void send_waiting_requests(const std::string& backend_id, time_point now);
     /** A granter replied: sends requests that got a permit, and places again those whose wait was
@@ -401,12 +415,15 @@
     random_source random_;
     std::shared_ptr<const catalogue_index> catalogue_;
     adapter_versions versions_;
+    std::optional<evacuation_state> evacuations_;
     backend_registry backends_;
     account_limiter limiter_;
     retry_limiter retries_;
     crash_register crashes_;
     crashing_parts parts_;
     server_limits limits_;
+    cold_servers cold_;
+    effective_limits effective_limits_;
     permit_exchange permits_;
     store_recovery_estimator store_recovery_;
     stream_origins origins_;
--- a/libs/serving/include/serving/fleet_listener.h
+++ b/libs/serving/include/serving/fleet_listener.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <serving/backend_server.h>
+#include <serving/evacuation_state.h>
 #include <serving/service_catalogue.h>
 #include <serving/store_position.h>
 
@@ -23,6 +24,8 @@
     virtual void on_catalogue(service_catalogue catalogue, const std::string& text) = 0;
     /** The version of an adapter's weights that requests must run on. */
     virtual void on_adapter_version(const std::string& weights, std::uint64_t version) = 0;
+    /** The data centres that are evacuated; all others are in service. */
+    virtual void on_evacuations(const evacuation_state& state) = 0;
     /** All current registrations; a server that is not among them is no longer registered. */
     virtual void on_registrations(const std::vector<backend_server>& servers) = 0;
     /** A registration was added or changed. */
--- a/libs/serving/include/serving/permit_exchange.h
+++ b/libs/serving/include/serving/permit_exchange.h
@@ -1,11 +1,11 @@
 #pragma once
 
 #include <kernel/clock.h>
+#include <serving/limit_source.h>
 #include <serving/permit_granter.h>
 #include <serving/permit_holder.h>
 #include <serving/permit_messages.h>
 #include <serving/recent_gateways.h>
-#include <serving/server_limits.h>
 
 #include <map>
 #include <optional>
@@ -49,7 +49,7 @@
 class permit_exchange {
 public:
     /** `limits` must outlive the exchange. */
-    permit_exchange(const server_limits& limits, permit_exchange_settings settings);
+    permit_exchange(const limit_source& limits, permit_exchange_settings settings);
 
     /** Sets this gateway's address and all live gateways that grant permits, itself included. Until
         the first call this gateway grants all permits itself. */
@@ -110,7 +110,7 @@
     void apply_request(const std::string& gateway, const permit_request& request, time_point now);
     bool apply_grant(const permit_grant& grant, time_point now);
 
-    const server_limits& limits_;
+    const limit_source& limits_;
     permit_exchange_settings settings_;
     permit_granter granter_;
     permit_holder holder_;
--- a/libs/serving/include/serving/permit_granter.h
+++ b/libs/serving/include/serving/permit_granter.h
@@ -41,7 +41,8 @@
 
 /**
  * Grants the permits of limited servers from one token bucket for each server, to the gateways in
- * the order of their requests; spare permits come after all others. A bucket starts empty.
+ * the order of their requests; spare permits come after all others. A bucket starts empty, or at
+ * its granter's phase if that grants only a share of the limit.
  * Deterministic. Not thread safe.
  */
 class permit_granter {
@@ -58,6 +59,10 @@
     /** Sets the share of each limit that this granter may grant, from 0 to 1. */
     void set_fleet_share(double share, time_point now);
 
+    /** Sets where in its cycle the bucket of a partial share begins, from 0 to 1. Granters that
+       don't hear each other need different phases, or their permits accrue at the same moment. */
+    void set_phase(double phase) { phase_ = phase; }
+
     /** Grants the permits that have accrued; returns a grant for each gateway that got permits or
         whose request has not been answered yet. */
     std::vector<addressed_grant> advance(time_point now);
@@ -85,6 +90,7 @@
     };
     struct bucket {
         double limit_per_s = 0;
+        /** With a partial share it rises above the capacity while a permit is unused. */
         double level = 0;
         time_point refilled_at; /**< May be in the future: nothing accrues before. */
         time_point requested_at;
@@ -95,6 +101,10 @@
 
     double rate_of(const bucket& target) const;
     void refill(bucket& target, time_point now) const;
+    static double capacity_of(double rate_per_s, const permit_granter_settings& settings);
+    /** Level at which an unused permit of a partial share lapses. Granters that don't hear each
+       other would otherwise keep one each, and use all of them at the same time. */
+    double lapse_level(const bucket& target) const;
     /** Time from now on until `permits` have accrued. */
     duration time_until(const bucket& target, double permits, time_point now) const;
     static void set_queued(std::deque<std::string>& queue, const std::string& gateway,
@@ -110,6 +120,7 @@
 
     permit_granter_settings settings_;
     double fleet_share_ = 1;
+    double phase_ = 0;
     std::map<server_process, bucket> buckets_;
     std::uint64_t granted_permits_ = 0;
 };
--- a/libs/serving/include/serving/placement.h
+++ b/libs/serving/include/serving/placement.h
@@ -51,6 +51,9 @@
     std::vector<prompt_part> prompt_parts;
     duration objective{};           /**< Latency objective of the route. */
     std::set<std::string> excluded; /**< Servers that were tried already. */
+    /** Servers whose process was replaced won't do: the new one may be cold, which is known when it
+        has registered. */
+    bool excludes_replaced = false;
     /** Only servers of this software version will do; empty: any. */
     std::optional<std::string> software_version;
     /** Server at which the request has waited so far; empty for a new request. */
--- a/libs/serving/include/serving/server_limits.h
+++ b/libs/serving/include/serving/server_limits.h
@@ -2,6 +2,7 @@
 
 #include <kernel/clock.h>
 #include <serving/backend_server.h>
+#include <serving/limit_source.h>
 
 #include <functional>
 #include <map>
@@ -19,14 +20,6 @@
     friend bool operator==(const limit_change&, const limit_change&) = default;
 };
 
-/** The request limit that is in force for a server process. A value type. */
-struct request_limit {
-    double requests_per_s = 0;
-    time_point confirmed_at; /**< Arrival of the latest response that named it. */
-
-    friend bool operator==(const request_limit&, const request_limit&) = default;
-};
-
 /** What a gateway last observed in a response of a server: the limit that it names, or that it no
     longer names one. A value type. */
 struct limit_report {
@@ -63,7 +56,7 @@
  * latest one that confirmed the limit: its request was sent after that response had arrived, or a
  * peer observed it at least the longest delay of a report later. Deterministic. Not thread safe.
  */
-class server_limits {
+class server_limits final : public limit_source {
 public:
     explicit server_limits(server_limits_settings settings = {}) : settings_(settings) {}
 
@@ -86,7 +79,9 @@
     bool has_recent_changes(time_point now) const;
 
     /** The limit in force; empty if the server names none. */
-    std::optional<request_limit> find(const server_process& server) const;
+    std::optional<request_limit> find(const server_process& server) const override;
+
+    bool is_empty() const override { return limits_.empty(); }
 
     /** All limits in force. */
     const std::map<server_process, request_limit>& all() const noexcept { return limits_; }
--- a/libs/serving/include/serving/service_catalogue.h
+++ b/libs/serving/include/serving/service_catalogue.h
@@ -80,6 +80,9 @@
     std::string name;
     std::optional<engine_capacity> engine; /**< Empty for a service without engines. */
     std::string health_path{};             /**< Of its health check; empty if it has none. */
+    duration cold_time{};                  /**< Time that a server stays cold after its start. */
+    double cold_rate_per_s = 0; /**< Requests per second, of all gateways together, that a cold
+                                     server sustains; 0: not limited. */
 
     friend bool operator==(const service&, const service&) = default;
 };
--- a/libs/serving/src/backend_registry.cpp
+++ b/libs/serving/src/backend_registry.cpp
@@ -1,6 +1,7 @@
 #include <serving/backend_registry.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace camphorgrade::serving {
 
@@ -48,6 +49,7 @@
     }
     view.server = server;
     view.is_removed = false;
+    view.is_evacuated = evacuated_.count(server.data_centre) != 0;
     if (server.is_draining) {
         mark_leaving(server.process());
     }
@@ -65,6 +67,13 @@
     }
 }
 
+void backend_registry::set_evacuated(std::set<std::string> data_centres) {
+    evacuated_ = std::move(data_centres);
+    for (auto& [id, view] : views_) {
+        view.is_evacuated = evacuated_.count(view.server.data_centre) != 0;
+    }
+}
+
 void backend_registry::remove(const std::string& id) {
     if (auto* view = find(id)) {
         view->is_removed = true;
@@ -142,7 +151,8 @@
 std::vector<backend_view*> backend_registry::servers_of_service(const std::string& service) {
     std::vector<backend_view*> out;
     for (auto& [id, view] : views_) {
-        if (view.server.service == service && !view.server.is_draining && !view.is_leaving) {
+        const bool is_leaving = view.server.is_draining || view.is_leaving;
+        if (view.server.service == service && !is_leaving && !view.is_evacuated) {
             out.push_back(&view);
         }
     }
@@ -163,7 +173,8 @@
 }
 
 bool backend_registry::accepts_requests(const backend_view& view, time_point now) {
-    return !view.server.is_draining && !view.is_leaving && now >= view.hold_off_until;
+    return !view.server.is_draining && !view.is_leaving && !view.is_evacuated &&
+           now >= view.hold_off_until;
 }
 
 void backend_registry::on_failure(const std::string& id, time_point now) {
--- a/libs/serving/src/dispatch_limits.cpp
+++ b/libs/serving/src/dispatch_limits.cpp
@@ -34,12 +34,12 @@
 
 permit_demand dispatcher::waiting_for_permits() const {
     permit_demand out;
-    if (limits_.all().empty()) {
+    if (effective_limits_.is_empty()) {
         return out;
     }
     for (const auto& [id, each] : requests_) {
         const auto* view = each.state == phase::waiting ? backends_.find(each.backend_id) : nullptr;
-        if (view != nullptr && limits_.find(view->server.process())) {
+        if (view != nullptr && effective_limits_.find(view->server.process())) {
             ++out[view->server.process()];
         }
     }
@@ -84,6 +84,14 @@
     }
 }
 
+void dispatcher::update_cold_servers(time_point now) {
+    for (const auto& each : cold_.update(now)) {
+        permits_.on_limit_changed(each, now);
+        send_waiting_requests(each.id, now);
+    }
+    cold_.erase_unknown([this](const std::string& id) { return backends_.find(id) != nullptr; });
+}
+
 void dispatcher::erase_ended_limits(time_point now) {
     const auto is_current = [&](const server_process& server) -> std::optional<bool> {
         const auto* view = backends_.find(server.id);
--- a/libs/serving/src/dispatch_placement.cpp
+++ b/libs/serving/src/dispatch_placement.cpp
@@ -20,9 +20,10 @@
     wanted.prompt_parts = entry.metadata.prompt_parts;
     wanted.objective = entry.found_route->latency_objective;
     wanted.excluded = entry.excluded;
+    wanted.excludes_replaced = cold_.has_cold_rate(entry.service);
     wanted.software_version = entry.stream_version;
     wanted.waiting_backend_id = entry.backend_id;
-    wanted.position = limits_.all().empty() ? 0 : waiting_ahead(id, entry);
+    wanted.position = effective_limits_.is_empty() ? 0 : waiting_ahead(id, entry);
     const auto chosen = placement_chooser_.choose(backends_, permits_, wanted, now);
     if (const auto* none = std::get_if<no_placement>(&chosen.target)) {
         end_without_placement(id, entry, *none, now);
@@ -64,6 +65,23 @@
     end(id, entry, reason, with_added_jitter(*no_target.available_at - now));
 }
 
+bool dispatcher::set_evacuations(const evacuation_state& state, time_point now) {
+    if (evacuations_ && state.position <= evacuations_->position) {
+        return false;
+    }
+    evacuations_ = state;
+    if (state.data_centres == backends_.evacuated()) {
+        return false;
+    }
+    backends_.set_evacuated(state.data_centres);
+    for (const auto& [id, view] : backends_.all()) {
+        if (view.is_evacuated) {
+            reassign_waiting_requests(id, now);
+        }
+    }
+    return true;
+}
+
 void dispatcher::reassign_waiting_requests(const std::string& backend_id, time_point now) {
     for (auto& [id, each] : requests_) {
         if (each.state == phase::waiting && each.backend_id == backend_id) {
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -104,6 +104,9 @@
 void dispatcher::on_registration(const backend_server& server, time_point now) {
     backends_.put(server);
     software_.add(server, now);
+    if (cold_.on_registration(server, now)) {
+        permits_.on_limit_changed(server.process(), now);
+    }
 }
 
 void dispatcher::resume(request_handle id, request& entry, time_point now) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -12,9 +12,10 @@
                        std::uint64_t seed)
     : settings_(settings), random_(seed), backends_({}), limiter_(settings.limits),
       retries_(settings.retries), crashes_({}), parts_(settings.crashing_parts),
-      limits_(settings.server_limits), permits_(limits_, settings.permits),
-      store_recovery_(settings.store_recovery), origins_(settings.origins),
-      software_(settings.software), software_exchange_(software_, settings.software_exchange),
+      limits_(settings.server_limits), effective_limits_(limits_, cold_),
+      permits_(effective_limits_, settings.permits), store_recovery_(settings.store_recovery),
+      origins_(settings.origins), software_(settings.software),
+      software_exchange_(software_, settings.software_exchange),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -22,6 +23,7 @@
         return;
     }
     limiter_.set_catalogue(catalogue, now);
+    cold_.set_catalogue(catalogue);
     record_route_changes(catalogue, now);
     catalogue_ = std::make_shared<const catalogue_index>(std::move(catalogue));
 }
@@ -137,7 +139,7 @@
     effect.attempt_number = entry.attempts;
     effect.queue_time = now - entry.arrived;
     effect.prompt_tokens = entry.metadata.prompt_tokens;
-    effect.limit = limits_.find(view->server.process());
+    effect.limit = effective_limits_.find(view->server.process());
     effects_.emplace_back(std::move(effect));
 }
 
@@ -301,6 +303,7 @@
         }
     }
     update_parts(now);
+    update_cold_servers(now);
     backends_.erase_removed();
     erase_ended_limits(now);
 }
--- a/libs/serving/src/permit_exchange.cpp
+++ b/libs/serving/src/permit_exchange.cpp
@@ -19,15 +19,22 @@
     return XXH64(gateway.data(), gateway.size(), seed);
 }
 
+/** A number from 0 to 1 that differs between gateways. */
+double hash_unit(const std::string& gateway) {
+    constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2^64
+    return static_cast<double>(XXH64(gateway.data(), gateway.size(), 0)) / hash_range;
+}
+
 } // namespace
 
-permit_exchange::permit_exchange(const server_limits& limits, permit_exchange_settings settings)
+permit_exchange::permit_exchange(const limit_source& limits, permit_exchange_settings settings)
     : limits_(limits), settings_(settings), granter_(settings.granter),
       holder_(settings.holder), live_{std::string{}} {}
 
 void permit_exchange::set_gateways(const std::string& own, const std::vector<std::string>& live,
                                    time_point now) {
     own_ = own;
+    granter_.set_phase(hash_unit(own));
     update_fleet_share(live, now);
     if (live == live_) {
         return;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -68,7 +68,8 @@
     std::erase_if(candidates, [&](const backend_view* each) {
         const bool is_other_version =
             request.software_version && each->server.software_version != *request.software_version;
-        if (is_other_version || request.excluded.count(each->server.id) != 0) {
+        const bool may_be_cold = request.excludes_replaced && each->is_replaced;
+        if (is_other_version || may_be_cold || request.excluded.count(each->server.id) != 0) {
             return true;
         }
         if (backend_registry::accepts_requests(*each, now)) {
