Reject responses whose status isn't one of HTTP

Callers got the body of a response as a response of its own: every status under 200 was skipped as interim, so after a 000 or 099 whose body held a head, that head was read as the response (test_response_status: before, 000 with such a body completes the call with status 200). Only 100 and 102 to 199 are interim now; 101 wasn't asked for, and others under 100 or from 600 on fail the call as malformed.

A response without length that is reset while its request is being written isn't taken for complete here: test_reset_while_sending, extended by 100 resets right behind a part of the body, passed on the code before, too.

--- a/libs/edge/src/upstream_connection.cpp
+++ b/libs/edge/src/upstream_connection.cpp
@@ -23,7 +23,16 @@
 
 namespace http = boost::beast::http;
 
+constexpr int first_interim_status = 100;
+constexpr int status_switching_protocols = 101;
 constexpr int first_final_status = 200;
+constexpr int end_of_statuses = 600;
+
+/** Whether a response with this status may follow a request that asks for no other protocol. */
+bool is_expected_status(int status) {
+    return status >= first_interim_status && status < end_of_statuses &&
+           status != status_switching_protocols;
+}
 
 std::string serialize(const upstream_request& request) {
     std::string out = request.method + ' ' + request.target + " HTTP/1.1\r\n";
@@ -212,7 +221,12 @@
         fail(failure_of(error));
         return;
     }
-    const bool is_interim = static_cast<int>(parser_->get().result_int()) < first_final_status;
+    const auto status = static_cast<int>(parser_->get().result_int());
+    if (!is_expected_status(status)) {
+        fail(upstream_failure::malformed); // where its body ends is unknown
+        return;
+    }
+    const bool is_interim = status < first_final_status;
     if (!is_interim && is_unattributable()) {
         fail(upstream_failure::malformed);
         return;
