Load urgent adapters first while the weight store is busy

Callers of urgent requests waited for their adapters while the store's bandwidth went to less urgent ones: each engine orders its own loads by urgency, but 47 engines with one load each share what 24 carry at full speed. While loads take longer than usual, less urgent ones pause, longer the longer the store stays busy, and urgent ones aren't held to one at a time. Only where the deployment expects overload.

--- a/daemons/engine_agent.cpp
+++ b/daemons/engine_agent.cpp
@@ -14,6 +14,7 @@
     agent.peer_address = {settings.ip, settings.first_port};
     agent.metrics_address = {settings.ip, metrics_port};
     agent.incarnation = process_incarnation();
+    agent.adapters.defers_less_urgent_loads = settings.is_overload_expected;
     const edge::upstream_address engine{
         {boost::asio::ip::make_address(settings.backend.ip), settings.backend.port}, {}};
     return engine_agent::run_agent(agent, [&](edge::buffered_calls& calls) {
--- a/libs/adapters/include/adapters/adapter_manager.h
+++ b/libs/adapters/include/adapters/adapter_manager.h
@@ -92,6 +92,14 @@
     /** The weight store is busy when the last load took more than this multiple of the usual load
         time. */
     double busy_load_ratio = 1.5;
+    /** While the store is busy, less urgent loads from it pause, for longer the longer it stays
+        busy. All engines together then load about as many at once as the store carries at full
+        speed, and urgent loads don't share its bandwidth with the others. */
+    bool defers_less_urgent_loads = false;
+    /** Longest pause, so that the less urgent get what is left. */
+    duration max_less_urgent_pause{2'000};
+    /** A demand is less urgent if a more urgent one was seen here within this time. */
+    duration urgency_memory{5'000};
     double slow_load_weight = 0.02; /**< Weight of a slow load in the usual load time. */
     duration demand_expiry{2'000};  /**< Age from which a gateway's demand is no longer counted. */
     duration refusal_backoff{200};  /**< Pause in sending orders after one is refused. */
@@ -217,10 +225,19 @@
     /** Maximum number of adapters that may be loading from the weight store. Until one load has
         been measured, the store counts as busy. */
     std::uint32_t cold_load_limit() const;
+    /** Whether one more adapter may be loaded from the weight store for `demand`. */
+    bool may_load_cold(const demand_total& demand, time_point now) const;
+    /** Whether loads from the weight store take much longer than usual. */
+    bool is_store_busy() const;
+    /** Whether a more urgent demand than `urgency` was seen lately. */
+    bool is_less_urgent(std::uint32_t urgency, time_point now) const;
     /** Number of adapters that are loading from the weight store. */
     std::size_t cold_loads_in_progress() const;
     /** Whether the adapter loads from the engine's own memory. */
     bool is_warm(const std::string& name) const { return held_before_.count(name) != 0; }
+    duration typical_load_time() const;
+    /** Adjusts the pause of less urgent loads after a load from the weight store. */
+    void update_less_urgent_pause(time_point now);
     /** Updates the typical time of a load from the weight store. */
     void record_load_time(duration load_time);
     /** Records which loads the latest snapshot shows as completed, and how long they took. */
@@ -271,6 +288,10 @@
     std::set<std::string> held_before_; /**< Adapters that load from the engine's own memory. */
     std::uint64_t cold_loads_ = 0;
     duration last_cold_load_{};
+    duration less_urgent_pause_{};        /**< After a load from the store. */
+    time_point less_urgent_paused_until_; /**< No less urgent load from the store begins before. */
+    std::uint32_t most_urgent_ = 0;       /**< The most urgent demand since `most_urgent_at_`. */
+    time_point most_urgent_at_;           /**< Default: no demand was seen. */
     double typical_load_ms_;
     /** Use history, also of adapters that are not held. */
     std::map<std::string, use_record> use_history_;
--- a/libs/adapters/src/adapter_manager.cpp
+++ b/libs/adapters/src/adapter_manager.cpp
@@ -67,6 +67,13 @@
                                                        view.received_at + each.time_to_objective);
         }
     }
+    for (const auto& each : wanted_) {
+        const auto urgency = each.second.urgency;
+        if (urgency <= most_urgent_ || now - most_urgent_at_ >= settings_.urgency_memory) {
+            most_urgent_ = urgency;
+            most_urgent_at_ = now;
+        }
+    }
     record_uses(before, now);
 }
 
@@ -121,6 +128,7 @@
         const auto found = cold_load_orders_.find(each.name);
         if (found != cold_load_orders_.end()) {
             record_load_time(now - found->second);
+            update_less_urgent_pause(now);
             cold_load_orders_.erase(found);
         }
         held_before_.insert(each.name);
@@ -150,6 +158,10 @@
     }
 }
 
+duration adapter_manager::typical_load_time() const {
+    return duration{std::llround(typical_load_ms_)};
+}
+
 void adapter_manager::record_load_time(duration load_time) {
     ++cold_loads_;
     last_cold_load_ = load_time;
@@ -159,10 +171,34 @@
                                                                       (ms - typical_load_ms_);
 }
 
+bool adapter_manager::is_store_busy() const {
+    return cold_loads_ == 0 || static_cast<double>(last_cold_load_.count()) >
+                                   typical_load_ms_ * settings_.busy_load_ratio;
+}
+
 std::uint32_t adapter_manager::cold_load_limit() const {
-    const bool is_busy = cold_loads_ == 0 || static_cast<double>(last_cold_load_.count()) >
-                                                 typical_load_ms_ * settings_.busy_load_ratio;
-    return is_busy ? settings_.max_cold_loads_when_busy : settings_.max_cold_loads;
+    return is_store_busy() ? settings_.max_cold_loads_when_busy : settings_.max_cold_loads;
+}
+
+bool adapter_manager::is_less_urgent(std::uint32_t urgency, time_point now) const {
+    return urgency > most_urgent_ && now - most_urgent_at_ < settings_.urgency_memory;
+}
+
+void adapter_manager::update_less_urgent_pause(time_point now) {
+    less_urgent_pause_ = is_store_busy() ? std::max(less_urgent_pause_ * 2, typical_load_time())
+                                         : less_urgent_pause_ / 2;
+    less_urgent_pause_ = std::min(less_urgent_pause_, settings_.max_less_urgent_pause);
+    less_urgent_paused_until_ = now + less_urgent_pause_;
+}
+
+bool adapter_manager::may_load_cold(const demand_total& demand, time_point now) const {
+    if (!settings_.defers_less_urgent_loads || !is_store_busy()) {
+        return cold_loads_in_progress() < cold_load_limit();
+    }
+    if (is_less_urgent(demand.urgency, now)) {
+        return now >= less_urgent_paused_until_ && cold_loads_in_progress() < cold_load_limit();
+    }
+    return cold_loads_in_progress() < settings_.max_cold_loads;
 }
 
 std::size_t adapter_manager::cold_loads_in_progress() const {
@@ -265,12 +301,11 @@
     if (snapshot_->loading.size() >= settings_.max_loads) {
         return std::nullopt;
     }
-    const bool may_load_cold = cold_loads_in_progress() < cold_load_limit();
     const versioned_weights* chosen = nullptr;
     const demand_total* best = nullptr;
     for (const auto& [weights, demand] : wanted_) {
-        const bool needs_load = (may_load_cold || is_warm(weights.name)) &&
-                                needs_slot(weights, demand) &&
+        const bool needs_load = needs_slot(weights, demand) &&
+                                (is_warm(weights.name) || may_load_cold(demand, now)) &&
                                 weights.version >= newest_wanted(weights.name) &&
                                 contains_name(snapshot_->models, model_of(weights.name)) &&
                                 !is_replacement_paused(weights, now);
@@ -297,7 +332,7 @@
 
 bool adapter_manager::loads_before(const demand_total& a, const demand_total& b,
                                    time_point now) const {
-    const auto load_end = now + duration{std::llround(typical_load_ms_)};
+    const auto load_end = now + typical_load_time();
     const auto rank = [&](const demand_total& demand) {
         const bool is_late = demand.latest_useful_end < load_end;
         return std::tuple(demand.urgency, is_late, demand.waiting_since);
--- a/libs/engine_agent/include/engine_agent/agent_process.h
+++ b/libs/engine_agent/include/engine_agent/agent_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <adapters/adapter_manager.h>
 #include <adapters/engine_port.h>
 #include <edge/buffered_calls.h>
 #include <serving/backend_server.h>
@@ -34,6 +35,7 @@
     duration relayed_report_interval{240};
     /** Maximum number of gateway addresses in one report. */
     std::size_t max_gateways_per_report = 8;
+    adapters::adapter_manager_settings adapters;
     /** What this process keeps for gateways. */
     serving::software_versions_settings software;
 
--- a/libs/engine_agent/src/agent_node.cpp
+++ b/libs/engine_agent/src/agent_node.cpp
@@ -34,7 +34,7 @@
 
 agent_node::agent_node(const agent_settings& settings, const engine_port_factory& make_engine)
     : settings_(settings), log_(settings.node_name, clock_, sink_, {}), pool_(loop_, clock_, {}),
-      calls_(loop_, pool_), engine_(make_engine(calls_)), adapter_manager_({}),
+      calls_(loop_, pool_), engine_(make_engine(calls_)), adapter_manager_(settings.adapters),
       software_versions_(settings.software),
       socket_(loop_, clock_,
               {boost::asio::ip::make_address(settings.peer_address.ip), settings.peer_address.port},
