Share the measured speeds of backend servers between gateways

Servers at 0.55 to 1.2 of the usual speed got requests as if they were alike: a gateway of a large fleet gets a response of each server only every few seconds. Each gateway now tells its samples to its peers with its reports, and the average of all scales placement's estimates.

--- a/daemons/engine_agent.cpp
+++ b/daemons/engine_agent.cpp
@@ -8,11 +8,11 @@
 
 namespace {
 
-int run(const platform::platform_settings& settings, std::uint16_t metrics_port) {
+int run(const platform::platform_settings& settings, const daemon_options& chosen) {
     engine_agent::agent_settings agent;
     agent.node_name = settings.node_name;
     agent.peer_address = {settings.ip, settings.first_port};
-    agent.metrics_address = {settings.ip, metrics_port};
+    agent.metrics_address = {settings.ip, chosen.metrics_port};
     agent.incarnation = process_incarnation();
     agent.adapters.defers_less_urgent_loads = settings.is_overload_expected;
     const edge::upstream_address engine{
--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -56,9 +56,10 @@
     platform::fleet_watcher watcher_;
 };
 
-int run(const platform::platform_settings& settings, std::uint16_t metrics_port) {
+int run(const platform::platform_settings& settings, const daemon_options& chosen) {
     auto gateway_settings = entry_settings_from(settings);
-    gateway_settings.metrics_address = {settings.ip, metrics_port};
+    gateway_settings.metrics_address = {settings.ip, chosen.metrics_port};
+    gateway_settings.dispatch.speeds.is_enabled = chosen.uses_measured_speeds;
     const platform::platform_codec codec;
     const auto reader = platform::make_catalogue_reader();
     return entry::run_entry(gateway_settings, codec, *reader,
--- a/daemons/platform_daemon.cpp
+++ b/daemons/platform_daemon.cpp
@@ -21,8 +21,8 @@
 constexpr const char* default_settings_path = "/etc/camphorgrade/boot.conf";
 
 int load_and_run(const std::string& program, const std::string& path, bool check_only,
-                 std::uint16_t metrics_port,
-                 int (*run)(const platform::platform_settings&, std::uint16_t)) {
+                 const daemon_options& chosen,
+                 int (*run)(const platform::platform_settings&, const daemon_options&)) {
     std::ifstream file(path);
     if (!file) {
         std::cerr << program << ": cannot read the settings file " << path << '\n';
@@ -38,7 +38,7 @@
         }
         return exit_bad_settings;
     }
-    return check_only ? 0 : run(std::get<platform::platform_settings>(parsed), metrics_port);
+    return check_only ? 0 : run(std::get<platform::platform_settings>(parsed), chosen);
 }
 
 } // namespace
@@ -50,14 +50,15 @@
 }
 
 int run_platform_daemon(const std::string& program, int argc, const char* const* argv,
-                        int (*run)(const platform::platform_settings&, std::uint16_t)) {
+                        int (*run)(const platform::platform_settings&, const daemon_options&)) {
     static_cast<void>(std::signal(SIGPIPE, SIG_IGN));
     options::options_description supported(program);
     supported.add_options()("help", "show this help")("check", "check the settings and exit")(
         "settings", options::value<std::string>()->default_value(default_settings_path),
         "path of the platform's settings file")(
         "metrics-port", options::value<std::uint16_t>()->default_value(0),
-        "port on which to serve metrics; 0: metrics are not served");
+        "port on which to serve metrics; 0: metrics are not served")(
+        "measured-speeds", "place requests by measured speeds of backend servers");
     try {
         options::variables_map arguments;
         options::store(options::parse_command_line(argc, argv, supported), arguments);
@@ -68,7 +69,9 @@
         }
         return load_and_run(program, arguments["settings"].as<std::string>(),
                             arguments.count("check") != 0,
-                            arguments["metrics-port"].as<std::uint16_t>(), run);
+                            {arguments["metrics-port"].as<std::uint16_t>(),
+                             arguments.count("measured-speeds") != 0},
+                            run);
     } catch (const options::error& error) {
         std::cerr << program << ": " << error.what() << '\n';
         return exit_bad_settings;
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -108,6 +108,7 @@
     dispatcher_.limiter().on_peer_usage(sender, incarnation, report.process_age, report.usage,
                                         report.has_all_usage, now);
     dispatcher_.limiter().on_peer_reservations(report.reservations, now);
+    dispatcher_.on_speed_samples(report.speeds, now);
     dispatcher_.backends().on_peer_avoided_servers(sender, report.avoided_servers, now);
     for (const auto& each : report.crashes) {
         if (dispatcher_.crashes().add(each, now)) {
@@ -405,6 +406,7 @@
     report.avoided_servers = dispatcher_.backends().avoided_servers(now);
     report.limits = dispatcher_.next_limit_reports(is_full, now);
     report.reservations = dispatcher_.limiter().next_reservations(now);
+    report.speeds = dispatcher_.take_speed_samples();
     report.parts = dispatcher_.parts().next_report(is_full, now);
     if (is_full) {
         last_full_report_ = now;
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -8,6 +8,7 @@
 #include <serving/evacuation_state.h>
 #include <serving/permit_messages.h>
 #include <serving/server_limits.h>
+#include <serving/server_speeds.h>
 #include <serving/service_catalogue.h>
 #include <serving/software_exchange.h>
 #include <serving/stream_origins.h>
@@ -56,6 +57,8 @@
     std::optional<serving::evacuation_state> evacuations;
     /** What the sender has reserved for requests over their accounts' rates. */
     std::vector<serving::account_reservation> reservations;
+    /** Speeds of servers that the sender measured since its last report. */
+    std::vector<serving::speed_sample> speeds;
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
 };
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -27,6 +27,9 @@
 constexpr int max_evacuated_data_centres = 1'000;
 // Bounds the reservations that one report may state.
 constexpr int max_reservations = 1'000;
+// Bounds the measured speeds that one report may state.
+constexpr int max_speed_samples = 1'000;
+constexpr double thousandths = 1'000;
 constexpr double max_cost = std::numeric_limits<std::uint32_t>::max();
 constexpr std::uint32_t max_urgency = 1'000;
 
@@ -354,6 +357,30 @@
             static_cast<double>(in.cost()), static_cast<int>(std::min(in.urgency(), max_urgency))};
 }
 
+void write(const serving::speed_sample& sample, wire::speed_sample& out) {
+    out.set_backend_id(sample.server.id);
+    out.set_born(sample.server.started_at_ms);
+    out.set_kind(static_cast<std::uint32_t>(sample.kind));
+    out.set_count(sample.count);
+    out.set_log2_ratio_sum_milli(
+        static_cast<std::int32_t>(std::lround(sample.log2_ratio_sum * thousandths)));
+}
+
+/** Decodes measured speeds; those of a kind that only a later version knows are left out. */
+std::vector<serving::speed_sample> read_speeds(const wire::gateway_report& in) {
+    std::vector<serving::speed_sample> out;
+    for (int i = 0; i < std::min(in.speeds_size(), max_speed_samples); ++i) {
+        const auto& each = in.speeds(i);
+        if (each.kind() < serving::speed_kind_count) {
+            out.push_back({{each.backend_id(), each.born()},
+                           static_cast<serving::speed_kind>(each.kind()),
+                           each.count(),
+                           static_cast<double>(each.log2_ratio_sum_milli()) / thousandths});
+        }
+    }
+    return out;
+}
+
 void write(const gateway_report& report, wire::gateway_report& out) {
     for (const auto& [account, usage] : report.usage) {
         auto& count = *out.add_usage();
@@ -379,6 +406,9 @@
         adapter_version.set_version(version);
     }
     out.set_has_all_usage(report.has_all_usage);
+    for (const auto& each : report.speeds) {
+        write(each, *out.add_speeds());
+    }
     for (const auto& each : report.reservations) {
         write(each, *out.add_reservations());
     }
@@ -412,6 +442,7 @@
         report.versions[each.weights()] = each.version();
     }
     report.has_all_usage = in.has_all_usage();
+    report.speeds = read_speeds(in);
     for (int i = 0; i < std::min(in.reservations_size(), max_reservations); ++i) {
         report.reservations.push_back(read(in.reservations(i)));
     }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -14,6 +14,7 @@
 #include <serving/request_metadata.h>
 #include <serving/retry_limiter.h>
 #include <serving/server_limits.h>
+#include <serving/server_speeds.h>
 #include <serving/service_catalogue.h>
 #include <serving/software_exchange.h>
 #include <serving/software_versions.h>
@@ -91,6 +92,7 @@
     server_limits_settings server_limits;
     permit_exchange_settings permits;
     stream_origins_settings origins;
+    server_speeds_settings speeds;
     software_versions_settings software;
     software_exchange_settings software_exchange;
 
@@ -211,6 +213,12 @@
     void on_parts_report(const std::string& peer, const crashing_parts_report& report,
                          time_point now);
 
+    /** Applies what a peer measured of the speeds of servers. */
+    void on_speed_samples(const std::vector<speed_sample>& samples, time_point now);
+
+    /** Speeds of servers that this gateway measured since the last call. */
+    std::vector<speed_sample> take_speed_samples() { return speeds_.take_samples(); }
+
     /** A peer requests permits from this gateway. */
     void on_permit_requests(const std::string& peer, const permit_requests& requests,
                             time_point now) {
@@ -398,6 +406,10 @@
     void update_parts(time_point now);
     /** Counts a failure of the server if the first byte is overdue (`first_byte_timeout`). */
     void record_timeout(const request& entry, time_point now);
+    /** The first byte of a response has arrived: learns the speed of its server. */
+    void record_latency(const request& entry, time_point now);
+    /** Sets the latency ratio of a server from the measured speeds. */
+    void update_latency_ratio(backend_view& view, speed_kind kind, time_point now);
     /** Prompt tokens of the request that the server has yet to process. */
     static std::uint64_t uncached_tokens(const request& entry, backend_view& view);
     /** Precondition: `uncached` is set for this server. */
@@ -434,6 +446,7 @@
     permit_exchange permits_;
     store_recovery_estimator store_recovery_;
     stream_origins origins_;
+    server_speeds speeds_;
     software_versions software_;
     software_exchange software_exchange_;
     time_point versions_observed_at_;
--- a/libs/serving/src/dispatch_admission.cpp
+++ b/libs/serving/src/dispatch_admission.cpp
@@ -85,7 +85,8 @@
 }
 
 std::optional<duration> dispatcher::charge(request& entry, time_point now) {
-    if (!settings_.limits.schedules_returns) {
+    // Plain requests cost little and use other servers, so they don't wait behind prompts.
+    if (!settings_.limits.schedules_returns || entry.metadata.model.empty()) {
         return limiter_.charge(entry.account, entry.cost, now);
     }
     // Callers wait for a part of their time only, and what comes long after the objective is of
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -14,7 +14,7 @@
       retries_(settings.retries), crashes_({}), parts_(settings.crashing_parts),
       limits_(settings.server_limits), effective_limits_(limits_, cold_),
       permits_(effective_limits_, settings.permits), store_recovery_(settings.store_recovery),
-      origins_(settings.origins), software_(settings.software),
+      origins_(settings.origins), speeds_(settings.speeds), software_(settings.software),
       software_exchange_(software_, settings.software_exchange),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
@@ -195,7 +195,7 @@
     record_origin(entry, now);
     if (auto* view = backends_.find(entry.backend_id)) {
         view->queued_prompt_tokens -= entry.uncached;
-        backends_.on_latency(entry.backend_id, now - entry.sent, entry.expected_first_byte);
+        record_latency(entry, now);
     }
 }
 
@@ -307,6 +307,10 @@
     update_cold_servers(now);
     backends_.erase_removed();
     erase_ended_limits(now);
+    speeds_.erase_ended([this](const server_process& server) {
+        const auto* view = backends_.find(server.id);
+        return view != nullptr && view->server.process() == server;
+    });
 }
 
 std::vector<dispatch_effect> dispatcher::take_effects() {
