--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -392,7 +392,7 @@
     const bool has_changes =
         usage != reported_usage_ || report.catalogue_version != reported_catalogue_version_ ||
         dispatcher_.limits().has_recent_changes(now) || dispatcher_.parts().has_changes(now) ||
-        dispatcher_.limiter().has_untold_reservations();
+        dispatcher_.limiter().has_unreported_reservations();
     // Relays delay reports, so no report is skipped when relays are in use.
     const bool may_skip = transport_.sends_directly() && !is_full && !has_changes;
     if (may_skip && now - last_report_ < settings_.report_heartbeat_interval) {
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -48,7 +48,7 @@
     bool is_charged = false;
     bool was_reserved = false; /**< The request had a reservation. */
     bool is_reserved = false;  /**< `wait` is reserved for it. */
-    duration wait{};           /**< Until there is room. */
+    duration wait{};           /**< Until there is capacity. */
 
     friend bool operator==(const charge_result&, const charge_result&) = default;
 };
@@ -62,7 +62,7 @@
     friend bool operator==(const return_counts&, const return_counts&) = default;
 };
 
-/** A reservation as gateways tell it to each other. A value type. */
+/** A reservation as gateways report it to each other. A value type. */
 struct account_reservation {
     std::string account;
     std::uint64_t fingerprint = 0;
@@ -87,12 +87,12 @@
     /** Longest time from a request's charge to its credit. For this time after a peer's first
         report its credits are ignored: they may belong to charges made before that report. */
     duration max_request_time{10'000};
-    /** Whether requests over the rate are told to return at times that are reserved for them. */
+    /** Whether requests over the rate get reserved times at which they may return. */
     bool schedules_returns = false;
     return_schedule_settings returns;
     /** Gateways that admitted a request of an account within this time share its reservations. */
     duration account_activity{5'000};
-    /** How often each reservation is told to peers, so that a lost report loses none. */
+    /** Number of reports that state each reservation, so that a lost one loses none. */
     std::uint32_t reservation_reports = 2;
     std::size_t max_reservations_per_report = 256;
 
@@ -134,14 +134,14 @@
      * As charge(), where requests over the rate are scheduled (`schedules_returns`): by urgency,
      * then by who came first. One that returns at its time is charged before all others; another
      * one only if what is left covers the reservations that are at least as urgent. A refused
-     * request gets a reservation if there is room within `longest_wait`, and it hasn't had one.
+     * request gets a reservation if there is capacity within `longest_wait`, and it hasn't had one.
      */
     charge_result charge(const account_charge& request, time_point now);
 
-    /** Reservations of this gateway to tell to the peers with the next report. */
+    /** Reservations of this gateway for the next report to peers. */
     std::vector<account_reservation> next_reservations(time_point now);
 
-    bool has_untold_reservations() const noexcept { return !untold_.empty(); }
+    bool has_unreported_reservations() const noexcept { return !unreported_reservations_.empty(); }
 
     /** Applies what a peer has reserved. Reservations of unknown accounts are ignored. */
     void on_peer_reservations(const std::vector<account_reservation>& reservations, time_point now);
@@ -201,8 +201,8 @@
         time_point credits_accepted_from;
     };
 
-    /** A reservation of this gateway that peers are to be told. */
-    struct untold_reservation {
+    /** A reservation of this gateway that is to be reported to peers. */
+    struct unreported_reservation {
         std::string account;
         return_reservation reservation;
         std::uint32_t reports_left = 0;
@@ -214,7 +214,8 @@
     charge_result refuse(const account_charge& request, const bucket& target,
                          return_schedule& schedule, time_point now);
     /** What the account can spend; the gateways that it uses share its rate equally. */
-    account_funds funds_of(const std::string& account, const bucket& target, time_point now) const;
+    account_budget budget_of(const std::string& account, const bucket& target,
+                             time_point now) const;
     /** Share of each rate that is not set aside for peers without a recent report. */
     double usable_share(time_point now) const;
     /** Returns whether a peer's process of this age restarted together with this one, or later. */
@@ -231,7 +232,7 @@
     std::map<std::string, peer> peers_;
     account_usage own_usage_;
     std::map<std::string, return_schedule> schedules_; // by account
-    std::vector<untold_reservation> untold_;
+    std::vector<unreported_reservation> unreported_reservations_;
     return_counts return_counts_;
     std::map<std::string, double> unreported_; // charged minus credited since the last report
 };
--- a/libs/serving/include/serving/dispatch_effects.h
+++ b/libs/serving/include/serving/dispatch_effects.h
@@ -54,7 +54,7 @@
     double refused_cost = 0; /**< Charge that the account could not cover; 0 unless the reason is
                                   over_rate. */
     std::optional<std::uint64_t> held_part{}; /**< Part of the prompt for which the request ends. */
-    bool is_return_reserved = false; /**< There is room reserved for it after `retry_after`. */
+    bool is_return_reserved = false; /**< Capacity is reserved for it after `retry_after`. */
 
     friend bool operator==(const end_request&, const end_request&) = default;
 };
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -78,6 +78,7 @@
         `stream_age_margin`. */
     int stream_age_timeouts = 2;
     duration stream_age_margin{3'000};
+    duration ended_server_interval{1'000};
     /** Time between two looks at the software versions of all servers. */
     duration version_observation_interval{200};
     /** Bounds of the wait that is reserved for a request over its account's rate: shares of the
@@ -333,6 +334,8 @@
     void on_limit_changed(limit_changed effect, time_point now);
     /** Ends the limits of servers that have become warm. */
     void update_cold_servers(time_point now);
+    /** Forgets what is known of servers that are gone, at most once in `ended_server_interval`. */
+    void forget_ended_servers(time_point now);
     /** Sends the requests that wait at the server and have all that they wait for. */
     void send_waiting_requests(const std::string& backend_id, time_point now);
     /** A granter replied: sends requests that got a permit, and places again those whose wait was
@@ -450,6 +453,7 @@
     software_versions software_;
     software_exchange software_exchange_;
     time_point versions_observed_at_;
+    time_point ended_servers_forgotten_at_;
     std::optional<registration_period> registrations_known_; /**< Empty if none are known. */
     /** When the services of a route last changed, by its host and path prefix. */
     std::map<std::pair<std::string, std::string>, time_point> rerouted_at_;
--- a/libs/serving/include/serving/return_schedule.h
+++ b/libs/serving/include/serving/return_schedule.h
@@ -46,7 +46,7 @@
 };
 
 /** What a client account can spend, as one gateway knows it. A value type. */
-struct account_funds {
+struct account_budget {
     double level = 0;      /**< What may be spent now. */
     double burst = 0;      /**< Highest level. */
     double rate_per_s = 0; /**< At which the level rises. */
@@ -54,28 +54,28 @@
     /** Estimate of what other gateways have spent and not yet reported. */
     double unreported = 0;
 
-    friend bool operator==(const account_funds&, const account_funds&) = default;
+    friend bool operator==(const account_budget&, const account_budget&) = default;
 };
 
 /** What a request asks of its account. A value type. */
-struct funds_request {
+struct budget_request {
     std::uint64_t fingerprint = 0; /**< The request's crash_register::fingerprint(). */
     double cost = 0;
     int urgency = 0;
 
-    friend bool operator==(const funds_request&, const funds_request&) = default;
+    friend bool operator==(const budget_request&, const budget_request&) = default;
 };
 
 /**
  * Schedules the requests of one client account that is over its rate, by urgency, then by who came
- * first. Requests that are refused are told when to return.
+ * first. Requests that are refused get a time at which to return.
  *
  * Answers load of several times the account's rate. Every refused request would otherwise be told
  * the same moment and be refused again, and a level near 0 would serve small requests only. The
- * schedule keeps room for each reservation at its time, against requests that aren't more urgent.
- * All gateways know each other's reservations; each spends and reserves within its share of the
- * rate, so together they promise no more than the rate. A less urgent request gets what the demand
- * of the more urgent ones leaves. Deterministic. Not thread safe.
+ * schedule keeps capacity for each reservation at its time, against requests that aren't more
+ * urgent. All gateways know each other's reservations; each spends and reserves within its share of
+ * the rate, so together they reserve no more than the rate. A less urgent request gets what the
+ * demand of the more urgent ones leaves. Deterministic. Not thread safe.
  */
 class return_schedule {
 public:
@@ -87,20 +87,20 @@
     /** Takes the reservation of a request that returns in its time; false if it has none. */
     bool claim(std::uint64_t fingerprint, time_point now);
 
-    /** Whether a request is known here that was told to return and hasn't yet. */
+    /** Whether the request has a reservation that it hasn't claimed. */
     bool contains(std::uint64_t fingerprint) const { return fingerprints_.count(fingerprint) != 0; }
 
-    /** Spends what a request without a reservation costs, if there is room for it now. */
-    bool spend(const funds_request& request, const account_funds& funds, time_point now);
+    /** Admits a request without a reservation if there is capacity for it now. */
+    bool try_admit(const budget_request& request, const account_budget& budget, time_point now);
 
-    /** Reserves a time at which there is room for the request, `latest` at the latest; empty if
+    /** Reserves a time at which there is capacity for the request, `latest` at the latest; empty if
        there is none, or if there are too many reservations. */
-    std::optional<time_point> reserve(const funds_request& request, const account_funds& funds,
+    std::optional<time_point> reserve(const budget_request& request, const account_budget& budget,
                                       time_point latest, time_point now);
 
-    /** When there is room for a request that isn't reserved. */
-    time_point room_at(const funds_request& request, const account_funds& funds,
-                       time_point now) const;
+    /** When there is capacity for a request that isn't reserved. */
+    time_point available_at(const budget_request& request, const account_budget& budget,
+                            time_point now) const;
 
     /** Adds another gateway's reservation; one that is known or over is ignored. */
     void add(const return_reservation& reservation, time_point now);
@@ -128,9 +128,9 @@
        as urgent as `urgency` when that is due. */
     double reserved_level(int urgency, double rate_per_s, time_point now) const;
     /** What this gateway may spend in a second on requests of `urgency`. */
-    double own_rate(int urgency, const account_funds& funds, time_point now) const;
+    double own_rate(int urgency, const account_budget& budget, time_point now) const;
     /** Records that `cost` of this gateway's share is spent or reserved. */
-    void use_own_share(const funds_request& request, const account_funds& funds, time_point now);
+    void use_own_share(const budget_request& request, const account_budget& budget, time_point now);
 
     return_schedule_settings settings_;
     std::vector<return_reservation> reservations_; /**< By their times. */
--- a/libs/serving/include/serving/server_speeds.h
+++ b/libs/serving/include/serving/server_speeds.h
@@ -92,7 +92,7 @@
 
     server_speeds_settings settings_;
     std::map<server_kind, speed> speeds_;
-    std::map<server_kind, speed_sample> untold_;
+    std::map<server_kind, speed_sample> unreported_;
 };
 
 } // namespace camphorgrade::serving
--- a/libs/serving/src/account_returns.cpp
+++ b/libs/serving/src/account_returns.cpp
@@ -19,10 +19,10 @@
     const double needed = std::min(request.cost, target.burst);
     const bool was_reserved = schedule.contains(request.fingerprint);
     schedule.on_demand(needed, request.urgency, now);
-    const bool is_admitted =
-        target.level >= needed && ((was_reserved && schedule.claim(request.fingerprint, now)) ||
-                                   schedule.spend({request.fingerprint, needed, request.urgency},
-                                                  funds_of(request.account, target, now), now));
+    const bool is_admitted = target.level >= needed &&
+                             ((was_reserved && schedule.claim(request.fingerprint, now)) ||
+                              schedule.try_admit({request.fingerprint, needed, request.urgency},
+                                                 budget_of(request.account, target, now), now));
     if (!is_admitted) {
         return refuse(request, target, schedule, now);
     }
@@ -37,24 +37,24 @@
     out.was_reserved = schedule.contains(request.fingerprint);
     return_counts_.refused_again += out.was_reserved ? 1 : 0;
     const double needed = std::min(request.cost, target.burst);
-    const auto funds = funds_of(request.account, target, now);
-    const funds_request wanted{request.fingerprint, needed, request.urgency};
-    const auto due = schedule.reserve(wanted, funds, now + request.longest_wait, now);
+    const auto budget = budget_of(request.account, target, now);
+    const budget_request wanted{request.fingerprint, needed, request.urgency};
+    const auto due = schedule.reserve(wanted, budget, now + request.longest_wait, now);
     if (!due) {
-        out.wait = schedule.room_at(wanted, funds, now) - now;
+        out.wait = schedule.available_at(wanted, budget, now) - now;
         return out;
     }
     out.is_reserved = true;
     ++return_counts_.reserved;
     out.wait = *due - now;
-    untold_.push_back({request.account,
-                       {request.fingerprint, *due, needed, request.urgency},
-                       settings_.reservation_reports});
+    unreported_reservations_.push_back({request.account,
+                                        {request.fingerprint, *due, needed, request.urgency},
+                                        settings_.reservation_reports});
     return out;
 }
 
-account_funds account_limiter::funds_of(const std::string& account, const bucket& target,
-                                        time_point now) const {
+account_budget account_limiter::budget_of(const std::string& account, const bucket& target,
+                                          time_point now) const {
     const auto active = std::count_if(peers_.begin(), peers_.end(), [&](const auto& each) {
         const auto found = each.second.admitted_at.find(account);
         return found != each.second.admitted_at.end() &&
@@ -69,18 +69,18 @@
 
 std::vector<account_reservation> account_limiter::next_reservations(time_point now) {
     std::vector<account_reservation> out;
-    for (auto& each : untold_) {
+    for (auto& each : unreported_reservations_) {
         if (out.size() >= settings_.max_reservations_per_report) {
             break;
         }
         --each.reports_left;
-        const auto& told = each.reservation;
-        if (told.due > now) {
-            out.push_back(
-                {each.account, told.fingerprint, told.due - now, told.cost, told.urgency});
+        const auto& reservation = each.reservation;
+        if (reservation.due > now) {
+            out.push_back({each.account, reservation.fingerprint, reservation.due - now,
+                           reservation.cost, reservation.urgency});
         }
     }
-    std::erase_if(untold_, [&](const auto& each) {
+    std::erase_if(unreported_reservations_, [&](const auto& each) {
         return each.reports_left == 0 || each.reservation.due <= now;
     });
     return out;
--- a/libs/serving/src/dispatch_limits.cpp
+++ b/libs/serving/src/dispatch_limits.cpp
@@ -89,7 +89,18 @@
         permits_.on_limit_changed(each, now);
         send_waiting_requests(each.id, now);
     }
+}
+
+void dispatcher::forget_ended_servers(time_point now) {
+    if (now - ended_servers_forgotten_at_ < settings_.ended_server_interval) {
+        return;
+    }
+    ended_servers_forgotten_at_ = now;
     cold_.erase_unknown([this](const std::string& id) { return backends_.find(id) != nullptr; });
+    speeds_.erase_ended([this](const server_process& server) {
+        const auto* view = backends_.find(server.id);
+        return view != nullptr && view->server.process() == server;
+    });
 }
 
 void dispatcher::erase_ended_limits(time_point now) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -307,10 +307,7 @@
     update_cold_servers(now);
     backends_.erase_removed();
     erase_ended_limits(now);
-    speeds_.erase_ended([this](const server_process& server) {
-        const auto* view = backends_.find(server.id);
-        return view != nullptr && view->server.process() == server;
-    });
+    forget_ended_servers(now);
 }
 
 std::vector<dispatch_effect> dispatcher::take_effects() {
--- a/libs/serving/src/return_schedule.cpp
+++ b/libs/serving/src/return_schedule.cpp
@@ -55,12 +55,12 @@
 }
 
 double return_schedule::reserved_level(int urgency, double rate_per_s, time_point now) const {
-    double promised = 0;
+    double reserved = 0;
     double needed = 0;
     for (const auto& each : reservations_) {
         if (each.urgency <= urgency) {
-            promised += each.cost;
-            needed = std::max(needed, promised - accrued(each.due - now, rate_per_s));
+            reserved += each.cost;
+            needed = std::max(needed, reserved - accrued(each.due - now, rate_per_s));
         }
     }
     return needed;
@@ -89,67 +89,67 @@
     return cost / filled_s;
 }
 
-double return_schedule::own_rate(int urgency, const account_funds& funds, time_point now) const {
+double return_schedule::own_rate(int urgency, const account_budget& budget, time_point now) const {
     double more_urgent = 0;
     for (std::size_t step = 0; step < step_of(urgency); ++step) {
         more_urgent += demand_per_s(demand_[step], now);
     }
-    const auto share = funds.rate_per_s * funds.own_share * settings_.usable_rate_share;
+    const auto share = budget.rate_per_s * budget.own_share * settings_.usable_rate_share;
     return std::max(0.0, share - more_urgent);
 }
 
-void return_schedule::use_own_share(const funds_request& request, const account_funds& funds,
+void return_schedule::use_own_share(const budget_request& request, const account_budget& budget,
                                     time_point now) {
-    const auto rate = funds.rate_per_s * funds.own_share * settings_.usable_rate_share;
+    const auto rate = budget.rate_per_s * budget.own_share * settings_.usable_rate_share;
     for (auto step = step_of(request.urgency); step < urgency_steps; ++step) {
         accrued_at_[step] = std::max(accrued_at_[step], now) + time_to_accrue(request.cost, rate);
     }
 }
 
-bool return_schedule::spend(const funds_request& request, const account_funds& funds,
-                            time_point now) {
-    const auto left = funds.level - request.cost;
-    if (left < reserved_level(request.urgency, funds.rate_per_s, now)) {
+bool return_schedule::try_admit(const budget_request& request, const account_budget& budget,
+                                time_point now) {
+    const auto left = budget.level - request.cost;
+    if (left < reserved_level(request.urgency, budget.rate_per_s, now)) {
         return false;
     }
     const auto sufficient =
         reservations_.empty() ? settings_.short_level : settings_.recovered_level;
-    const bool is_short = funds.level < funds.burst * sufficient;
+    const bool is_short = budget.level < budget.burst * sufficient;
     const bool has_share =
-        accrued_at_[step_of(request.urgency)] <= now && own_rate(request.urgency, funds, now) > 0;
+        accrued_at_[step_of(request.urgency)] <= now && own_rate(request.urgency, budget, now) > 0;
     if (is_short && !has_share) {
         return false;
     }
     if (is_short) {
-        use_own_share(request, funds, now);
+        use_own_share(request, budget, now);
     }
     return true;
 }
 
-time_point return_schedule::room_at(const funds_request& request, const account_funds& funds,
-                                    time_point now) const {
-    double promised = 0;
+time_point return_schedule::available_at(const budget_request& request,
+                                         const account_budget& budget, time_point now) const {
+    double reserved = 0;
     for (const auto& each : reservations_) {
-        promised += each.urgency <= request.urgency ? each.cost : 0;
+        reserved += each.urgency <= request.urgency ? each.cost : 0;
     }
-    const auto missing = request.cost + promised + funds.unreported - funds.level;
-    return now + time_to_accrue(missing, funds.rate_per_s);
+    const auto missing = request.cost + reserved + budget.unreported - budget.level;
+    return now + time_to_accrue(missing, budget.rate_per_s);
 }
 
-std::optional<time_point> return_schedule::reserve(const funds_request& request,
-                                                   const account_funds& funds, time_point latest,
+std::optional<time_point> return_schedule::reserve(const budget_request& request,
+                                                   const account_budget& budget, time_point latest,
                                                    time_point now) {
-    const bool has_share = own_rate(request.urgency, funds, now) > 0;
+    const bool has_share = own_rate(request.urgency, budget, now) > 0;
     if (contains(request.fingerprint) || reservations_.size() >= settings_.max_reservations ||
         !has_share) {
         return std::nullopt;
     }
     const auto due = std::max({accrued_at_[step_of(request.urgency)], now + settings_.min_delay,
-                               room_at(request, funds, now)});
+                               available_at(request, budget, now)});
     if (due > latest) {
         return std::nullopt;
     }
-    use_own_share(request, funds, now);
+    use_own_share(request, budget, now);
     insert({request.fingerprint, due, request.cost, request.urgency});
     return due;
 }
--- a/libs/serving/src/server_speeds.cpp
+++ b/libs/serving/src/server_speeds.cpp
@@ -34,10 +34,10 @@
     const auto log2_ratio =
         std::clamp(std::log2(ratio), -settings_.max_log2_ratio, settings_.max_log2_ratio);
     add({server, kind}, log2_ratio, 1, now);
-    auto& told =
-        untold_.try_emplace({server, kind}, speed_sample{server, kind, 0, 0}).first->second;
-    ++told.count;
-    told.log2_ratio_sum += log2_ratio;
+    auto& unreported =
+        unreported_.try_emplace({server, kind}, speed_sample{server, kind, 0, 0}).first->second;
+    ++unreported.count;
+    unreported.log2_ratio_sum += log2_ratio;
 }
 
 bool server_speeds::on_peer_sample(const speed_sample& sample, time_point now) {
@@ -53,7 +53,7 @@
 
 std::vector<speed_sample> server_speeds::take_samples() {
     std::vector<speed_sample> out;
-    for (auto& each : std::exchange(untold_, {})) {
+    for (auto& each : std::exchange(unreported_, {})) {
         out.push_back(std::move(each.second));
     }
     return out;
--- a/libs/serving/tests/test_return_schedule.cpp
+++ b/libs/serving/tests/test_return_schedule.cpp
@@ -173,7 +173,7 @@
     double charged_ = 0;
 };
 
-account_funds funds(double level) {
+account_budget budget(double level) {
     return {level, 1'000, 1'000, 1, 0};
 }
 
@@ -205,32 +205,32 @@
     }
 }
 
-TEST_CASE("each refused request is told another time") {
+TEST_CASE("each refused request gets another time") {
     return_schedule schedule({});
-    std::vector<time_point> told;
+    std::vector<time_point> due_times;
     for (std::uint64_t i = 1; i <= 5; ++i) {
-        const auto due = schedule.reserve({i, 200, 1}, funds(0), at_ms(5'000), at_ms(0));
+        const auto due = schedule.reserve({i, 200, 1}, budget(0), at_ms(5'000), at_ms(0));
         REQUIRE(due);
-        told.push_back(*due);
+        due_times.push_back(*due);
     }
-    CHECK(std::is_sorted(told.begin(), told.end()));
-    CHECK(std::adjacent_find(told.begin() + 1, told.end()) == told.end());
-    CHECK_FALSE(schedule.reserve({1, 200, 1}, funds(0), at_ms(5'000), at_ms(0)));
+    CHECK(std::is_sorted(due_times.begin(), due_times.end()));
+    CHECK(std::adjacent_find(due_times.begin() + 1, due_times.end()) == due_times.end());
+    CHECK_FALSE(schedule.reserve({1, 200, 1}, budget(0), at_ms(5'000), at_ms(0)));
 }
 
 TEST_CASE("room is kept for a large urgent request, and a more urgent one may still take it") {
     return_schedule schedule({});
-    REQUIRE(schedule.reserve({1, 1'000, 1}, funds(500), at_ms(5'000), at_ms(0)) == at_ms(500));
-    CHECK_FALSE(schedule.spend({7, 100, 2}, funds(500), at_ms(0)));
-    CHECK(schedule.spend({8, 100, 0}, funds(500), at_ms(0)));
+    REQUIRE(schedule.reserve({1, 1'000, 1}, budget(500), at_ms(5'000), at_ms(0)) == at_ms(500));
+    CHECK_FALSE(schedule.try_admit({7, 100, 2}, budget(500), at_ms(0)));
+    CHECK(schedule.try_admit({8, 100, 0}, budget(500), at_ms(0)));
     CHECK_FALSE(schedule.claim(1, at_ms(300)));
     CHECK(schedule.claim(1, at_ms(480)));
-    CHECK(schedule.spend({7, 100, 2}, funds(500), at_ms(2'000)));
+    CHECK(schedule.try_admit({7, 100, 2}, budget(500), at_ms(2'000)));
 }
 
 TEST_CASE("what isn't claimed is free again") {
     return_schedule schedule({});
-    REQUIRE(schedule.reserve({1, 1'000, 1}, funds(500), at_ms(5'000), at_ms(0)) == at_ms(500));
+    REQUIRE(schedule.reserve({1, 1'000, 1}, budget(500), at_ms(5'000), at_ms(0)) == at_ms(500));
     schedule.remove_expired(at_ms(799));
     CHECK(schedule.size() == 1);
     schedule.remove_expired(at_ms(800));
@@ -249,5 +249,5 @@
         schedule.add({i, at_ms(1'000), 5, 0}, at_ms(0));
     }
     CHECK(schedule.size() == 2);
-    CHECK_FALSE(schedule.reserve({9, 5, 0}, funds(0), at_ms(5'000), at_ms(0)));
+    CHECK_FALSE(schedule.reserve({9, 5, 0}, budget(0), at_ms(5'000), at_ms(0)));
 }
--- a/libs/serving/tests/test_server_speeds.cpp
+++ b/libs/serving/tests/test_server_speeds.cpp
@@ -203,14 +203,14 @@
     CHECK(ratio_of(speeds, 0) == 1);
 }
 
-TEST_CASE("each sample is told once, and plain requests don't count as prompts") {
+TEST_CASE("each sample is reported once, and plain requests don't count as prompts") {
     server_speeds speeds(enabled());
     speeds.on_response(process_of(1), speed_kind::plain, duration{100}, duration{50}, at_ms(0));
     speeds.on_response(process_of(1), speed_kind::plain, duration{100}, duration{50}, at_ms(10));
-    const auto told = speeds.take_samples();
-    REQUIRE(told.size() == 1);
-    CHECK(told.front().count == 2);
-    CHECK(told.front().log2_ratio_sum == 2);
+    const auto reported = speeds.take_samples();
+    REQUIRE(reported.size() == 1);
+    CHECK(reported.front().count == 2);
+    CHECK(reported.front().log2_ratio_sum == 2);
     CHECK(speeds.take_samples().empty());
     CHECK(ratio_of(speeds, 10) == 1);
 }
