--- a/libs/serving/tests/test_server_speeds.cpp
+++ b/libs/serving/tests/test_server_speeds.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdint>
 #include <limits>
 #include <memory>
 #include <string>
@@ -174,16 +175,16 @@
 
 TEST_CASE("a few slow responses aren't a slow server, and many are") {
     server_speeds speeds(enabled());
-    for (int i = 0; i < 40; ++i) {
+    for (std::int64_t i = 0; i < 40; ++i) {
         speeds.on_response(process_of(1), speed_kind::prompt, duration{100}, duration{100},
                            at_ms(i * 100));
     }
-    for (int i = 0; i < 3; ++i) { // a spell of 0.6 s
+    for (std::int64_t i = 0; i < 3; ++i) { // a spell of 0.6 s
         speeds.on_response(process_of(1), speed_kind::prompt, duration{400}, duration{100},
                            at_ms(4'000 + i * 200));
     }
     CHECK(ratio_of(speeds, 4'600) < 1.25);
-    for (int i = 0; i < 60; ++i) {
+    for (std::int64_t i = 0; i < 60; ++i) {
         speeds.on_response(process_of(1), speed_kind::prompt, duration{200}, duration{100},
                            at_ms(5'000 + i * 100));
     }
