Share the caller handlers' common parts between the tests of the caller server

The queue tests had copied the exchange type, the first request and the answering function of the drain tests, and two more files the type. They stand once in the fixture now.

--- a/libs/edge/tests/caller_server_fixture.h
+++ b/libs/edge/tests/caller_server_fixture.h
@@ -6,9 +6,20 @@
 #include <edge/caller_server.h>
 
 #include <cstdint>
+#include <memory>
+#include <string>
 
 namespace camphorgrade::testing {
 
+using exchange_ptr = std::shared_ptr<edge::caller_exchange>;
+
+inline const std::string request_one = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
+
+/** Answers with a body that names the request's target. */
+inline void answer_whole(const exchange_ptr& exchange) {
+    exchange->answer({200, {}}, "whole " + exchange->request().target);
+}
+
 /** A caller_server on a thread of its own, with a handler of the test. */
 template <typename Handler>
 struct caller_server_fixture {
--- a/libs/edge/tests/test_caller_drain.cpp
+++ b/libs/edge/tests/test_caller_drain.cpp
@@ -19,9 +19,6 @@
 
 namespace {
 
-using exchange_ptr = std::shared_ptr<caller_exchange>;
-
-const std::string request_one = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
 const std::string request_two = "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n";
 
 class scripted_handler final : public caller_handler {
@@ -29,9 +26,7 @@
     void on_request(exchange_ptr exchange) override { respond(std::move(exchange)); }
     void on_bad_request(int status) override { static_cast<void>(status); }
 
-    std::function<void(exchange_ptr)> respond = [](const exchange_ptr& exchange) {
-        exchange->answer({200, {}}, "whole " + exchange->request().target);
-    };
+    std::function<void(exchange_ptr)> respond = answer_whole;
 };
 
 struct drain_fixture : caller_server_fixture<scripted_handler> {
--- a/libs/edge/tests/test_caller_queue.cpp
+++ b/libs/edge/tests/test_caller_queue.cpp
@@ -23,10 +23,6 @@
 
 namespace {
 
-using exchange_ptr = std::shared_ptr<caller_exchange>;
-
-const std::string request_one = "GET /1 HTTP/1.1\r\nHost: x\r\n\r\n";
-
 class counting_handler final : public caller_handler {
 public:
     void on_request(exchange_ptr exchange) override {
@@ -39,9 +35,7 @@
         ++failed_accepts;
     }
 
-    std::function<void(const exchange_ptr&)> respond = [](const exchange_ptr& exchange) {
-        exchange->answer({200, {}}, "whole " + exchange->request().target);
-    };
+    std::function<void(const exchange_ptr&)> respond = answer_whole;
     std::atomic<int> requests = 0;
     std::atomic<int> failed_accepts = 0;
 };
--- a/libs/edge/tests/test_caller_server.cpp
+++ b/libs/edge/tests/test_caller_server.cpp
@@ -18,8 +18,6 @@
 
 namespace {
 
-using exchange_ptr = std::shared_ptr<caller_exchange>;
-
 /** Passes each request to `respond`, which returns the target and body by default. */
 class scripted_handler final : public caller_handler {
 public:
--- a/libs/edge/tests/test_single_response.cpp
+++ b/libs/edge/tests/test_single_response.cpp
@@ -20,8 +20,6 @@
 
 namespace {
 
-using exchange_ptr = std::shared_ptr<caller_exchange>;
-
 class counting_handler final : public caller_handler {
 public:
     void on_request(exchange_ptr exchange) override {
