Simplify cold servers, account returns and permits without a change of behaviour

Found in a second reading of the change: - Placement asked for each request whether any server is limited, and cold_servers walked all registered servers for the answer. Only cold processes are kept in the map that is searched; it is empty nearly always. - A refused request computed its account's budget, which walks all peers, up to twice; it is computed once. The capacity of a permit bucket is computed from the bucket. - The loads in progress were counted for each wanted adapter, and a backend server was looked up twice for each first byte and for each registration. An unread field of charge_result is gone.

--- a/libs/adapters/include/adapters/adapter_manager.h
+++ b/libs/adapters/include/adapters/adapter_manager.h
@@ -225,10 +225,13 @@
     /** Maximum number of adapters that may be loading from the weight store. Until one load has
         been measured, the store counts as busy. */
     std::uint32_t cold_load_limit() const;
-    /** Whether one more adapter may be loaded from the weight store for `demand`. */
-    bool may_load_cold(const demand_total& demand, time_point now) const;
+    /** Whether one more adapter may be loaded from the weight store for `demand` while `cold_loads`
+        are in progress. */
+    bool may_load_cold(const demand_total& demand, std::size_t cold_loads, time_point now) const;
     /** Whether loads from the weight store take much longer than usual. */
     bool is_store_busy() const;
+    /** Remembers the most urgent demand. */
+    void record_urgency(time_point now);
     /** Whether a more urgent demand than `urgency` was seen lately. */
     bool is_less_urgent(std::uint32_t urgency, time_point now) const;
     /** Number of adapters that are loading from the weight store. */
--- a/libs/adapters/src/adapter_manager.cpp
+++ b/libs/adapters/src/adapter_manager.cpp
@@ -67,6 +67,11 @@
                                                        view.received_at + each.time_to_objective);
         }
     }
+    record_urgency(now);
+    record_uses(before, now);
+}
+
+void adapter_manager::record_urgency(time_point now) {
     for (const auto& each : wanted_) {
         const auto urgency = each.second.urgency;
         if (urgency <= most_urgent_ || now - most_urgent_at_ >= settings_.urgency_memory) {
@@ -74,7 +79,6 @@
             most_urgent_at_ = now;
         }
     }
-    record_uses(before, now);
 }
 
 void adapter_manager::record_uses(const std::map<versioned_weights, demand_total>& before,
@@ -191,14 +195,15 @@
     less_urgent_paused_until_ = now + less_urgent_pause_;
 }
 
-bool adapter_manager::may_load_cold(const demand_total& demand, time_point now) const {
+bool adapter_manager::may_load_cold(const demand_total& demand, std::size_t cold_loads,
+                                    time_point now) const {
     if (!settings_.defers_less_urgent_loads || !is_store_busy()) {
-        return cold_loads_in_progress() < cold_load_limit();
+        return cold_loads < cold_load_limit();
     }
     if (is_less_urgent(demand.urgency, now)) {
-        return now >= less_urgent_paused_until_ && cold_loads_in_progress() < cold_load_limit();
+        return now >= less_urgent_paused_until_ && cold_loads < cold_load_limit();
     }
-    return cold_loads_in_progress() < settings_.max_cold_loads;
+    return cold_loads < settings_.max_cold_loads;
 }
 
 std::size_t adapter_manager::cold_loads_in_progress() const {
@@ -301,11 +306,12 @@
     if (snapshot_->loading.size() >= settings_.max_loads) {
         return std::nullopt;
     }
+    const auto cold_loads = cold_loads_in_progress();
     const versioned_weights* chosen = nullptr;
     const demand_total* best = nullptr;
     for (const auto& [weights, demand] : wanted_) {
         const bool needs_load = needs_slot(weights, demand) &&
-                                (is_warm(weights.name) || may_load_cold(demand, now)) &&
+                                (is_warm(weights.name) || may_load_cold(demand, cold_loads, now)) &&
                                 weights.version >= newest_wanted(weights.name) &&
                                 contains_name(snapshot_->models, model_of(weights.name)) &&
                                 !is_replacement_paused(weights, now);
--- a/libs/entry/src/fleet_state.cpp
+++ b/libs/entry/src/fleet_state.cpp
@@ -283,13 +283,11 @@
             .text("service", server.service)
             .flag("draining", server.is_draining);
     }
-    const bool was_cold = dispatcher_.cold().find(server.process()).has_value();
-    dispatcher_.on_registration(server, clock_.now());
-    if (const auto limit = dispatcher_.cold().find(server.process()); limit && !was_cold) {
+    if (dispatcher_.on_registration(server, clock_.now())) {
         log_.line("server_cold")
             .text("backend_server", server.id)
             .number("cold_left_ms", server.cold_left.count())
-            .decimal("limit_per_s", limit->requests_per_s);
+            .decimal("limit_per_s", dispatcher_.cold().find(server.process())->requests_per_s);
     }
     if (is_change) {
         listener_.on_fleet_changed();
--- a/libs/serving/include/serving/account_limiter.h
+++ b/libs/serving/include/serving/account_limiter.h
@@ -46,9 +46,8 @@
 /** Whether a request was charged, and otherwise when it may return. A value type. */
 struct charge_result {
     bool is_charged = false;
-    bool was_reserved = false; /**< The request had a reservation. */
-    bool is_reserved = false;  /**< `wait` is reserved for it. */
-    duration wait{};           /**< Until there is capacity. */
+    bool is_reserved = false; /**< `wait` is reserved for it. */
+    duration wait{};          /**< Until there is capacity. */
 
     friend bool operator==(const charge_result&, const charge_result&) = default;
 };
@@ -209,10 +208,12 @@
     };
 
     void charge_bucket(const std::string& name, bucket& target, double cost);
-    duration time_until_level(const bucket& target, double level, time_point now) const;
-    /** Refuses a request; reserves a time for its return if it may have one. */
-    charge_result refuse(const account_charge& request, const bucket& target,
-                         return_schedule& schedule, time_point now);
+    /** The account's bucket as of `now`; null if the account has no limit. */
+    bucket* refilled_bucket(const std::string& name, time_point now);
+    return_schedule& schedule_of(const std::string& account);
+    /** When a request that is refused may return; reserves the time if it may have one. */
+    charge_result schedule_return(const account_charge& request, const budget_request& wanted,
+                                  const account_budget& budget, time_point now);
     /** What the account can spend; the gateways that it uses share its rate equally. */
     account_budget budget_of(const std::string& account, const bucket& target,
                              time_point now) const;
--- a/libs/serving/include/serving/cold_servers.h
+++ b/libs/serving/include/serving/cold_servers.h
@@ -44,16 +44,22 @@
     std::size_t size() const;
 
 private:
-    struct cold_process {
+    /** What the latest registration of a server states. */
+    struct statement {
         std::uint64_t started_at_ms = 0;
+        duration cold_left{};
+
+        friend bool operator==(const statement&, const statement&) = default;
+    };
+    struct cold_period {
         std::string service;
-        duration stated{};                    /**< As in its latest registration. */
-        time_point registered_at;             /**< When that statement arrived first. */
-        std::optional<time_point> cold_until; /**< Empty: warm. */
+        time_point begins; /**< When the registration that states it arrived. */
+        time_point ends;
     };
 
-    std::map<std::string, double> rates_;           /**< Requests per second, by service. */
-    std::map<std::string, cold_process> processes_; /**< By server id. */
+    std::map<std::string, double> rates_;         /**< Requests per second, by service. */
+    std::map<std::string, statement> statements_; /**< By server id. */
+    std::map<server_process, cold_period> cold_;  /**< Only processes that are cold. */
 };
 
 /** The lower of two limits, where both sources have one. The sources must outlive it. */
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -78,6 +78,7 @@
         `stream_age_margin`. */
     int stream_age_timeouts = 2;
     duration stream_age_margin{3'000};
+    /** Time between two removals of what is known of servers that are gone. */
     duration ended_server_interval{1'000};
     /** Time between two looks at the software versions of all servers. */
     duration version_observation_interval{200};
@@ -115,8 +116,9 @@
     /** The registrations known here are the store's as of the end of `known`, and none of this
         period is missing. */
     void on_registrations_known(const registration_period& known) { registrations_known_ = known; }
-    /** A backend server has registered, or changed its registration. */
-    void on_registration(const backend_server& server, time_point now);
+    /** A backend server has registered, or changed its registration. Returns whether it becomes
+        cold with it and is limited for that. */
+    bool on_registration(const backend_server& server, time_point now);
     /** Sets the version of `weights` that requests must run on. A version lower than the known one
         is ignored. */
     void set_adapter_version(const std::string& weights, std::uint64_t version);
@@ -410,7 +412,7 @@
     /** Counts a failure of the server if the first byte is overdue (`first_byte_timeout`). */
     void record_timeout(const request& entry, time_point now);
     /** The first byte of a response has arrived: learns the speed of its server. */
-    void record_latency(const request& entry, time_point now);
+    void record_latency(const request& entry, backend_view& view, time_point now);
     /** Sets the latency ratio of a server from the measured speeds. */
     void update_latency_ratio(backend_view& view, speed_kind kind, time_point now);
     /** Prompt tokens of the request that the server has yet to process. */
--- a/libs/serving/include/serving/permit_granter.h
+++ b/libs/serving/include/serving/permit_granter.h
@@ -101,7 +101,7 @@
 
     double rate_of(const bucket& target) const;
     void refill(bucket& target, time_point now) const;
-    static double capacity_of(double rate_per_s, const permit_granter_settings& settings);
+    double capacity_of(const bucket& target) const;
     /** Level at which an unused permit of a partial share lapses. Granters that don't hear each
        other would otherwise keep one each, and use all of them at the same time. */
     double lapse_level(const bucket& target) const;
--- a/libs/serving/include/serving/return_schedule.h
+++ b/libs/serving/include/serving/return_schedule.h
@@ -127,8 +127,10 @@
     /** What the level must not fall below now, so that it covers each reservation that is at least
        as urgent as `urgency` when that is due. */
     double reserved_level(int urgency, double rate_per_s, time_point now) const;
-    /** What this gateway may spend in a second on requests of `urgency`. */
-    double own_rate(int urgency, const account_budget& budget, time_point now) const;
+    /** What this gateway may spend in a second. */
+    double own_rate(const account_budget& budget) const;
+    /** Whether the demand of more urgent requests leaves any of it for requests of `urgency`. */
+    bool has_share(int urgency, const account_budget& budget, time_point now) const;
     /** Records that `cost` of this gateway's share is spent or reserved. */
     void use_own_share(const budget_request& request, const account_budget& budget, time_point now);
 
--- a/libs/serving/src/account_limiter.cpp
+++ b/libs/serving/src/account_limiter.cpp
@@ -95,32 +95,34 @@
     });
 }
 
-std::optional<duration> account_limiter::charge(const std::string& name, double cost,
-                                                time_point now) {
+account_limiter::bucket* account_limiter::refilled_bucket(const std::string& name, time_point now) {
     const auto found = buckets_.find(name);
     if (found == buckets_.end()) {
-        return std::nullopt;
+        return nullptr;
     }
     remove_expired_peers(now);
-    auto& account_bucket = found->second;
-    refill(account_bucket, now);
+    refill(found->second, now);
+    return &found->second;
+}
+
+std::optional<duration> account_limiter::charge(const std::string& name, double cost,
+                                                time_point now) {
+    auto* account_bucket = refilled_bucket(name, now);
+    if (account_bucket == nullptr) {
+        return std::nullopt;
+    }
     // A request larger than the burst is admitted when the bucket is full; otherwise it would
     // never be.
-    const double needed = std::min(cost, account_bucket.burst);
-    if (account_bucket.level < needed) {
-        return time_until_level(account_bucket, needed, now);
+    const double needed = std::min(cost, account_bucket->burst);
+    if (account_bucket->level < needed) {
+        const double rate = std::max(account_bucket->rate_per_s * usable_share(now), 1.0);
+        return duration{static_cast<duration::rep>(
+            std::ceil((needed - account_bucket->level) / rate * ms_per_s))};
     }
-    charge_bucket(name, account_bucket, cost);
+    charge_bucket(name, *account_bucket, cost);
     return std::nullopt;
 }
 
-duration account_limiter::time_until_level(const bucket& target, double level,
-                                           time_point now) const {
-    const double rate = std::max(target.rate_per_s * usable_share(now), 1.0);
-    const double ms = std::ceil((level - target.level) / rate * ms_per_s);
-    return duration{static_cast<duration::rep>(ms)};
-}
-
 void account_limiter::charge_bucket(const std::string& name, bucket& target, double cost) {
     target.level -= cost;
     own_usage_[name].admitted += static_cast<std::uint64_t>(cost);
--- a/libs/serving/src/account_returns.cpp
+++ b/libs/serving/src/account_returns.cpp
@@ -5,52 +5,48 @@
 
 namespace camphorgrade::serving {
 
+return_schedule& account_limiter::schedule_of(const std::string& account) {
+    return schedules_.try_emplace(account, settings_.returns).first->second;
+}
+
 charge_result account_limiter::charge(const account_charge& request, time_point now) {
-    const auto found = buckets_.find(request.account);
-    if (found == buckets_.end()) {
-        return {true, false, false, {}};
+    auto* target = refilled_bucket(request.account, now);
+    if (target == nullptr) {
+        return {true, false, {}};
     }
-    remove_expired_peers(now);
-    auto& target = found->second;
-    refill(target, now);
-    auto& schedule = schedules_.try_emplace(request.account, settings_.returns).first->second;
+    auto& schedule = schedule_of(request.account);
     schedule.remove_expired(now);
     // A request larger than the burst is admitted when the bucket is full.
-    const double needed = std::min(request.cost, target.burst);
-    const bool was_reserved = schedule.contains(request.fingerprint);
-    schedule.on_demand(needed, request.urgency, now);
-    const bool is_admitted = target.level >= needed &&
-                             ((was_reserved && schedule.claim(request.fingerprint, now)) ||
-                              schedule.try_admit({request.fingerprint, needed, request.urgency},
-                                                 budget_of(request.account, target, now), now));
+    const budget_request wanted{request.fingerprint, std::min(request.cost, target->burst),
+                                request.urgency};
+    const auto budget = budget_of(request.account, *target, now);
+    const bool was_reserved = schedule.contains(wanted.fingerprint);
+    schedule.on_demand(wanted.cost, wanted.urgency, now);
+    const bool is_admitted = target->level >= wanted.cost &&
+                             ((was_reserved && schedule.claim(wanted.fingerprint, now)) ||
+                              schedule.try_admit(wanted, budget, now));
     if (!is_admitted) {
-        return refuse(request, target, schedule, now);
+        return_counts_.refused_again += was_reserved ? 1 : 0;
+        return schedule_return(request, wanted, budget, now);
     }
     return_counts_.served += was_reserved ? 1 : 0;
-    charge_bucket(request.account, target, request.cost);
-    return {true, was_reserved, false, {}};
+    charge_bucket(request.account, *target, request.cost);
+    return {true, false, {}};
 }
 
-charge_result account_limiter::refuse(const account_charge& request, const bucket& target,
-                                      return_schedule& schedule, time_point now) {
-    charge_result out;
-    out.was_reserved = schedule.contains(request.fingerprint);
-    return_counts_.refused_again += out.was_reserved ? 1 : 0;
-    const double needed = std::min(request.cost, target.burst);
-    const auto budget = budget_of(request.account, target, now);
-    const budget_request wanted{request.fingerprint, needed, request.urgency};
+charge_result account_limiter::schedule_return(const account_charge& request,
+                                               const budget_request& wanted,
+                                               const account_budget& budget, time_point now) {
+    auto& schedule = schedule_of(request.account);
     const auto due = schedule.reserve(wanted, budget, now + request.longest_wait, now);
     if (!due) {
-        out.wait = schedule.available_at(wanted, budget, now) - now;
-        return out;
+        return {false, false, schedule.available_at(wanted, budget, now) - now};
     }
-    out.is_reserved = true;
     ++return_counts_.reserved;
-    out.wait = *due - now;
     unreported_reservations_.push_back({request.account,
-                                        {request.fingerprint, *due, needed, request.urgency},
+                                        {wanted.fingerprint, *due, wanted.cost, wanted.urgency},
                                         settings_.reservation_reports});
-    return out;
+    return {false, true, *due - now};
 }
 
 account_budget account_limiter::budget_of(const std::string& account, const bucket& target,
@@ -92,8 +88,8 @@
         if (!settings_.schedules_returns || buckets_.count(each.account) == 0) {
             continue;
         }
-        auto& schedule = schedules_.try_emplace(each.account, settings_.returns).first->second;
-        schedule.add({each.fingerprint, now + each.due_in, each.cost, each.urgency}, now);
+        schedule_of(each.account)
+            .add({each.fingerprint, now + each.due_in, each.cost, each.urgency}, now);
     }
 }
 
--- a/libs/serving/src/cold_servers.cpp
+++ b/libs/serving/src/cold_servers.cpp
@@ -14,54 +14,54 @@
 }
 
 bool cold_servers::on_registration(const backend_server& server, time_point now) {
-    const auto [found, is_new] = processes_.try_emplace(server.id);
-    auto& known = found->second;
-    const bool is_other_process = is_new || known.started_at_ms != server.started_at_ms;
-    if (!is_other_process && known.stated == server.cold_left) {
+    auto& known = statements_[server.id];
+    const statement latest{server.started_at_ms, server.cold_left};
+    if (known == latest) {
         return false;
     }
-    const bool was_cold = !is_other_process && known.cold_until.has_value();
-    known = {server.started_at_ms, server.service, server.cold_left, now, std::nullopt};
-    if (server.cold_left > duration::zero()) {
-        known.cold_until = now + server.cold_left;
+    const bool was_cold = cold_.count(server.process()) != 0;
+    cold_.erase({server.id, known.started_at_ms});
+    known = latest;
+    if (server.cold_left <= duration::zero()) {
+        return false;
     }
-    return known.cold_until && !was_cold && has_cold_rate(server.service);
+    cold_[server.process()] = {server.service, now, now + server.cold_left};
+    return !was_cold && has_cold_rate(server.service);
 }
 
 std::vector<server_process> cold_servers::update(time_point now) {
     std::vector<server_process> ended;
-    for (auto& [id, each] : processes_) {
-        if (each.cold_until && now >= *each.cold_until) {
-            each.cold_until.reset();
-            ended.push_back({id, each.started_at_ms});
+    std::erase_if(cold_, [&](const auto& each) {
+        const bool is_over = now >= each.second.ends;
+        if (is_over) {
+            ended.push_back(each.first);
         }
-    }
+        return is_over;
+    });
     return ended;
 }
 
 void cold_servers::erase_unknown(const std::function<bool(const std::string&)>& is_known) {
-    std::erase_if(processes_, [&](const auto& each) { return !is_known(each.first); });
+    std::erase_if(statements_, [&](const auto& each) { return !is_known(each.first); });
+    std::erase_if(cold_, [&](const auto& each) { return !is_known(each.first.id); });
 }
 
 std::optional<request_limit> cold_servers::find(const server_process& server) const {
-    const auto found = processes_.find(server.id);
-    const bool is_cold = found != processes_.end() && found->second.cold_until &&
-                         found->second.started_at_ms == server.started_at_ms;
-    if (!is_cold) {
+    const auto found = cold_.find(server);
+    if (found == cold_.end()) {
         return std::nullopt;
     }
     const auto rate = rates_.find(found->second.service);
     if (rate == rates_.end()) {
         return std::nullopt;
     }
-    return request_limit{rate->second, found->second.registered_at};
+    return request_limit{rate->second, found->second.begins};
 }
 
 std::size_t cold_servers::size() const {
     return static_cast<std::size_t>(
-        std::count_if(processes_.begin(), processes_.end(), [this](const auto& each) {
-            return each.second.cold_until && has_cold_rate(each.second.service);
-        }));
+        std::count_if(cold_.begin(), cold_.end(),
+                      [this](const auto& each) { return has_cold_rate(each.second.service); }));
 }
 
 std::optional<request_limit> effective_limits::find(const server_process& server) const {
--- a/libs/serving/src/dispatch_speeds.cpp
+++ b/libs/serving/src/dispatch_speeds.cpp
@@ -2,15 +2,14 @@
 
 namespace camphorgrade::serving {
 
-void dispatcher::record_latency(const request& entry, time_point now) {
+void dispatcher::record_latency(const request& entry, backend_view& view, time_point now) {
     const auto measured = now - entry.sent;
-    auto* view = backends_.find(entry.backend_id);
     if (!settings_.speeds.is_enabled) {
         backends_.on_latency(entry.backend_id, measured, entry.expected_first_byte);
-    } else if (view != nullptr && view->server.process() == entry.sent_to) {
+    } else if (view.server.process() == entry.sent_to) {
         const auto kind = entry.metadata.model.empty() ? speed_kind::plain : speed_kind::prompt;
         speeds_.on_response(entry.sent_to, kind, measured, entry.expected_first_byte, now);
-        update_latency_ratio(*view, kind, now);
+        update_latency_ratio(view, kind, now);
     }
 }
 
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -101,12 +101,14 @@
     software_.observe(backends_, registrations_known_, now);
 }
 
-void dispatcher::on_registration(const backend_server& server, time_point now) {
+bool dispatcher::on_registration(const backend_server& server, time_point now) {
     backends_.put(server);
     software_.add(server, now);
-    if (cold_.on_registration(server, now)) {
+    const bool becomes_cold = cold_.on_registration(server, now);
+    if (becomes_cold) {
         permits_.on_limit_changed(server.process(), now);
     }
+    return becomes_cold;
 }
 
 void dispatcher::resume(request_handle id, request& entry, time_point now) {
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -180,7 +180,7 @@
     effects_.emplace_back(end_request{
         id, reason, retry_after, entry.refused_cost,
         entry.is_part_trial ? std::nullopt : parts_.held_part(entry.metadata.prompt_parts),
-        entry.is_return_reserved && reason == end_reason::over_rate});
+        entry.is_return_reserved});
 }
 
 void dispatcher::on_first_byte(request_handle id, time_point now) {
@@ -195,7 +195,7 @@
     record_origin(entry, now);
     if (auto* view = backends_.find(entry.backend_id)) {
         view->queued_prompt_tokens -= entry.uncached;
-        record_latency(entry, now);
+        record_latency(entry, *view, now);
     }
 }
 
--- a/libs/serving/src/hash_rank.cpp
+++ b/libs/serving/src/hash_rank.cpp
@@ -24,4 +24,9 @@
     return out;
 }
 
+double hash_unit(std::string_view text, std::uint64_t seed) {
+    constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2^64
+    return static_cast<double>(XXH64(text.data(), text.size(), seed)) / hash_range;
+}
+
 } // namespace camphorgrade::serving
--- a/libs/serving/src/permit_exchange.cpp
+++ b/libs/serving/src/permit_exchange.cpp
@@ -1,5 +1,7 @@
 #include <serving/permit_exchange.h>
 
+#include "hash_rank.h"
+
 #include <kernel/check.h>
 
 #include <xxhash.h>
@@ -19,12 +21,6 @@
     return XXH64(gateway.data(), gateway.size(), seed);
 }
 
-/** A number from 0 to 1 that differs between gateways. */
-double hash_unit(const std::string& gateway) {
-    constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2^64
-    return static_cast<double>(XXH64(gateway.data(), gateway.size(), 0)) / hash_range;
-}
-
 } // namespace
 
 permit_exchange::permit_exchange(const limit_source& limits, permit_exchange_settings settings)
@@ -34,7 +30,7 @@
 void permit_exchange::set_gateways(const std::string& own, const std::vector<std::string>& live,
                                    time_point now) {
     own_ = own;
-    granter_.set_phase(hash_unit(own));
+    granter_.set_phase(hash_unit(own, 0));
     update_fleet_share(live, now);
     if (live == live_) {
         return;
--- a/libs/serving/src/permit_granter.cpp
+++ b/libs/serving/src/permit_granter.cpp
@@ -27,26 +27,24 @@
     if (now <= target.refilled_at) {
         return;
     }
-    const auto rate = rate_of(target);
     const auto seconds = static_cast<double>((now - target.refilled_at).count()) / ms_per_s;
-    target.level += rate * seconds;
+    target.level += rate_of(target) * seconds;
     target.refilled_at = now;
     if (fleet_share_ < 1) {
         target.level = std::fmod(target.level, lapse_level(target));
     } else {
-        target.level = std::min(target.level, capacity_of(rate, settings_));
+        target.level = std::min(target.level, capacity_of(target));
     }
 }
 
-double permit_granter::capacity_of(double rate_per_s, const permit_granter_settings& settings) {
-    const auto bucket_seconds = static_cast<double>(settings.bucket_time.count()) / ms_per_s;
-    return std::max(1.0, rate_per_s * bucket_seconds);
+double permit_granter::capacity_of(const bucket& target) const {
+    const auto bucket_seconds = static_cast<double>(settings_.bucket_time.count()) / ms_per_s;
+    return std::max(1.0, rate_of(target) * bucket_seconds);
 }
 
 double permit_granter::lapse_level(const bucket& target) const {
-    const auto rate = rate_of(target);
-    // The time in which the whole limit yields one permit.
-    return capacity_of(rate, settings_) + fleet_share_;
+    // The share that accrues in the time in which the whole limit yields one permit.
+    return capacity_of(target) + fleet_share_;
 }
 
 duration permit_granter::time_until(const bucket& target, double permits, time_point now) const {
@@ -151,7 +149,7 @@
         refill(target, now);
         while (is_wanted(target) && target.level >= 1 - rounding_tolerance) {
             auto& receiver = take_next(target);
-            target.level = std::min(target.level, capacity_of(rate_of(target), settings_)) - 1;
+            target.level = std::min(target.level, capacity_of(target)) - 1;
             ++granted_permits_;
             ++receiver.granted;
             receiver.is_reply_due = true;
--- a/libs/serving/src/placement.cpp
+++ b/libs/serving/src/placement.cpp
@@ -1,5 +1,7 @@
 #include <serving/placement.h>
 
+#include "hash_rank.h"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -10,8 +12,6 @@
 
 namespace {
 
-constexpr double hash_range = 18'446'744'073'709'551'616.0; // 2^64
-
 duration from_ms(double ms) {
     return duration{static_cast<duration::rep>(std::llround(ms))};
 }
@@ -20,8 +20,7 @@
 double rendezvous_rank(std::string_view weights, std::string_view server,
                        std::size_t server_count) {
     const auto seed = XXH64(weights.data(), weights.size(), 0);
-    const auto hash = XXH64(server.data(), server.size(), seed);
-    return static_cast<double>(hash) / hash_range * static_cast<double>(server_count);
+    return hash_unit(server, seed) * static_cast<double>(server_count);
 }
 
 /** Adapters that requests of this gateway wait for and that have no slot at the engine. */
--- a/libs/serving/src/return_schedule.cpp
+++ b/libs/serving/src/return_schedule.cpp
@@ -89,20 +89,23 @@
     return cost / filled_s;
 }
 
-double return_schedule::own_rate(int urgency, const account_budget& budget, time_point now) const {
+double return_schedule::own_rate(const account_budget& budget) const {
+    return budget.rate_per_s * budget.own_share * settings_.usable_rate_share;
+}
+
+bool return_schedule::has_share(int urgency, const account_budget& budget, time_point now) const {
     double more_urgent = 0;
     for (std::size_t step = 0; step < step_of(urgency); ++step) {
         more_urgent += demand_per_s(demand_[step], now);
     }
-    const auto share = budget.rate_per_s * budget.own_share * settings_.usable_rate_share;
-    return std::max(0.0, share - more_urgent);
+    return own_rate(budget) > more_urgent;
 }
 
 void return_schedule::use_own_share(const budget_request& request, const account_budget& budget,
                                     time_point now) {
-    const auto rate = budget.rate_per_s * budget.own_share * settings_.usable_rate_share;
+    const auto time = time_to_accrue(request.cost, own_rate(budget));
     for (auto step = step_of(request.urgency); step < urgency_steps; ++step) {
-        accrued_at_[step] = std::max(accrued_at_[step], now) + time_to_accrue(request.cost, rate);
+        accrued_at_[step] = std::max(accrued_at_[step], now) + time;
     }
 }
 
@@ -114,15 +117,13 @@
     }
     const auto sufficient =
         reservations_.empty() ? settings_.short_level : settings_.recovered_level;
-    const bool is_short = budget.level < budget.burst * sufficient;
-    const bool has_share =
-        accrued_at_[step_of(request.urgency)] <= now && own_rate(request.urgency, budget, now) > 0;
-    if (is_short && !has_share) {
-        return false;
+    if (budget.level >= budget.burst * sufficient) {
+        return true;
     }
-    if (is_short) {
-        use_own_share(request, budget, now);
+    if (accrued_at_[step_of(request.urgency)] > now || !has_share(request.urgency, budget, now)) {
+        return false;
     }
+    use_own_share(request, budget, now);
     return true;
 }
 
@@ -139,9 +140,8 @@
 std::optional<time_point> return_schedule::reserve(const budget_request& request,
                                                    const account_budget& budget, time_point latest,
                                                    time_point now) {
-    const bool has_share = own_rate(request.urgency, budget, now) > 0;
     if (contains(request.fingerprint) || reservations_.size() >= settings_.max_reservations ||
-        !has_share) {
+        !has_share(request.urgency, budget, now)) {
         return std::nullopt;
     }
     const auto due = std::max({accrued_at_[step_of(request.urgency)], now + settings_.min_delay,
