--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
-# Exits with 1 if the gateway lost requests, 0 if not, 2 if it couldn't run.
+# Exits with 1 if too few streams that were taken up went on, 0 if not, 2 if it couldn't run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-[ -x build/review-2/memory_case ] || exit 2
-timeout 110 build/review-2/memory_case "$here/record.txt"
+[ -x build/review-2/resumption_case ] || exit 2
+timeout 110 build/review-2/resumption_case "$here/record.txt"
 result=$?
 [ $result -le 1 ] && exit $result
 exit 2
--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -222,11 +222,12 @@
            std::to_string(number);
 }
 
-std::string site::common_settings() const {
+std::string site::common_settings(bool is_first) const {
     return "machine_class=front\nserves=front,control\nzone=rvk-a\nregion=is-reykjavik\n"
            "zones.rvk-a=is-reykjavik\nport_range=7600,7615\nseeds=" +
            front_ip(1) + ":8229," + front_ip(2) +
-           ":8229\nbootstrap=true\nin_tolerance=false\nlimits.cpu_share=0.19\nlimits.cpu_cores=1\n"
+           ":8229\nbootstrap=" + std::string(is_first ? "true" : "false") +
+           "\nin_tolerance=false\nlimits.cpu_share=0.19\nlimits.cpu_cores=1\n"
            "limits.max_fds=4100\nlimits.link_mbps=1000.0\nlimits.disk_mb=0\ndiscovery=platform\n"
            "entry=virtual_ip\nheartbeat_ms=1200\n"
            "contracts=base,drain,config,cost,retry,recover,fleet,stream,engine,tenants,quota,"
@@ -249,22 +250,23 @@
     return std::make_unique<program>(std::move(command), folder_ + '/' + name + ".log");
 }
 
-std::unique_ptr<program> site::start_front(int number, int memory_mb) const {
+std::unique_ptr<program> site::start_front(int number, int memory_mb, bool is_first) const {
     const auto name = "front-rvk-a-" + std::to_string(number);
     const auto own = front_ip(number);
     return start(name, {"target/bin/camphor-entry", "--measured-speeds"},
                  "node_name=" + name + "\nrole=entry\nip=" + own + "\nlisten.front=" + own +
                      ":8221\nlisten.ready=" + own + ":8224\nlisten.control=" + own +
                      ":8229\nlimits.memory_mb=" + std::to_string(memory_mb) + '\n' +
-                     common_settings());
+                     common_settings(is_first));
 }
 
-std::unique_ptr<program> site::start_agent(int number) const {
+std::unique_ptr<program> site::start_agent(int number, bool is_first) const {
     const auto name = "side-rvk-a-" + std::to_string(number);
     const auto own = worker_ip(number);
     return start(name, {"target/bin/camphor-engine-agent"},
                  "node_name=" + name + "\nrole=engine-agent\nip=" + own + "\napp=" + own + ':' +
-                     std::to_string(worker_port) + "\nlimits.memory_mb=192\n" + common_settings());
+                     std::to_string(worker_port) + "\nlimits.memory_mb=192\n" +
+                     common_settings(is_first));
 }
 
 bool site::wait_until_ready(int number) const {
--- a/review/standins-2/site.h
+++ b/review/standins-2/site.h
@@ -91,14 +91,16 @@
     std::string worker_ip(int number) const { return ip(2, number); }
     std::string store_ip() const { return ip(9, 1); }
 
-    std::unique_ptr<program> start_front(int number, int memory_mb = 260) const;
+    /** `is_first` is true when the whole system starts for the first time. */
+    std::unique_ptr<program> start_front(int number, int memory_mb = 260,
+                                         bool is_first = true) const;
     /** Starts the agent on the machine of a worker. */
-    std::unique_ptr<program> start_agent(int number) const;
+    std::unique_ptr<program> start_agent(int number, bool is_first = true) const;
     /** Waits until a gateway says that it is ready; false after ten seconds. */
     bool wait_until_ready(int number) const;
 
 private:
-    std::string common_settings() const;
+    std::string common_settings(bool is_first) const;
     std::unique_ptr<program> start(const std::string& name, std::vector<std::string> command,
                                    const std::string& settings) const;
 
