--- a/review/standins-2/site.cpp
+++ b/review/standins-2/site.cpp
@@ -59,12 +59,12 @@
     return text.compare(0, prefix.size(), prefix) == 0;
 }
 
-/** Whether an address of this part of the loopback network can be bound. */
-bool is_free(const std::string& ip) {
+/** Whether the address can be bound. */
+bool is_free(const std::string& ip, std::uint16_t port) {
     const int probe = ::socket(AF_INET, SOCK_STREAM, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
-    address.sin_port = htons(store_port);
+    address.sin_port = htons(port);
     inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
     const bool out =
         ::bind(probe, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
@@ -201,7 +201,8 @@
 site::site() {
     for (int attempt = 0; attempt < network_count && network_ == 0; ++attempt) {
         const int candidate = first_network + (::getpid() + attempt) % network_count;
-        if (is_free("127." + std::to_string(candidate) + ".9.1")) {
+        const auto network = "127." + std::to_string(candidate);
+        if (is_free(network + ".9.1", store_port) && is_free(network + ".1.1", front_port)) {
             network_ = candidate;
         }
     }
