--- a/review/7/resumption_case.cpp
+++ b/review/7/resumption_case.cpp
@@ -17,9 +17,9 @@
 
 constexpr int machines = 2; // gateways, and workers with an agent each
 constexpr int streams = 24;
-constexpr int events = 58;
-constexpr int event_ms = 100;
-constexpr int timeout_ms = 15'000;
+constexpr int events = 10;
+constexpr int event_ms = 300;
+constexpr int timeout_ms = 10'000;
 constexpr int down_ms = 1'000;
 constexpr int try_interval_ms = 1'500;
 // From stable_ms after their start on, machines are in touch; a little more is allowed here.
@@ -65,7 +65,7 @@
                 {"waiting", 0},
                 {"running", 0},
                 {"kv_used", 0},
-                {"kv_total", 266'018},
+                {"kv_total", 254'706},
                 {"handles", 0}};
     }
 
@@ -146,14 +146,14 @@
     link->set_timeout(milliseconds(deadline_ms + 500));
     std::vector<std::pair<std::string, std::string>> more{
         {"X-Model", "m0/a1"},
-        {"X-Token-Usage", "826,60"},
-        {"X-Prompt-Prefix", "5c1e07a2:198,91bd3f06:628"},
+        {"X-Token-Usage", "9190,50"},
+        {"X-Prompt-Prefix", "5c1e07a2:6300,91bd3f06:2890"},
         {"Content-Length", "0"}};
     if (!resumes.empty()) {
         more.emplace_back("Last-Event-Id", std::to_string(after));
         more.emplace_back("Resumes", resumes);
     }
-    link->write(request_head("POST", "/consulta/2f", id, deadline_ms, more));
+    link->write(request_head("POST", "/studio-plan/2f", id, deadline_ms, more));
     if (link->read_head(got) == read_end::complete) {
         link->read_body(got, true);
     }
@@ -208,25 +208,26 @@
 }
 
 void describe(store& held, const site& place) {
-    json consulta = route("/consulta/", "streaming", "asesor-cal", timeout_ms);
-    consulta["resumable"] = true;
-    consulta["max_attempts"] = 2;
-    consulta["gap_aim_ms"] = 300;
-    const json model{{"name", "m0"},      {"weights_mb", 42'700}, {"load_s", 1.3},
-                     {"adapters", 3'000}, {"adapter_mb", 66},     {"warm_s", 0.44}};
-    const json service{{"name", "asesor-cal"},
+    json studio_plan = route("/studio-plan/", "streaming", "acoustic-llm", timeout_ms);
+    studio_plan["resumable"] = true;
+    studio_plan["max_attempts"] = 2;
+    studio_plan["goal_ms"] = 1'000;
+    studio_plan["gap_aim_ms"] = 300;
+    const json model{{"name", "m0"},      {"weights_mb", 65'100}, {"load_s", 1.9},
+                     {"adapters", 3'000}, {"adapter_mb", 12},     {"warm_s", 0.38}};
+    const json service{{"name", "acoustic-llm"},
                        {"health_path", "/health"},
                        {"max_conns", 370},
                        {"engine",
                         {{"slots", 64},
-                         {"kv_tokens", 266'018},
+                         {"kv_tokens", 254'706},
                          {"models", {model}},
-                         {"weights_mb", 44'000},
-                         {"adapter_slots", 9},
-                         {"loads_per_s", 2.8}}}};
-    held.put("op/config", configuration(json::array({consulta}), json::array({service})));
+                         {"weights_mb", 66'500},
+                         {"adapter_slots", 7},
+                         {"loads_per_s", 4.2}}}};
+    held.put("op/config", configuration(json::array({studio_plan}), json::array({service})));
     for (int i = 1; i <= machines; ++i) {
-        json entry = registration("asesor-cal",
+        json entry = registration("acoustic-llm",
                                   place.worker_ip(i) + ':' + std::to_string(worker_port), 64, born);
         entry["models"] = {{{"name", "m0"}, {"version", 1}, {"adapters", {"a1@1"}}}};
         held.put("servers/i-engine-" + std::to_string(i), entry);
