Move the history of routes out of the dispatcher into a class of its own

No change of behaviour: route_history holds what dispatcher::rerouted_at_ and shared_services_ held.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -13,6 +13,7 @@
 #include <serving/placement.h>
 #include <serving/request_metadata.h>
 #include <serving/retry_limiter.h>
+#include <serving/route_history.h>
 #include <serving/server_limits.h>
 #include <serving/server_speeds.h>
 #include <serving/service_catalogue.h>
@@ -366,8 +367,6 @@
     bool is_history_known(const request& entry, time_point now) const;
     /** Continues at the only version that anybody knows, if nobody has newer registrations. */
     bool continue_at_only_version(request_handle id, request& entry, time_point now);
-    /** Records which services a stream may have begun at besides its route's present ones. */
-    void record_route_changes(const service_catalogue& catalogue, time_point now);
     /** Places a request that resumes a stream once its version is known. Until then, asks other
         processes: for the history of versions, if it isn't known here or nobody has confirmed it,
         and for the origin. */
@@ -457,10 +456,7 @@
     time_point versions_observed_at_;
     time_point ended_servers_forgotten_at_;
     std::optional<registration_period> registrations_known_; /**< Empty if none are known. */
-    /** When the services of a route last changed, by its host and path prefix. */
-    std::map<std::pair<std::string, std::string>, time_point> rerouted_at_;
-    /** Services that share routes with others, now or as of the time at which a route changed. */
-    std::map<std::string, time_point> shared_services_;
+    route_history routes_;
     placement_chooser placement_chooser_;
     std::optional<time_point> answer_by_; /**< Latest deadline of every request. */
     std::map<request_handle, request> requests_;
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -54,9 +54,8 @@
 bool dispatcher::seems_single_version(const request& entry, time_point now) const {
     const auto& matched = *entry.found_route;
     const auto since = oldest_stream(matched, now);
-    const auto rerouted = rerouted_at_.find({matched.host, matched.path_prefix});
-    const bool was_rerouted = rerouted != rerouted_at_.end() && rerouted->second >= since;
-    return matched.services.size() <= 1 && !was_rerouted && software_.is_known_since(since) &&
+    return matched.services.size() <= 1 && !routes_.was_rerouted(matched, since) &&
+           software_.is_known_since(since) &&
            software_.of_service(entry.service, since).size() <= 1;
 }
 
@@ -64,30 +63,6 @@
     return software_.is_known_since(oldest_stream(*entry.found_route, now), now);
 }
 
-void dispatcher::record_route_changes(const service_catalogue& catalogue, time_point now) {
-    std::erase_if(rerouted_at_,
-                  [&](const auto& each) { return now - each.second >= settings_.software.memory; });
-    std::erase_if(shared_services_,
-                  [&](const auto& each) { return now - each.second >= settings_.software.memory; });
-    const auto share = [&](const route& each) {
-        for (const auto& part : each.services) {
-            shared_services_[part.service] = now;
-        }
-    };
-    for (const auto& each : catalogue.routes) {
-        const auto* before =
-            catalogue_ ? catalogue_->find_route(each.host, each.path_prefix) : nullptr;
-        const bool is_changed = before != nullptr && before->services != each.services;
-        if (is_changed) {
-            rerouted_at_[{each.host, each.path_prefix}] = now;
-            share(*before);
-        }
-        if (is_changed || each.services.size() > 1) {
-            share(each);
-        }
-    }
-}
-
 time_point dispatcher::oldest_stream(const route& matched, time_point now) const {
     const bool has_timeout = matched.timeout > duration::zero();
     const auto age =
@@ -241,9 +216,7 @@
     // shared.
     const bool knows_all = software_.is_known_since(now - settings_.software.memory, now);
     auto shared = knows_all ? software_.mixed_services() : software_.services();
-    for (const auto& each : shared_services_) {
-        shared.insert(each.first);
-    }
+    shared.merge(routes_.shared_services());
     return origins_.take_messages(shared, now);
 }
 
--- a/libs/serving/src/dispatcher.cpp
+++ b/libs/serving/src/dispatcher.cpp
@@ -15,7 +15,7 @@
       limits_(settings.server_limits), effective_limits_(limits_, cold_),
       permits_(effective_limits_, settings.permits), store_recovery_(settings.store_recovery),
       origins_(settings.origins), speeds_(settings.speeds), software_(settings.software),
-      software_exchange_(software_, settings.software_exchange),
+      software_exchange_(software_, settings.software_exchange), routes_(settings.software.memory),
       placement_chooser_(settings.placement_estimates, std::move(own_data_centre)) {}
 
 void dispatcher::set_catalogue(service_catalogue catalogue, time_point now) {
@@ -24,7 +24,7 @@
     }
     limiter_.set_catalogue(catalogue, now);
     cold_.set_catalogue(catalogue);
-    record_route_changes(catalogue, now);
+    routes_.on_catalogue(catalogue_.get(), catalogue, now);
     catalogue_ = std::make_shared<const catalogue_index>(std::move(catalogue));
 }
 
