Keep the recent past in the store, so that the loss of all processes doesn't lose it

Cause: which software versions served lately lived only in the memory of gateways and agents. After a loss of all nobody can tell that one version alone has served, and a gateway takes no version for granted.

Change: a gateway writes a checkpoint to the platform's store (software versions and routes as of a position of the store) when the newest one that it or a peer knows is a quarter as old as the store's history. After a start, a gateway reads it with what operators and servers have written since; both are the whole past up to now, and no clock is compared. While the store still has all that it ever had, no checkpoint is needed. A store that takes no writes, has dropped its history or came back from a copy costs knowledge only. Nothing is written or read where no route can be resumed.

--- a/daemons/entry.cpp
+++ b/daemons/entry.cpp
@@ -4,6 +4,7 @@
 #include <entry/entry_process.h>
 #include <platform/fleet_watcher.h>
 #include <platform/platform_codec.h>
+#include <platform/record_client.h>
 
 namespace camphorgrade {
 
@@ -27,6 +28,7 @@
     out.memory_limit_bytes = from.memory_limit_bytes;
     out.max_descriptors = from.max_descriptors;
     out.shutdown_grace = from.shutdown_grace;
+    out.store_history = from.store_history;
     out.incarnation = process_incarnation();
     out.dispatch.limits.is_restart = !from.is_first_start;
     out.dispatch.limits.schedules_returns = from.is_overload_expected;
@@ -38,22 +40,28 @@
     return out;
 }
 
-/** Fleet source that watches the platform's store. */
+/** Fleet source that watches the platform's store and keeps records there. */
 class store_fleet_source final : public entry::fleet_source {
 public:
     store_fleet_source(boost::asio::io_context& loop, edge::upstream_pool& pool,
                        const platform::platform_settings& settings,
                        serving::fleet_listener& listener)
-        : watcher_(loop, pool,
-                   {{boost::asio::ip::make_address(settings.store.ip), settings.store.port}, {}},
-                   {}, std::hash<std::string>{}(settings.node_name), listener) {}
+        : watcher_(loop, pool, store_address(settings), {},
+                   std::hash<std::string>{}(settings.node_name), listener),
+          records_(loop, pool, store_address(settings), {}) {}
 
     void start() override { watcher_.start(); }
     void pause() override { watcher_.pause(); }
     void resume() override { watcher_.resume(); }
+    serving::record_store& records() override { return records_; }
 
 private:
+    static edge::upstream_address store_address(const platform::platform_settings& settings) {
+        return {{boost::asio::ip::make_address(settings.store.ip), settings.store.port}, {}};
+    }
+
     platform::fleet_watcher watcher_;
+    platform::record_client records_;
 };
 
 int run(const platform::platform_settings& settings, const daemon_options& chosen) {
--- a/libs/entry/include/entry/entry_process.h
+++ b/libs/entry/include/entry/entry_process.h
@@ -5,6 +5,7 @@
 #include <serving/backend_server.h>
 #include <serving/dispatcher.h>
 #include <serving/fleet_listener.h>
+#include <serving/record_store.h>
 #include <serving/request_codec.h>
 
 #include <boost/asio/io_context.hpp>
@@ -40,6 +41,8 @@
     std::size_t max_descriptors = 0;
     /** Time from SIGTERM until the process must have exited. */
     duration shutdown_grace{8'000};
+    /** Time for which the store keeps its changes. */
+    duration store_history{20'000};
     /** Identifies this process on its VM; a later process has a larger one. */
     std::uint64_t incarnation = 1;
     serving::dispatcher_settings dispatch;
@@ -47,7 +50,8 @@
     friend bool operator==(const entry_settings&, const entry_settings&) = default;
 };
 
-/** Reads the fleet's catalogue and registrations from the store and watches them for changes. */
+/** The store: reads the fleet's catalogue and registrations and watches them for changes, and keeps
+    the system's own records. */
 class fleet_source {
 public:
     fleet_source() = default;
@@ -61,6 +65,9 @@
     virtual void pause() = 0;
     /** Reads the whole state again and watches it for changes. */
     virtual void resume() = 0;
+    /** Keeps the system's own records, also while the watch is paused. Lives as long as the
+        source. */
+    virtual serving::record_store& records() = 0;
 };
 
 /**
--- /dev/null
+++ b/libs/entry/src/fleet_records.cpp
@@ -0,0 +1,109 @@
+#include "fleet_records.h"
+
+#include <peering/stored_records.h>
+
+#include <xxhash.h>
+
+#include <limits>
+#include <optional>
+
+namespace camphorgrade::entry {
+
+namespace {
+
+/** A number from 0 to 1 that spreads gateways evenly. */
+double share_of(const std::string& address) {
+    const auto hash = XXH64(address.data(), address.size(), 0);
+    return static_cast<double>(hash) /
+           static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+}
+
+const char* name_of(serving::write_outcome outcome) {
+    switch (outcome) {
+    case serving::write_outcome::done:
+        return "done";
+    case serving::write_outcome::conflict:
+        return "conflict";
+    case serving::write_outcome::lease_over:
+        return "lease_over";
+    case serving::write_outcome::refused:
+        return "refused";
+    case serving::write_outcome::unknown:
+        return "unknown";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+fleet_records::fleet_records(const clock& clock, event_log& log, metrics& counts,
+                             serving::dispatcher& dispatcher, const fleet_state& fleet,
+                             serving::record_store& store, const fleet_records_settings& settings)
+    : clock_(clock), log_(log), metrics_(counts), dispatcher_(dispatcher), fleet_(fleet),
+      store_(store), settings_(settings),
+      checkpoints_(settings.checkpoints, share_of(settings.address)),
+      recovery_(clock, log, dispatcher, fleet, store, checkpoints_, settings.recovery) {}
+
+void fleet_records::tick() {
+    recovery_.tick();
+    write_checkpoint();
+}
+
+void fleet_records::on_peer_checkpoint(const serving::checkpoint_state& state) {
+    checkpoints_.on_checkpoint(state, clock_.now());
+}
+
+void fleet_records::on_history_lost() {
+    checkpoints_.on_history_lost(clock_.now());
+}
+
+void fleet_records::write_checkpoint() {
+    const auto now = clock_.now();
+    // Of the gateways that learn registrations from others, none knows a position to rely on.
+    if (is_writing_checkpoint_ || !checkpoints_.is_due(now) || !fleet_.follows_store()) {
+        return;
+    }
+    const auto checkpoint = dispatcher_.checkpoint(fleet_.registrations_position(), now);
+    if (!checkpoint) {
+        return;
+    }
+    is_writing_checkpoint_ = true;
+    store_.write({std::string(peering::checkpoint_key), peering::encode_checkpoint(*checkpoint),
+                  checkpoints_.record_revision(), 0},
+                 [this, position = checkpoint->position](const serving::write_result& result) {
+                     on_checkpoint_written(position, result);
+                 });
+}
+
+void fleet_records::on_checkpoint_written(const serving::store_position& position,
+                                          const serving::write_result& result) {
+    is_writing_checkpoint_ = false;
+    count_write("checkpoint", result.outcome);
+    const auto now = clock_.now();
+    if (result.outcome == serving::write_outcome::done) {
+        checkpoints_.on_checkpoint({position, result.revision}, now);
+        return;
+    }
+    if (result.outcome != serving::write_outcome::conflict) {
+        checkpoints_.on_write_failed(now);
+        return;
+    }
+    std::optional<serving::checkpoint_state> present;
+    if (result.present) {
+        const auto known = peering::decode_checkpoint(result.present->value);
+        present = {known ? known->position : serving::store_position{}, result.present->revision};
+    }
+    checkpoints_.on_conflict(present, now);
+}
+
+void fleet_records::count_write(const char* record, serving::write_outcome outcome) {
+    metrics_.count("camphor_record_writes_total",
+                   {{"record", record}, {"outcome", name_of(outcome)}});
+    if (outcome != serving::write_outcome::done) {
+        log_.line("record_not_written", log_category::failure)
+            .text("record", record)
+            .text("outcome", name_of(outcome));
+    }
+}
+
+} // namespace camphorgrade::entry
--- a/libs/entry/src/fleet_state.cpp
+++ b/libs/entry/src/fleet_state.cpp
@@ -122,6 +122,9 @@
 }
 
 void fleet_state::on_registrations(const std::vector<serving::backend_server>& servers) {
+    if (has_registrations_) {
+        listener_.on_store_history_lost(); // otherwise the changes would have been enough
+    }
     has_registrations_ = true;
     is_following_ = false;
     for (const auto& id : registrations_.on_full_list(servers, clock_.now())) {
--- a/libs/entry/src/fleet_state.h
+++ b/libs/entry/src/fleet_state.h
@@ -29,6 +29,8 @@
     virtual void on_fleet_changed() = 0;
     /** This gateway begins or stops watching the store. */
     virtual void on_store_watch_changed(bool watches) = 0;
+    /** The store has dropped its changes up to now, or lost some. */
+    virtual void on_store_history_lost() = 0;
 };
 
 /**
@@ -77,6 +79,12 @@
     /** Whether the catalogue and the registrations are known, as serving callers requires. */
     bool is_complete() const;
 
+    /** Whether the registrations known here follow the store's changes, and the store responds. */
+    bool follows_store() const { return is_following_ && has_store_contact(); }
+
+    /** State of the store to which the registrations known here belong. */
+    const serving::store_position& registrations_position() const noexcept { return position_; }
+
     /** How often the store has come back from an older copy. */
     std::uint64_t store_restorations() const noexcept { return store_restorations_; }
 
--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -19,6 +19,10 @@
 constexpr duration tick_interval{50};
 // A tick that is late by at least this much is logged.
 constexpr duration notable_loop_delay{250};
+/** Checkpoints that are written while the store keeps a change: the newest one must still be usable
+    after some failed writes and the time that a start takes. */
+constexpr int checkpoints_per_history = 4;
+constexpr duration min_checkpoint_interval{1'000};
 constexpr int min_success_status = 200;
 constexpr int min_redirection_status = 300;
 
@@ -38,6 +42,14 @@
     return out;
 }
 
+fleet_records_settings records_settings(const entry_settings& settings) {
+    fleet_records_settings out;
+    out.address = settings.peer_address.ip + ':' + std::to_string(settings.peer_address.port);
+    out.checkpoints.interval =
+        std::max(settings.store_history / checkpoints_per_history, min_checkpoint_interval);
+    return out;
+}
+
 boost::asio::ip::tcp::endpoint endpoint_of(const serving::network_address& address) {
     return {boost::asio::ip::make_address(address.ip), address.port};
 }
@@ -63,8 +75,10 @@
       peers_(loop_, clock_, pool_, dispatcher_, fleet_, *this, settings.peer_address,
              settings.incarnation, {settings.data_centre, settings.capacity_millicores, true},
              settings.seeds, {}),
-      source_(make_source(loop_, pool_, fleet_)), timer_(loop_),
-      signals_(loop_, SIGTERM, SIGINT, SIGHUP),
+      source_(make_source(loop_, pool_, fleet_)),
+      records_(std::make_unique<fleet_records>(clock_, log_, metrics_, dispatcher_, fleet_,
+                                               source_->records(), records_settings(settings))),
+      timer_(loop_), signals_(loop_, SIGTERM, SIGINT, SIGHUP),
       shutdown_(settings.shutdown_grace, caller_server_, dispatcher_) {
     caller_server_.set_max_connections(descriptors_.caller_connections);
 }
@@ -159,6 +173,7 @@
     dispatcher_.tick(at);
     execute_effects();
     peers_.exchange_origins();
+    records_->tick();
     log_.flush();
     if (shutdown_.advance(at)) {
         loop_.stop();
--- a/libs/entry/src/gateway_node.h
+++ b/libs/entry/src/gateway_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "descriptor_shares.h"
+#include "fleet_records.h"
 #include "gateway_peers.h"
 #include "graceful_shutdown.h"
 #include "request_flow.h"
@@ -50,6 +51,7 @@
     void on_caller_limits(const edge::caller_limits& limits) override;
     void on_fleet_changed() override;
     void on_store_watch_changed(bool watches) override;
+    void on_store_history_lost() override { records_->on_history_lost(); }
 
     time_point now() const override { return clock_.now(); }
     edge::upstream_pool& pool() override { return pool_; }
@@ -65,6 +67,12 @@
     void on_request_finished(serving::request_handle request, int status) override;
 
     void on_effects_pending() override { execute_effects(); }
+    void on_peer_checkpoint(const serving::checkpoint_state& state) override {
+        records_->on_peer_checkpoint(state);
+    }
+    const serving::checkpoint_state& newest_checkpoint() const override {
+        return records_->newest_checkpoint();
+    }
     event_log& log() override { return log_; }
 
     /** Whether this process accepts new requests. */
@@ -122,6 +130,7 @@
     std::unique_ptr<operator_endpoints> operator_endpoints_;
     gateway_peers peers_;
     std::unique_ptr<fleet_source> source_;
+    std::unique_ptr<fleet_records> records_;
     boost::asio::steady_timer timer_;
     time_point tick_due_;
     duration longest_loop_delay_{}; /**< Since the metrics were last read. */
--- a/libs/entry/src/gateway_peers.cpp
+++ b/libs/entry/src/gateway_peers.cpp
@@ -105,6 +105,7 @@
     const auto now = clock_.now();
     transport_.add_advertised_gateways(report.gateways);
     registration_poller_.on_peer_store_age(sender, report.store_age);
+    host_.on_peer_checkpoint(report.checkpoint);
     dispatcher_.limiter().on_peer_usage(sender, incarnation, report.process_age, report.usage,
                                         report.has_all_usage, now);
     dispatcher_.limiter().on_peer_reservations(report.reservations, now);
@@ -401,6 +402,7 @@
     report.has_all_usage = is_full;
     const auto recent_usage = usage_filter_.changed(usage, now);
     report.usage = is_full ? usage : recent_usage;
+    report.checkpoint = host_.newest_checkpoint();
     report.store_age = fleet_.store_age();
     report.process_age = now - started_;
     report.avoided_servers = dispatcher_.backends().avoided_servers(now);
--- a/libs/entry/src/gateway_peers.h
+++ b/libs/entry/src/gateway_peers.h
@@ -35,6 +35,10 @@
 
     /** The dispatcher processed an event and may have effects to execute. */
     virtual void on_effects_pending() = 0;
+    /** A peer knows of a checkpoint in the store. */
+    virtual void on_peer_checkpoint(const serving::checkpoint_state& state) = 0;
+    /** The newest checkpoint that this gateway knows. */
+    virtual const serving::checkpoint_state& newest_checkpoint() const = 0;
     virtual event_log& log() = 0;
 };
 
--- /dev/null
+++ b/libs/entry/src/history_recovery.cpp
@@ -0,0 +1,116 @@
+#include "history_recovery.h"
+
+#include <peering/stored_records.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace camphorgrade::entry {
+
+namespace {
+
+/** The checkpoint among the records, if it can be read and belongs to the past of this store. */
+std::optional<serving::fleet_checkpoint> find_checkpoint(const serving::record_list& list) {
+    for (const auto& each : list.records) {
+        if (each.key != peering::checkpoint_key) {
+            continue;
+        }
+        auto out = peering::decode_checkpoint(each.value);
+        // After a return from an older copy, the changes since the position aren't all known.
+        const bool is_usable = out && out->position.era == list.position.era &&
+                               out->position.revision <= list.position.revision;
+        return is_usable ? std::move(out) : std::nullopt;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+history_recovery::history_recovery(const clock& clock, event_log& log,
+                                   serving::dispatcher& dispatcher, const fleet_state& fleet,
+                                   serving::record_store& store,
+                                   serving::checkpoint_schedule& checkpoints,
+                                   history_recovery_settings settings)
+    : clock_(clock), log_(log), dispatcher_(dispatcher), fleet_(fleet), store_(store),
+      checkpoints_(checkpoints), settings_(settings), retry_delay_(settings.min_retry_delay) {}
+
+void history_recovery::tick() {
+    const auto now = clock_.now();
+    if (!fleet_.is_complete() || is_reading_) {
+        return;
+    }
+    if (dispatcher_.knows_past(now)) {
+        is_due_ = true; // for when a suspension makes it unknown
+        return;
+    }
+    if (is_due_ && now >= next_read_at_) {
+        read_records();
+    }
+}
+
+void history_recovery::read_records() {
+    is_reading_ = true;
+    store_.read(std::string(peering::record_prefix),
+                [this](const std::optional<serving::record_list>& list) {
+                    list ? on_records(*list) : retry();
+                });
+}
+
+void history_recovery::on_records(const serving::record_list& list) {
+    auto checkpoint = find_checkpoint(list);
+    for (const auto& each : list.records) {
+        if (each.key == peering::checkpoint_key) {
+            const auto position = checkpoint ? checkpoint->position : serving::store_position{};
+            checkpoints_.on_checkpoint({position, each.revision}, clock_.now());
+            checkpoints_.on_history_lost(clock_.now()); // nobody knows how old it is
+        }
+    }
+    // A store that names its era may have come back from a copy, so its changes aren't all.
+    if (!checkpoint && list.position.era != 0) {
+        end("no_checkpoint");
+        return;
+    }
+    read_changes(list, std::move(checkpoint));
+}
+
+void history_recovery::read_changes(const serving::record_list& list,
+                                    std::optional<serving::fleet_checkpoint> checkpoint) {
+    const auto since = checkpoint ? checkpoint->position.revision : 0;
+    store_.read_changes(since, [this, list, checkpoint = std::move(checkpoint),
+                                read_at = clock_.now()](const auto& changes, auto fault) {
+        if (changes && changes->era == list.position.era) {
+            on_changes(*changes, read_at, checkpoint);
+        } else if (!changes && fault == serving::changes_fault::history_gone) {
+            end("history_gone");
+        } else {
+            retry();
+        }
+    });
+}
+
+void history_recovery::on_changes(const serving::recorded_changes& changes, time_point read_at,
+                                  std::optional<serving::fleet_checkpoint> checkpoint) {
+    log_.line("history_recovered")
+        .flag("has_checkpoint", checkpoint.has_value())
+        .number("reach_ms", checkpoint ? checkpoint->reach.count() : -1)
+        .number("registrations", static_cast<std::int64_t>(changes.registrations.size()))
+        .number("catalogues", static_cast<std::int64_t>(changes.catalogues.size()));
+    dispatcher_.on_history_recovered({std::move(checkpoint), changes, read_at}, clock_.now());
+    end("recovered");
+}
+
+void history_recovery::retry() {
+    is_reading_ = false;
+    next_read_at_ = clock_.now() + retry_delay_;
+    retry_delay_ = std::min(retry_delay_ * 2, settings_.max_retry_delay);
+    log_.line("history_read_failed").number("retry_ms", (next_read_at_ - clock_.now()).count());
+}
+
+void history_recovery::end(const char* result) {
+    is_reading_ = false;
+    is_due_ = false;
+    retry_delay_ = settings_.min_retry_delay;
+    log_.line("history_read").text("result", result);
+}
+
+} // namespace camphorgrade::entry
--- /dev/null
+++ b/libs/entry/src/history_recovery.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "fleet_state.h"
+
+#include <kernel/clock.h>
+#include <serving/dispatcher.h>
+#include <serving/fleet_checkpoint.h>
+#include <serving/record_store.h>
+#include <telemetry/event_log.h>
+
+#include <optional>
+
+namespace camphorgrade::entry {
+
+/** Delays of a history_recovery. */
+struct history_recovery_settings {
+    /** Delay after a read that failed; doubles with each further one, up to the maximum. */
+    duration min_retry_delay{200};
+    duration max_retry_delay{2'000};
+
+    friend bool operator==(const history_recovery_settings&,
+                           const history_recovery_settings&) = default;
+};
+
+/**
+ * Reads from the store what this process doesn't know of the recent past: the checkpoint, and
+ * what operators and backend servers have written since. Without a
+ * checkpoint, all that the store has ever had is as good, while it still has it.
+ *
+ * Not thread safe. All arguments must outlive it.
+ */
+class history_recovery {
+public:
+    history_recovery(const clock& clock, event_log& log, serving::dispatcher& dispatcher,
+                     const fleet_state& fleet, serving::record_store& store,
+                     serving::checkpoint_schedule& checkpoints, history_recovery_settings settings);
+
+    /** Starts a read when this process doesn't know the past. To be called regularly. */
+    void tick();
+
+private:
+    void read_records();
+    void on_records(const serving::record_list& list);
+    void read_changes(const serving::record_list& list,
+                      std::optional<serving::fleet_checkpoint> checkpoint);
+    void on_changes(const serving::recorded_changes& changes, time_point read_at,
+                    std::optional<serving::fleet_checkpoint> checkpoint);
+    void retry();
+    void end(const char* result);
+
+    const clock& clock_;
+    event_log& log_;
+    serving::dispatcher& dispatcher_;
+    const fleet_state& fleet_;
+    serving::record_store& store_;
+    serving::checkpoint_schedule& checkpoints_;
+    history_recovery_settings settings_;
+    bool is_due_ = true; /**< The past wasn't known, and the store hasn't told yet. */
+    bool is_reading_ = false;
+    time_point next_read_at_;
+    duration retry_delay_;
+};
+
+} // namespace camphorgrade::entry
--- a/libs/entry/tests/fleet_state_fixture.h
+++ b/libs/entry/tests/fleet_state_fixture.h
@@ -14,6 +14,7 @@
     void on_caller_limits(const edge::caller_limits&) override {}
     void on_fleet_changed() override {}
     void on_store_watch_changed(bool watches) override { is_watching = watches; }
+    void on_store_history_lost() override {}
 
     bool is_watching = true;
 };
--- a/libs/peering/include/peering/peer_messages.h
+++ b/libs/peering/include/peering/peer_messages.h
@@ -6,6 +6,7 @@
 #include <serving/crash_register.h>
 #include <serving/crashing_parts.h>
 #include <serving/evacuation_state.h>
+#include <serving/fleet_checkpoint.h>
 #include <serving/permit_messages.h>
 #include <serving/server_limits.h>
 #include <serving/server_speeds.h>
@@ -59,6 +60,8 @@
     std::vector<serving::account_reservation> reservations;
     /** Speeds of servers that the sender measured since its last report. */
     std::vector<serving::speed_sample> speeds;
+    /** The newest checkpoint that the sender knows; of revision 0 if it knows none. */
+    serving::checkpoint_state checkpoint;
 
     friend bool operator==(const gateway_report&, const gateway_report&) = default;
 };
--- a/libs/peering/src/peer_messages.cpp
+++ b/libs/peering/src/peer_messages.cpp
@@ -415,6 +415,12 @@
     if (report.evacuations) {
         write(*report.evacuations, *out.mutable_evacuations());
     }
+    if (report.checkpoint.position.revision > 0) {
+        auto& checkpoint = *out.mutable_checkpoint();
+        checkpoint.set_era(report.checkpoint.position.era);
+        checkpoint.set_revision(report.checkpoint.position.revision);
+        checkpoint.set_record_revision(report.checkpoint.record_revision);
+    }
     for (const auto& each : report.avoided_servers) {
         auto& server = *out.add_troubles();
         server.set_backend_id(each.id);
@@ -451,6 +457,8 @@
     if (has_evacuations) {
         report.evacuations = read(in.evacuations());
     }
+    report.checkpoint = {{in.checkpoint().era(), in.checkpoint().revision()},
+                         in.checkpoint().record_revision()};
     for (const auto& each : in.troubles()) {
         report.avoided_servers.push_back({each.backend_id(), each.born()});
     }
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -9,6 +9,7 @@
 #include <serving/crashing_parts.h>
 #include <serving/dispatch_effects.h>
 #include <serving/evacuation_state.h>
+#include <serving/fleet_checkpoint.h>
 #include <serving/permit_exchange.h>
 #include <serving/placement.h>
 #include <serving/request_metadata.h>
@@ -185,6 +186,18 @@
         return software_exchange_.take_messages(now);
     }
 
+    /** What the store is to hold of the recent past, as of `position`, to which the registrations
+        known here belong. Empty if no stream can be resumed, or the past isn't known. */
+    std::optional<fleet_checkpoint> checkpoint(const store_position& position, time_point now);
+
+    /** Whether no software version that a stream may have begun at can be unknown here; also true
+        if no stream can be resumed. */
+    bool knows_past(time_point now);
+
+    /** The store told what served before this process started: sends the requests that wait for
+        it. */
+    void on_history_recovered(const recovered_history& history, time_point now);
+
     /** The response to the caller can't be continued: the request ends when its present attempt
         fails. */
     void forbid_retry(request_handle id);
--- a/libs/serving/include/serving/software_versions.h
+++ b/libs/serving/include/serving/software_versions.h
@@ -99,6 +99,10 @@
     /** Adds what another process knows. */
     void learn(const software_history& history, time_point now);
 
+    /** Adds what the store tells: all versions that served in the time `reach` before `read_at`,
+        or later, are among `records`, whose ages are lower bounds. */
+    void recover(const std::vector<software_record>& records, duration reach, time_point read_at);
+
     /** What this process knows, for other processes. */
     software_history history(time_point now) const;
 
--- a/libs/serving/src/software_versions.cpp
+++ b/libs/serving/src/software_versions.cpp
@@ -47,6 +47,17 @@
     forget_old(now);
 }
 
+void software_versions::recover(const std::vector<software_record>& records, duration reach,
+                                time_point read_at) {
+    for (const auto& each : records) {
+        if (each.age < settings_.memory) {
+            add(each.service, each.version, read_at - each.age);
+        }
+    }
+    extend({read_at - reach, read_at}, settings_.max_registration_gap);
+    forget_old(read_at);
+}
+
 void software_versions::add(const std::string& service, const std::string& version,
                             time_point seen_at) {
     const auto [found, is_new] = seen_[service].try_emplace(version, seen_at);
