Tell callers once when their streams can be resumed, if nobody knows where they began

Cause: the pause didn't depend on when the history of software versions can be complete.

Change: once the store has answered and no other process can tell, Retry-After is the time until the streams that can still be resumed are younger than what is known. While somebody may still tell, the pause stays short.

--- a/libs/entry/src/history_recovery.cpp
+++ b/libs/entry/src/history_recovery.cpp
@@ -43,6 +43,7 @@
         is_due_ = true; // for when a suspension makes it unknown
         return;
     }
+    dispatcher_.set_history_final(!is_due_);
     if (is_due_ && now >= next_read_at_) {
         read_records();
     }
--- a/libs/entry/tests/test_lost_fleet.cpp
+++ b/libs/entry/tests/test_lost_fleet.cpp
@@ -92,6 +92,17 @@
     check(script, expected::nothing);
 }
 
+// Guards against callers that are told to come back soon, again and again, for nothing.
+TEST_CASE("a caller whose stream can't be known before its deadline is refused once") {
+    lost_fleet_script script;
+    script.gateways = GENERATE(as<std::size_t>{}, 1, 4, 16);
+    script.takes_writes = false;
+    const auto result = lost_fleet(script).play();
+    CHECK(result.continued == 0);
+    CHECK(result.refusals == result.resumed);
+    CHECK(result.last_retry_after >= duration{10'000}); // the caller's time
+}
+
 // Guards against the same cause on a related path: the origins of streams lived in gateways alone.
 TEST_CASE("streams of two versions go on at their own after the loss of all gateways") {
     lost_fleet_script script;
--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -198,6 +198,10 @@
         it. */
     void on_history_recovered(const recovered_history& history, time_point now);
 
+    /** Whether nobody is left to be asked for the history of software versions. Until then, a
+        refused caller is told to come back soon. */
+    void set_history_final(bool is_final) { is_history_final_ = is_final; }
+
     /** Origins of streams begun here that several gateways must know, since the last call. */
     std::vector<origin_record> take_shared_origins() { return origins_.take_shared(); }
 
@@ -392,6 +396,9 @@
     bool ask_origin(request& entry, time_point now);
     void end_overdue_resumption(request_handle id, request& entry, time_point now);
     void end_unknown_stream(request_handle id, request& entry, time_point now);
+    /** Time after which the stream of a refused request can be continued, as far as anybody knows.
+     */
+    duration unknown_stream_retry_after(const request& entry, time_point now);
     /** The effect that tells from what the version of the request's stream is known. */
     stream_resumption describe_resumption(request_handle id, const request& entry,
                                           origin_source source, time_point now) const;
@@ -473,6 +480,7 @@
     time_point ended_servers_forgotten_at_;
     std::optional<registration_period> registrations_known_; /**< Empty if none are known. */
     route_history routes_;
+    bool is_history_final_ = false;
     placement_chooser placement_chooser_;
     std::optional<time_point> answer_by_; /**< Latest deadline of every request. */
     std::map<request_handle, request> requests_;
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -162,7 +162,19 @@
 
 void dispatcher::end_unknown_stream(request_handle id, request& entry, time_point now) {
     effects_.emplace_back(describe_resumption(id, entry, origin_source::unknown, now));
-    end(id, entry, end_reason::unknown_origin, with_jitter(settings_.placement_retry_interval));
+    end(id, entry, end_reason::unknown_origin, unknown_stream_retry_after(entry, now));
+}
+
+duration dispatcher::unknown_stream_retry_after(const request& entry, time_point now) {
+    const auto known = software_.known(now);
+    const bool may_learn = !is_history_final_ || software_exchange_.expects_answer(now) || !known ||
+                           known->until_age > settings_.software.max_registration_age;
+    if (may_learn || is_history_known(entry, now)) {
+        return with_jitter(settings_.placement_retry_interval);
+    }
+    // No stream that can still be resumed then is older than what is known.
+    const auto needed = now - oldest_stream(*entry.found_route, now);
+    return with_added_jitter(needed - known->from_age);
 }
 
 void dispatcher::record_origin(request& entry, time_point now) {
