--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -40,6 +40,9 @@
 constexpr std::uint16_t agent_port = 9'002;
 constexpr std::uint16_t metrics_port = 9'464;
 
+// Time for which the store keeps its changes; the programs assume the same.
+constexpr duration store_history{20'000};
+
 constexpr int first_network = 16;
 constexpr int network_count = 200;
 
@@ -107,6 +110,7 @@
             callers_.keys.push_back({account, key, true, {}});
         }
     }
+    store_.history_time = store_history;
     callers_.fault_free_time = [this](std::size_t gateway) {
         const auto now = clock_.now();
         const auto& site = entries_.at(gateway);
