Read the store after each restart, whatever other processes tell

Streams of two software versions could not be resumed after all entries were killed while agents lived: on real processes 0 of 34 went on.

Cause: a restarted gateway read the store only if it didn't know the past. The agents tell it the past within milliseconds, so it never read the origins, which they don't know.

Change: a process that has restarted reads the store in any case.

--- a/libs/entry/src/gateway_node.cpp
+++ b/libs/entry/src/gateway_node.cpp
@@ -47,6 +47,7 @@
     out.address = settings.peer_address.ip + ':' + std::to_string(settings.peer_address.port);
     out.incarnation = settings.incarnation;
     out.store_writes_per_s = settings.store_writes_per_s;
+    out.recovery.is_restart = settings.dispatch.software.is_restart;
     out.checkpoints.interval =
         std::max(settings.store_history / checkpoints_per_history, min_checkpoint_interval);
     return out;
--- a/libs/entry/src/history_recovery.cpp
+++ b/libs/entry/src/history_recovery.cpp
@@ -32,17 +32,17 @@
                                    serving::checkpoint_schedule& checkpoints,
                                    history_recovery_settings settings)
     : clock_(clock), log_(log), dispatcher_(dispatcher), fleet_(fleet), store_(store),
-      checkpoints_(checkpoints), settings_(settings), retry_delay_(settings.min_retry_delay) {}
+      checkpoints_(checkpoints), settings_(settings), is_due_(settings.is_restart),
+      retry_delay_(settings.min_retry_delay) {}
 
 void history_recovery::tick() {
     const auto now = clock_.now();
     if (!fleet_.is_complete() || is_reading_) {
         return;
     }
-    if (dispatcher_.knows_past(now)) {
-        is_due_ = true; // for when a suspension makes it unknown
-        return;
-    }
+    const bool knows_past = dispatcher_.knows_past(now);
+    is_due_ = is_due_ || (knew_past_ && !knows_past); // after a suspension
+    knew_past_ = knows_past;
     dispatcher_.set_history_final(!is_due_);
     if (is_due_ && now >= next_read_at_) {
         read_records();
--- a/libs/entry/src/history_recovery.h
+++ b/libs/entry/src/history_recovery.h
@@ -15,6 +15,8 @@
 
 /** Delays of a history_recovery. */
 struct history_recovery_settings {
+    /** The system ran before this process started. */
+    bool is_restart = false;
     /** Delay after a read that failed; doubles with each further one, up to the maximum. */
     duration min_retry_delay{200};
     duration max_retry_delay{2'000};
@@ -26,7 +28,8 @@
 /**
  * Reads from the store what this process doesn't know of the recent past: the checkpoint, what
  * operators and backend servers have written since, and the origins of streams. Without a
- * checkpoint, all that the store has ever had is as good, while it still has it.
+ * checkpoint, all that the store has ever had is as good, while it still has it. A process that has
+ * restarted reads in any case: other processes may tell it the past, and not know the origins.
  *
  * Not thread safe. All arguments must outlive it.
  */
@@ -36,7 +39,8 @@
                      const fleet_state& fleet, serving::record_store& store,
                      serving::checkpoint_schedule& checkpoints, history_recovery_settings settings);
 
-    /** Starts a read when this process doesn't know the past. To be called regularly. */
+    /** Starts a read when this process has restarted or doesn't know the past. To be called
+        regularly. */
     void tick();
 
 private:
@@ -58,7 +62,8 @@
     serving::record_store& store_;
     serving::checkpoint_schedule& checkpoints_;
     history_recovery_settings settings_;
-    bool is_due_ = true; /**< The past wasn't known, and the store hasn't told yet. */
+    bool is_due_;            /**< The store is to be read. */
+    bool knew_past_ = false; /**< At the last tick. */
     bool is_reading_ = false;
     time_point next_read_at_;
     duration retry_delay_;
--- a/libs/entry/tests/lost_fleet.h
+++ b/libs/entry/tests/lost_fleet.h
@@ -102,6 +102,7 @@
     static constexpr duration coarse_step{100};
     static constexpr duration stream_interval{20};
     static constexpr duration poll_interval{200};
+    static constexpr duration tick_interval{50};
     static constexpr duration report_interval{900};
     static constexpr duration message_delay{5};
     static constexpr duration time_between_kills{2'000};
@@ -118,17 +119,18 @@
                 bool is_restart, std::uint64_t seed)
             : log(address, clock, sink, {}), dispatcher(settings(is_restart), "z1", seed),
               fleet(clock, log, dispatcher, reader, *this), link(clock, store),
-              records(clock, log, counts, dispatcher, fleet, link, record_settings(address, seed)) {
-        }
+              records(clock, log, counts, dispatcher, fleet, link,
+                      record_settings(address, is_restart, seed)) {}
 
         static serving::dispatcher_settings settings(bool is_restart) {
             serving::dispatcher_settings out;
             out.software.is_restart = is_restart;
             return out;
         }
-        static fleet_records_settings record_settings(const std::string& address,
+        static fleet_records_settings record_settings(const std::string& address, bool is_restart,
                                                       std::uint64_t incarnation) {
             fleet_records_settings out;
+            out.recovery.is_restart = is_restart;
             out.address = address;
             out.incarnation = incarnation;
             return out;
@@ -149,6 +151,7 @@
         fleet_records records;
         std::optional<std::uint64_t> revision; /**< Up to which the store's changes are known. */
         std::uint64_t era = 0;
+        time_point ticked; /**< When fleet_records last acted. */
     };
 
     struct sent_message {
@@ -238,6 +241,7 @@
             gateways_.back()->dispatcher.set_gateways(all[i], all, {}, clock_.now());
             gateways_.back()->dispatcher.set_software_peers(all[i], all, agents);
             gateways_.back()->records.set_gateways(script_.gateways);
+            gateways_.back()->ticked = clock_.now();
         }
     }
 
@@ -385,7 +389,10 @@
         for (auto& each : at.dispatcher.take_software_messages(clock_.now())) {
             post(number, std::move(each));
         }
-        at.records.tick();
+        if (clock_.now() - at.ticked >= tick_interval) {
+            at.ticked = clock_.now();
+            at.records.tick();
+        }
         collect(number);
         if (reports) {
             for (auto& each : gateways_) {
--- a/libs/entry/tests/record_store_model.h
+++ b/libs/entry/tests/record_store_model.h
@@ -166,7 +166,8 @@
     }
 
 private:
-    static constexpr duration answer_time{5};
+    /** Longer than other processes take to answer. */
+    static constexpr duration answer_time{40};
 
     void later(std::function<void()> call) {
         calls_.emplace_back(clock_.now() + answer_time, std::move(call));
