Judge resumed streams in the soak by the users' rule

The soak counted what became of streams that callers take up again and judged none of it. Now streams that are taken up at an entry without faults for 3 s, while two servers of their version are registered and reachable, count against the new ones there.

--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "crash_ledger.h"
+#include "lost_rule.h"
 #include "response_ledger.h"
 
 #include <kernel/clock.h>
@@ -139,6 +140,7 @@
     response_ledger& responses() noexcept { return responses_; }
     crash_ledger& crashes() noexcept { return crashes_; }
     resumption_counts& resumptions() noexcept { return resumptions_; }
+    lost_figures& lost() noexcept { return lost_; }
 
     /** Adds a line on a request that took a stream up again. */
     void trace_resumption(std::string line) { resumption_trace_.push_back(std::move(line)); }
@@ -214,6 +216,7 @@
     response_ledger responses_;
     crash_ledger crashes_;
     resumption_counts resumptions_;
+    lost_figures lost_;
     std::vector<std::string> resumption_trace_;
     std::vector<std::string> violations_;
 };
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -28,7 +28,8 @@
               << " complete after recovery, stalled " << result.longest_stall.count() << " ms"
               << std::endl;
     if (run_options.has_resuming_callers) {
-        std::cout << "  " << result.resumptions.summary() << '\n';
+        std::cout << "  " << result.resumptions.summary() << '\n'
+                  << "  in touch: " << to_string(result.lost) << '\n';
     }
     if (run_options.has_crashing_requests) {
         std::cout << "  " << result.crashes << '\n';
--- a/tests/soak/soak_caller.cpp
+++ b/tests/soak/soak_caller.cpp
@@ -20,6 +20,8 @@
 constexpr duration max_pause{80};
 constexpr int requests_per_connection = 12;
 constexpr int max_resumptions = 3;
+constexpr duration in_touch_time{3'000}; // a gateway without faults for this time is in touch
+constexpr std::size_t min_servers_of_version = 2;
 constexpr duration min_resumption_time{300}; // a shorter rest of the deadline is given up
 constexpr duration refusal_pause{300};
 constexpr duration startup_time{500}; // a process that was started listens after less
@@ -220,6 +222,7 @@
 
 void soak_caller::send_message() {
     ledger_.on_sent(request_);
+    was_in_touch_ = context_.fault_free_time(gateway_) >= in_touch_time;
     parser_.emplace();
     const bool is_abandoned = random_.unit() < abandoned_share;
     stream_.expires_after(is_abandoned ? duration{static_cast<duration::rep>(random_.below(150))}
@@ -335,15 +338,41 @@
         " ms, runs:" + ledger_.responses().describe_runs(request_.id));
 }
 
+void soak_caller::judge_begin(const result& end) {
+    const bool is_judged = was_in_touch_ && request_.kind == request_class::answer &&
+                           end.outcome != request_outcome::abandoned;
+    if (is_judged) {
+        ++ledger_.lost().new_streams;
+        ledger_.lost().begun += progress_.last_event > 0 ? 1 : 0;
+    }
+}
+
+void soak_caller::judge_resumption(const result& end, bool has_new_event) {
+    const bool is_judged =
+        was_in_touch_ && end.outcome != request_outcome::abandoned &&
+        context_.servers_of_version(broken_->progress.version) >= min_servers_of_version;
+    if (!is_judged) {
+        return;
+    }
+    ledger_.lost().taken_up += broken_->is_judged ? 0 : 1;
+    broken_->is_judged = true;
+    if (has_new_event && !broken_->has_gone_on) {
+        broken_->has_gone_on = true;
+        ++ledger_.lost().went_on;
+    }
+}
+
 std::optional<duration> soak_caller::prepare_resumption(const result& end) {
     const auto now = clock_.now();
     // An entry that is down accepts connections at its link, and closes them.
     const bool was_unreachable = end.outcome == request_outcome::closed && !is_path_sound();
     if (is_resumption_) {
+        judge_resumption(end, progress_.last_event > broken_->progress.last_event);
         record_resumption(end);
         broken_->progress = progress_;
         broken_->remaining_tries -= was_unreachable ? 0 : 1;
     } else {
+        judge_begin(end);
         broken_ = resumable_stream{request_.id, progress_, request_.sent + request_.deadline,
                                    max_resumptions};
     }
--- a/tests/soak/soak_caller.h
+++ b/tests/soak/soak_caller.h
@@ -33,6 +33,8 @@
     std::vector<boost::asio::ip::tcp::endpoint> gateways;
     /** Time since the last fault of a gateway or of its links to callers and to the store. */
     std::function<duration(std::size_t gateway)> fault_free_time;
+    /** Number of registered servers of a software version whose links have no fault. */
+    std::function<std::size_t(const std::string& version)> servers_of_version;
     std::vector<caller_key> keys;
     double crashing_share = 0;    /**< Share of the streams whose prompt crashes servers. */
     double long_body_share = 0;   /**< Share of the requests with a body that have a long one. */
@@ -77,6 +79,8 @@
         stream_progress progress;
         time_point give_up_at;
         int remaining_tries = 0;
+        bool is_judged = false; /**< Counts in lost_figures::taken_up. */
+        bool has_gone_on = false;
     };
 
     /** Sends the request that takes up `broken_`. */
@@ -84,6 +88,9 @@
     /** Takes note of the stream if it is to be taken up again; returns the time until then. */
     std::optional<duration> prepare_resumption(const result& end);
     void record_resumption(const result& end);
+    /** Counts the stream of `request_` for the rule about lost streams. */
+    void judge_begin(const result& end);
+    void judge_resumption(const result& end, bool has_new_event);
     /** Whether the entry and its links have had no fault since `request_` was sent, and the entry
         was started long enough before to listen. */
     bool is_path_sound() const;
@@ -129,6 +136,7 @@
     std::optional<resumable_stream>
         broken_;                 /**< The stream that `request_` or the next takes up. */
     bool is_resumption_ = false; /**< Of `request_`. */
+    bool was_in_touch_ = false;  /**< The gateway, when `request_` was sent. */
     int remaining_requests_ = 0;
     std::size_t gateway_ = 0;
     std::uint64_t sent_count_ = 0;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -187,10 +187,15 @@
                                      std::to_string(timeouts_.open_after_slack) + " of " +
                                          std::to_string(timeouts_.open_at_timeout));
         }
+        if (breaks_lost_rule(ledger_.lost())) {
+            ledger_.report_violation("streams that callers take up again go on",
+                                     to_string(ledger_.lost()));
+        }
         soak_result out;
         out.violations = ledger_.violations();
         out.faults = faults_;
         out.resumptions = ledger_.resumptions();
+        out.lost = ledger_.lost();
         out.resumption_trace = ledger_.resumption_trace();
         out.crashes = ledger_.crashes().summary();
         out.log_folder = world_.folder();
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -28,6 +28,7 @@
     std::vector<std::string> faults; /**< Injected faults with their times. */
     std::string log_folder;
     resumption_counts resumptions;
+    lost_figures lost;
     std::vector<std::string> resumption_trace; /**< A line for each time. */
     std::string crashes;                       /**< Figures of requests that crash servers. */
     std::size_t complete = 0;
--- a/tests/soak/soak_world.cpp
+++ b/tests/soak/soak_world.cpp
@@ -118,6 +118,15 @@
                          site.store_link->fault_free_time(now),
                          site.process->fault_free_time(now)});
     };
+    callers_.servers_of_version = [this](const std::string& version) {
+        return static_cast<std::size_t>(
+            std::count_if(backends_.begin(), backends_.end(), [&](const auto& each) {
+                const auto& id = each.backend->id();
+                return software_version_of(id) == version &&
+                       !store_.value_of("servers/" + id).empty() &&
+                       each.request_link->fault_free_time(clock_.now()) > duration::zero();
+            }));
+    };
     for (int i = 1; i <= sizes.entries; ++i) {
         add_entry(i);
     }
