--- a/libs/entry/src/fleet_records.cpp
+++ b/libs/entry/src/fleet_records.cpp
@@ -72,7 +72,8 @@
 void fleet_records::write_checkpoint() {
     const auto now = clock_.now();
     // Of the gateways that learn registrations from others, none knows a position to rely on.
-    if (is_writing_checkpoint_ || !checkpoints_.is_due(now) || !fleet_.follows_store()) {
+    const bool may_write = !is_writing_checkpoint_ && !recovery_.is_due() && fleet_.follows_store();
+    if (!may_write || !checkpoints_.is_due(now)) {
         return;
     }
     const auto checkpoint = dispatcher_.checkpoint(fleet_.registrations_position(), now);
--- a/libs/entry/src/history_recovery.h
+++ b/libs/entry/src/history_recovery.h
@@ -43,6 +43,9 @@
         regularly. */
     void tick();
 
+    /** Whether the store is still to be read. */
+    bool is_due() const noexcept { return is_due_; }
+
 private:
     void read_records();
     void on_records(const serving::record_list& list);
