--- a/libs/entry/src/fleet_records.h
+++ b/libs/entry/src/fleet_records.h
@@ -4,6 +4,7 @@
 #include "history_recovery.h"
 
 #include <kernel/clock.h>
+#include <serving/checkpoint_schedule.h>
 #include <serving/dispatcher.h>
 #include <serving/fleet_checkpoint.h>
 #include <serving/origin_journal.h>
--- a/libs/entry/src/history_recovery.cpp
+++ b/libs/entry/src/history_recovery.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <variant>
 
 namespace camphorgrade::entry {
 
@@ -79,10 +80,12 @@
                                     std::optional<serving::fleet_checkpoint> checkpoint) {
     const auto since = checkpoint ? checkpoint->position.revision : 0;
     store_.read_changes(since, [this, list, checkpoint = std::move(checkpoint),
-                                read_at = clock_.now()](const auto& changes, auto fault) {
-        if (changes && changes->era == list.position.era) {
+                                read_at = clock_.now()](const serving::changes_result& result) {
+        const auto* changes = std::get_if<serving::recorded_changes>(&result);
+        const auto* fault = std::get_if<serving::changes_fault>(&result);
+        if (changes != nullptr && changes->era == list.position.era) {
             on_changes(*changes, read_at, list, checkpoint);
-        } else if (!changes && fault == serving::changes_fault::history_gone) {
+        } else if (fault != nullptr && *fault == serving::changes_fault::history_gone) {
             apply_origins(list);
             end("history_gone");
         } else {
--- a/libs/entry/src/history_recovery.h
+++ b/libs/entry/src/history_recovery.h
@@ -3,6 +3,7 @@
 #include "fleet_state.h"
 
 #include <kernel/clock.h>
+#include <serving/checkpoint_schedule.h>
 #include <serving/dispatcher.h>
 #include <serving/fleet_checkpoint.h>
 #include <serving/record_store.h>
--- a/libs/entry/tests/record_store_model.h
+++ b/libs/entry/tests/record_store_model.h
@@ -175,12 +175,12 @@
 
     void answer_changes(std::uint64_t revision, const changes_handler& done) {
         if (store_.is_away) {
-            done(std::nullopt, serving::changes_fault::failed);
+            done(serving::changes_fault::failed);
             return;
         }
         const auto changes = store_.changes_since(revision);
         if (!changes) {
-            done(std::nullopt, serving::changes_fault::history_gone);
+            done(serving::changes_fault::history_gone);
             return;
         }
         serving::recorded_changes out;
@@ -192,7 +192,7 @@
                 out.catalogues.push_back(*each.catalogue);
             }
         }
-        done(out, serving::changes_fault::failed);
+        done(out);
     }
 
     const clock& clock_;
--- a/libs/serving/include/serving/record_store.h
+++ b/libs/serving/include/serving/record_store.h
@@ -9,6 +9,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <variant>
 #include <vector>
 
 /**
@@ -78,14 +79,15 @@
     failed        /**< No usable answer. */
 };
 
+/** The changes since a revision, or why they can't be told. */
+using changes_result = std::variant<recorded_changes, changes_fault>;
+
 /** Reads and writes the system's own records. Handlers run once, from the event loop, never from
     within a call. Not thread safe. */
 class record_store {
 public:
     using list_handler = std::function<void(const std::optional<record_list>&)>;
-    /** Gets the changes, or else why there are none. */
-    using changes_handler =
-        std::function<void(const std::optional<recorded_changes>&, changes_fault)>;
+    using changes_handler = std::function<void(const changes_result&)>;
     using write_handler = std::function<void(const write_result&)>;
     /** Gets the lease; empty if there is none. */
     using lease_handler = std::function<void(std::optional<std::uint64_t>)>;
--- a/libs/serving/tests/test_checkpoint_schedule.cpp
+++ b/libs/serving/tests/test_checkpoint_schedule.cpp
@@ -1,4 +1,4 @@
-#include <serving/fleet_checkpoint.h>
+#include <serving/checkpoint_schedule.h>
 
 #include <catch2/catch.hpp>
 
