Look at the software versions of all servers as often as before

knows_past(), which is asked every 50 ms, looked at the versions of all servers each time: in a fleet of hundreds of servers four times the work of before. Now it shares the interval of 200 ms with take_origin_messages(), which had the same check written out.

--- a/libs/serving/include/serving/dispatcher.h
+++ b/libs/serving/include/serving/dispatcher.h
@@ -373,6 +373,8 @@
     /** Since when a stream that `matched` serves may have begun. */
     time_point oldest_stream(const route& matched, time_point now) const;
     void observe_software(time_point now);
+    /** Looks at the software versions of all servers, once in `version_observation_interval`. */
+    void observe_software_when_due(time_point now);
     /** Continues the streams whose origins are known now. */
     void continue_resolved_streams(time_point now);
     /** Sets the service and version at which the request's stream continues; empty if nothing
--- a/libs/serving/src/dispatch_recovery.cpp
+++ b/libs/serving/src/dispatch_recovery.cpp
@@ -34,7 +34,7 @@
     if (!catalogue_ || !has_resumable_routes(catalogue_->catalogue())) {
         return true;
     }
-    observe_software(now);
+    observe_software_when_due(now);
     return software_.is_known_since(now - settings_.software.memory);
 }
 
--- a/libs/serving/src/dispatch_streams.cpp
+++ b/libs/serving/src/dispatch_streams.cpp
@@ -76,6 +76,12 @@
     software_.observe(backends_, registrations_known_, now);
 }
 
+void dispatcher::observe_software_when_due(time_point now) {
+    if (now - versions_observed_at_ >= settings_.version_observation_interval) {
+        observe_software(now);
+    }
+}
+
 bool dispatcher::on_registration(const backend_server& server, time_point now) {
     backends_.put(server);
     software_.add(server, now);
@@ -221,9 +227,7 @@
 }
 
 std::vector<origin_message> dispatcher::take_origin_messages(time_point now) {
-    if (now - versions_observed_at_ >= settings_.version_observation_interval) {
-        observe_software(now);
-    }
+    observe_software_when_due(now);
     // While the history isn't known up to now, several versions may serve, so all origins are
     // shared.
     const bool knows_all = software_.is_known_since(now - settings_.software.memory, now);
