--- a/libs/serving/include/serving/software_versions.h
+++ b/libs/serving/include/serving/software_versions.h
@@ -145,6 +145,8 @@
     };
 
     void add(const std::string& service, const std::string& version, time_point seen_at);
+    /** Adds the records that are worth remembering; their ages are as of `as_of`. */
+    void add(const std::vector<software_record>& records, time_point as_of);
     /** Extends the known period by `added` if at most `max_gap` lies between them; otherwise the
         later one remains. */
     void extend(const period& added, duration max_gap);
--- a/libs/serving/src/software_versions.cpp
+++ b/libs/serving/src/software_versions.cpp
@@ -35,11 +35,7 @@
 }
 
 void software_versions::learn(const software_history& history, time_point now) {
-    for (const auto& each : history.records) {
-        if (each.age < settings_.memory) {
-            add(each.service, each.version, now - each.age);
-        }
-    }
+    add(history.records, now);
     if (history.known) {
         extend({now - history.known->from_age, now - history.known->until_age},
                settings_.max_learned_gap);
@@ -49,13 +45,17 @@
 
 void software_versions::recover(const std::vector<software_record>& records, duration reach,
                                 time_point read_at) {
+    add(records, read_at);
+    extend({read_at - reach, read_at}, settings_.max_registration_gap);
+    forget_old(read_at);
+}
+
+void software_versions::add(const std::vector<software_record>& records, time_point as_of) {
     for (const auto& each : records) {
         if (each.age < settings_.memory) {
-            add(each.service, each.version, read_at - each.age);
+            add(each.service, each.version, as_of - each.age);
         }
     }
-    extend({read_at - reach, read_at}, settings_.max_registration_gap);
-    forget_old(read_at);
 }
 
 void software_versions::add(const std::string& service, const std::string& version,
