--- a/review/standins-3/programs.cpp
+++ b/review/standins-3/programs.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <utility>
 
 namespace review {
@@ -138,6 +139,19 @@
     }
 }
 
+void programs::move_store(int entry, const endpoint& store) {
+    const auto name = "front-" + std::to_string(entry);
+    const auto path = folder_ + '/' + name + ".conf";
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    auto settings = text.str();
+    const auto before = "platform.address=" + store_address().text();
+    settings.replace(settings.find(before), before.size(), "platform.address=" + store.text());
+    std::ofstream(path) << settings;
+    record_.line("the settings of " + name + " name the store at " + store.text());
+    ::kill(pid_of(name), SIGHUP);
+}
+
 std::size_t programs::resident_bytes(int entry) const {
     const auto pid = pid_of("front-" + std::to_string(entry));
     std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
--- a/review/standins-3/programs.h
+++ b/review/standins-3/programs.h
@@ -35,6 +35,7 @@
 
     const std::string& network() const { return network_; }
     endpoint store_address() const { return {network_ + ".9.1", 8'225}; }
+    endpoint second_store_address() const { return {network_ + ".9.2", 8'225}; }
     /** Where callers reach the entry of this number, from 1. */
     endpoint callers(int entry) const { return {entry_ip(entry), 8'221}; }
     endpoint readiness(int entry) const { return {entry_ip(entry), 8'224}; }
@@ -52,6 +53,8 @@
 
     /** Kills the process of an entry, as the platform does; its callers' connections break. */
     void kill_entry(int number);
+    /** Names another store in the settings file of an entry, and tells its process by SIGHUP. */
+    void move_store(int entry, const endpoint& store);
     /** Memory that the process of an entry takes; 0 if it doesn't run. */
     std::size_t resident_bytes(int entry) const;
     /** Whether the process of an entry has ended by itself. */
--- a/review/standins-3/site.cpp
+++ b/review/standins-3/site.cpp
@@ -31,10 +31,15 @@
                       {"weights_mb", options.weights_mb},
                       {"adapter_slots", options.adapter_slots},
                       {"loads_per_s", 2.8}};
-    const json out{{"version", 7},
+    auto streams = route("r-1", "/lohu930/", "streaming", engine_service);
+    if (options.has_resumable_streams) {
+        streams["service"] = plain_service;
+        streams["resumable"] = true;
+        streams["timeout_ms"] = stream_timeout_ms;
+    }
+    const json out{{"version", options.version},
                    {"routes",
-                    {route("r-1", "/lohu930/", "streaming", engine_service),
-                     route("r-2", "/puxa403/", "non_idempotent", plain_service),
+                    {streams, route("r-2", "/puxa403/", "non_idempotent", plain_service),
                      route("r-3", "/cufi504/", "idempotent", plain_service)}},
                    {"services",
                     {{{"name", engine_service},
@@ -56,7 +61,7 @@
                       {"rate_per_s", 1'000'000},
                       {"burst", 1'000'000}},
                      {{"name", "dati991"},
-                      {"api_keys", {other_key}},
+                      {"api_keys", {options.second_tenant_key}},
                       {"priority", 1},
                       {"unit", "tokens"},
                       {"plain_tokens", 200},
--- a/review/standins-3/site.h
+++ b/review/standins-3/site.h
@@ -15,6 +15,7 @@
 constexpr const char* stream_path = "/lohu930/2f";
 constexpr const char* booking_path = "/puxa403/2f";
 constexpr const char* lookup_path = "/cufi504/2f";
+constexpr int stream_timeout_ms = 10'000;
 
 /** What a case changes of the deployment's configuration. */
 struct site_options {
@@ -23,6 +24,10 @@
     double adapter_mb = 66;
     int adapter_slots = 9;
     int adapters = 3'000;
+    /** Streams go to the plain service and may be taken up again. */
+    bool has_resumable_streams = false;
+    int version = 7; /**< Of the configuration. */
+    std::string second_tenant_key = other_key;
 };
 
 /** The operator's configuration, as the value of `op/config`. */
--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -14,6 +14,7 @@
 
 using json = nlohmann::json;
 
+constexpr int status_history_gone = 410;
 constexpr std::size_t max_items = 500;
 constexpr std::size_t max_page_bytes = 1'000'000;
 constexpr std::int64_t max_wait_ms = 30'000;
@@ -45,10 +46,17 @@
 
 } // namespace
 
-bool store::listen(const endpoint& at) {
+std::shared_ptr<server> store::listen(const endpoint& at) {
     return server::start(at, [this](connection& caller, http_message& request) {
-               return on_request(caller, request);
-           }) != nullptr;
+        return on_request(caller, request);
+    });
+}
+
+void store::forget_history() {
+    const std::lock_guard lock(mutex_);
+    history_.clear();
+    oldest_revision_ = revision_;
+    changed_.notify_all();
 }
 
 void store::add(change added) {
@@ -82,7 +90,7 @@
         const auto wait = std::atoll(request.query("wait_ms").c_str());
         body = watch(request.query("path_prefix"),
                      std::strtoull(request.query("after").c_str(), nullptr, 10),
-                     std::min<std::int64_t>(wait, max_wait_ms));
+                     std::min<std::int64_t>(wait, max_wait_ms), status);
     } else if (path == "/camphorgrade/kv-txn") {
         body = transact(request.body, status);
     } else if (path == "/camphorgrade/kv-lease") {
@@ -120,15 +128,21 @@
     return json{{"items", items}, {"has_more", has_more}, {"current_rev", revision_}}.dump();
 }
 
-std::string store::watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms) {
+std::string store::watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms,
+                         int& status) {
     std::unique_lock lock(mutex_);
     const auto is_wanted = [&](const change& each) {
         return each.revision > after && begins_with(each.key, prefix);
     };
     const auto has_events = [&] {
-        return std::any_of(history_.rbegin(), history_.rend(), is_wanted);
+        return after < oldest_revision_ ||
+               std::any_of(history_.rbegin(), history_.rend(), is_wanted);
     };
     changed_.wait_for(lock, std::chrono::milliseconds(wait_ms), has_events);
+    if (after < oldest_revision_) {
+        status = status_history_gone;
+        return json{{"current_rev", revision_}}.dump();
+    }
     json events = json::array();
     auto reached = revision_;
     for (const auto& each : history_) {
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -5,6 +5,7 @@
 #include <condition_variable>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -13,12 +14,16 @@
 
 /**
  * The platform's metadata store: reads, watches, writes under a condition and leases, which never
- * end within a case. Loses nothing and keeps its whole history. Thread safe.
+ * end within a case. Loses nothing, and keeps its history until it is told to forget it. Thread
+ * safe.
  */
 class store {
 public:
-    /** Serves the store at `at`; returns whether the address could be bound. */
-    bool listen(const endpoint& at);
+    /** Serves the store at `at`, beside other addresses; returns null if it can't be bound. */
+    std::shared_ptr<server> listen(const endpoint& at);
+
+    /** Discards the changes up to now: a watch from an earlier revision gets 410. */
+    void forget_history();
 
     /** Writes as the operator or a worker does; the return is the acknowledgement. */
     void put(const std::string& key, const std::string& value);
@@ -35,7 +40,8 @@
 
     bool on_request(connection& caller, const http_message& request);
     std::string range(const std::string& prefix, const std::string& after);
-    std::string watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms);
+    std::string watch(const std::string& prefix, std::uint64_t after, std::int64_t wait_ms,
+                      int& status);
     std::string transact(const std::string& body, int& status);
     void add(change added);
 
@@ -44,6 +50,7 @@
     std::map<std::string, change> items_;
     std::vector<change> history_;
     std::uint64_t revision_ = 100;
+    std::uint64_t oldest_revision_ = 0; /**< The oldest from which a watch may start. */
     std::uint64_t next_lease_ = 1'000;
 };
 
--- a/review/standins-3/worker.cpp
+++ b/review/standins-3/worker.cpp
@@ -240,7 +240,9 @@
         crash();
         return false;
     }
-    if (settings_.is_engine) {
+    const auto& prefix = settings_.stream_prefix;
+    const bool is_stream = !prefix.empty() && request.path().find(prefix) == 0;
+    if (settings_.is_engine || is_stream) {
         return stream(caller, request);
     }
     sleep_ms(settings_.work_ms);
--- a/review/standins-3/worker.h
+++ b/review/standins-3/worker.h
@@ -22,6 +22,7 @@
     std::string zone = "one";
     endpoint address;
     bool is_engine = false;
+    std::string stream_prefix{}; /**< Paths at which a plain service answers with a stream. */
     std::string model{};
     double capacity_mb = 0; /**< Memory for the model and its adapters. */
     double model_mb = 0;
