--- a/review/standins-3/net.cpp
+++ b/review/standins-3/net.cpp
@@ -255,12 +255,6 @@
     message.body = bytes ? *std::move(bytes) : input_;
 }
 
-bool connection::has_ended() const {
-    char byte = 0;
-    const auto count = ::recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-    return count == 0 || (count < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
-}
-
 void connection::close() {
     if (socket_ >= 0) {
         ::close(std::exchange(socket_, -1));
--- a/review/standins-3/net.h
+++ b/review/standins-3/net.h
@@ -60,7 +60,6 @@
     static std::optional<connection> open(const endpoint& to, int timeout_ms,
                                           const std::string& from = {});
 
-    bool is_open() const { return socket_ >= 0; }
     bool write(std::string_view bytes);
     /** Reads the head of a message; nullopt at the end of the connection or after `timeout_ms`. */
     std::optional<http_message> read_head(int timeout_ms);
@@ -68,8 +67,6 @@
     void read_body(http_message& message, int timeout_ms);
     /** Reads what is next of a chunked body; empty at its end or on a failure. */
     std::string read_chunk(int timeout_ms, bool& is_last);
-    /** Whether the peer has closed the connection and everything was read. */
-    bool has_ended() const;
     void close();
 
 private:
--- a/review/standins-3/programs.cpp
+++ b/review/standins-3/programs.cpp
@@ -152,20 +152,6 @@
     ::kill(pid_of(name), SIGHUP);
 }
 
-std::size_t programs::resident_bytes(int entry) const {
-    const auto pid = pid_of("front-" + std::to_string(entry));
-    std::ifstream file("/proc/" + std::to_string(pid) + "/statm");
-    std::size_t pages = 0;
-    std::size_t resident = 0;
-    file >> pages >> resident;
-    return pid == 0 ? 0 : resident * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
-}
-
-bool programs::has_ended(int entry) {
-    const auto pid = pid_of("front-" + std::to_string(entry));
-    return pid == 0 || ::waitpid(pid, nullptr, WNOHANG) == pid;
-}
-
 bool programs::wait_until_ready(int count, std::int64_t timeout_ms) const {
     const auto end = now_ms() + timeout_ms;
     for (int entry = 1; entry <= count; ++entry) {
--- a/review/standins-3/programs.h
+++ b/review/standins-3/programs.h
@@ -39,7 +39,6 @@
     /** Where callers reach the entry of this number, from 1. */
     endpoint callers(int entry) const { return {entry_ip(entry), 8'221}; }
     endpoint readiness(int entry) const { return {entry_ip(entry), 8'224}; }
-    endpoint metrics(int entry) const { return {entry_ip(entry), 9'464}; }
     /** Address of the model worker of this number, from 1, with the agent beside it. */
     endpoint engine(int number) const { return {network_ + ".2." + std::to_string(number), 8'228}; }
     endpoint plain_server(int number) const {
@@ -55,10 +54,6 @@
     void kill_entry(int number);
     /** Names another store in the settings file of an entry, and tells its process by SIGHUP. */
     void move_store(int entry, const endpoint& store);
-    /** Memory that the process of an entry takes; 0 if it doesn't run. */
-    std::size_t resident_bytes(int entry) const;
-    /** Whether the process of an entry has ended by itself. */
-    bool has_ended(int entry);
 
     /** Waits until all of the first `count` entries say that they are ready. */
     bool wait_until_ready(int count, std::int64_t timeout_ms) const;
--- a/review/standins-3/store.cpp
+++ b/review/standins-3/store.cpp
@@ -75,11 +75,6 @@
     add({0, key, value, 0, false});
 }
 
-void store::remove(const std::string& key) {
-    const std::lock_guard lock(mutex_);
-    add({0, key, {}, 0, true});
-}
-
 bool store::on_request(connection& caller, const http_message& request) {
     const auto path = request.path();
     int status = 200;
--- a/review/standins-3/store.h
+++ b/review/standins-3/store.h
@@ -27,7 +27,6 @@
 
     /** Writes as the operator or a worker does; the return is the acknowledgement. */
     void put(const std::string& key, const std::string& value);
-    void remove(const std::string& key);
 
 private:
     struct change {
--- a/review/standins-3/worker.cpp
+++ b/review/standins-3/worker.cpp
@@ -106,11 +106,6 @@
     }).detach();
 }
 
-std::size_t worker::adapters() {
-    const std::lock_guard lock(mutex_);
-    return adapters_.size();
-}
-
 void worker::set_newest(const std::string& adapter, std::uint64_t version) {
     const std::lock_guard lock(mutex_);
     newest_[adapter] = version;
@@ -232,7 +227,6 @@
     if (settings_.is_engine && !holds(request, version)) {
         return caller.write(response_text(421, {{"X-Request-Id", id}}, ""));
     }
-    ++runs_;
     if (ran_) {
         ran_({settings_.id, request, version, now_ms()});
     }
--- a/review/standins-3/worker.h
+++ b/review/standins-3/worker.h
@@ -70,10 +70,6 @@
     /** Makes an adapter present, as before the case began. */
     void hold(const std::string& adapter, std::uint64_t version = 1);
 
-    bool has_crashed() const { return has_crashed_; }
-    std::size_t runs() const { return runs_; }
-    std::size_t adapters();
-
     /** Names the newest version of an adapter, which a load without a version fetches. */
     void set_newest(const std::string& adapter, std::uint64_t version);
 
@@ -108,7 +104,6 @@
     std::uint64_t sequence_ = 0;
     std::uint64_t highest_fence_ = 0;
     std::int64_t born_ms_ = 0;
-    std::atomic<std::size_t> runs_{0};
     std::atomic<bool> has_crashed_{false};
 };
 
